--- /dev/null
+++ b/src/libteaselthread/admission_controller.h
@@ -0,0 +1,139 @@
+#ifndef TEASELTHREAD_ADMISSION_CONTROLLER_H_
+#define TEASELTHREAD_ADMISSION_CONTROLLER_H_
+
+#include <compare>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "libteaselthread/endpoint_queue.h"
+#include "libteaselthread/fleet_view.h"
+#include "libteaselthread/reasons.h"
+#include "libteaselthread/slow_start.h"
+
+namespace teaselthread {
+
+enum class AdmissionVerdict : uint8_t { kAdmitted, kQueued, kRefused };
+
+struct AdmissionDecision {
+  AdmissionVerdict verdict = AdmissionVerdict::kRefused;
+  RefusalReason reason = RefusalReason::kNoEndpoint;  // if refused
+  Duration retry_after{};                             // if refused
+
+  friend auto operator<=>(const AdmissionDecision&,
+                          const AdmissionDecision&) = default;
+};
+
+// The end of a call's wait in a queue.
+struct QueueResult {
+  CallId id = 0;
+  AdmissionDecision decision;
+
+  friend auto operator<=>(const QueueResult&, const QueueResult&) = default;
+};
+
+// Asks the previous owner to hand an endpoint over, or, when it has done so,
+// how much of its work still runs there.
+struct RequestHandOver {
+  std::string endpoint;
+  std::string previous_owner;
+
+  friend auto operator<=>(const RequestHandOver&,
+                          const RequestHandOver&) = default;
+};
+
+// What an endpoint says of itself when asked.
+struct EndpointReport {
+  uint32_t running = 0;
+  EndpointTemperature temperature = EndpointTemperature::kCold;
+
+  friend auto operator<=>(const EndpointReport&,
+                          const EndpointReport&) = default;
+};
+
+struct AdmissionTiming {
+  Duration guard_time;  // until a dead previous owner must have fenced itself
+  Duration report_lag;  // how old an endpoint's report of itself may be
+};
+
+// Admits all work to the endpoints that this node owns, within the load bound
+// and the cold limit, and keeps what waits for them. A node that becomes an
+// endpoint's owner admits nothing until the previous owner has handed over or
+// is dead and must have fenced itself.
+class AdmissionController {
+ public:
+  // `sequence_origin` is the wall clock, in microseconds, at Timestamp zero.
+  AdmissionController(FleetView fleet,
+                      LoadBoard* loads,
+                      AdmissionTiming timing,
+                      uint64_t sequence_origin);
+
+  AdmissionDecision Submit(const std::string& endpoint,
+                           const AdmissionRequest& request,
+                           Timestamp now);
+  // The call has ended or has been given up, running or waiting.
+  std::vector<QueueResult> End(const std::string& endpoint,
+                               CallId id,
+                               Timestamp now);
+  // Follows members and configuration, expires waits, fills free places.
+  std::vector<QueueResult> Tick(Timestamp now);
+
+  // Hand-overs to ask for now.
+  std::vector<RequestHandOver> PendingHandOvers() const;
+  void OnHandedOver(const std::string& endpoint,
+                    uint32_t remaining_load,
+                    Timestamp now);
+  // Another node has become the owner. Returns the load that still runs here.
+  uint32_t HandOver(const std::string& endpoint,
+                    const std::string& new_owner,
+                    Timestamp now);
+
+  void OnEndpointReport(const std::string& endpoint,
+                        const EndpointReport& report,
+                        Timestamp now);
+  void OnEndpointUnreachable(const std::string& endpoint, Timestamp now);
+  void OnFirstByte(const std::string& endpoint,
+                   Duration latency,
+                   Timestamp now);
+
+  std::vector<std::string> OwnedEndpoints() const;
+  uint32_t RunningTotal() const;
+
+ private:
+  struct Site {
+    EndpointQueue queue;
+    SlowStart slow_start;
+    bool owned = false;
+    bool guarded = false;
+    Timestamp guarded_until{};
+    std::string previous_owner;
+    uint32_t foreign_load = 0;  // admitted by a previous owner, still running
+    std::optional<Timestamp> unreachable_until;
+  };
+
+  void FollowOwnership(Timestamp now);
+  void BecomeOwner(const Endpoint& endpoint, Site& site, Timestamp now);
+  void LiftGuard(const std::string& name, Site& site, Timestamp now);
+  int Limit(const Endpoint& endpoint, const Site& site, Timestamp now) const;
+  std::optional<AdmissionDecision> RefuseAtOnce(const Endpoint& endpoint,
+                                                const Site& site,
+                                                Timestamp now) const;
+  void Publish(const std::string& endpoint, const Site& site, Timestamp now);
+  void FillPlaces(const std::string& name,
+                  Site& site,
+                  Timestamp now,
+                  std::vector<QueueResult>* results);
+
+  FleetView fleet_;
+  LoadBoard* loads_;
+  AdmissionTiming timing_;
+  uint64_t sequence_origin_;
+  uint64_t followed_members_ = 0;
+  uint64_t followed_endpoints_ = 0;
+  std::map<std::string, Site> sites_;
+};
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_ADMISSION_CONTROLLER_H_
--- /dev/null
+++ b/src/libteaselthread/configuration.h
@@ -0,0 +1,100 @@
+#ifndef TEASELTHREAD_CONFIGURATION_H_
+#define TEASELTHREAD_CONFIGURATION_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "libteaselthread/error.h"
+#include "libteaselthread/ini_document.h"
+#include "libteaselthread/timestamp.h"
+
+namespace teaselthread {
+
+// What a request gets when it names this profile.
+struct Profile {
+  std::string name;
+  int priority = 0;  // 0 is served first
+  Duration deadline{};
+  // Whether a call may be sent a second time after an attempt whose end is
+  // not known. Calls of other profiles need an idempotency key.
+  bool repeatable = true;
+
+  friend auto operator<=>(const Profile&, const Profile&) = default;
+};
+
+// Limits of one customer over the whole fleet.
+struct CustomerLimits {
+  double requests_per_second = 0;
+  int concurrency = 0;
+
+  friend auto operator<=>(const CustomerLimits&,
+                          const CustomerLimits&) = default;
+};
+
+// How the endpoints of one model or service may be loaded.
+struct EndpointPolicy {
+  // No endpoint is given more than this multiple of the mean load of the
+  // endpoints that serve the same model. Not used for services.
+  double load_multiple = 0;
+  int slots = 0;             // requests at a time at one endpoint
+  int cold_concurrency = 0;  // the same during a cold start
+  Duration ramp{};           // from the cold limit to `slots`
+  // An answer whose first byte took longer marks the endpoint cold.
+  Duration cold_first_byte{};
+
+  friend auto operator<=>(const EndpointPolicy&,
+                          const EndpointPolicy&) = default;
+};
+
+// The operators' document: profiles, limits, and what is out of service.
+// An immutable value; a change makes a new one with a higher version.
+class Configuration {
+ public:
+  static constexpr size_t kMaxTextBytes = 1'000'000;
+
+  // Reads and checks a whole document; all errors are reported together.
+  static Result<Configuration> Parse(std::string_view text,
+                                     std::string source,
+                                     uint64_t version);
+
+  uint64_t version() const { return version_; }
+  const std::string& text() const { return text_; }
+  // Random words of the latest changes, by which a writer recognises its own
+  // change when the reply to the write was lost.
+  const std::vector<std::string>& change_ids() const { return change_ids_; }
+
+  const Profile* FindProfile(const std::string& name) const;
+  const EndpointPolicy* FindModel(const std::string& name) const;
+  const EndpointPolicy* FindService(const std::string& name) const;
+  const CustomerLimits& LimitsOf(const std::string& customer) const;
+  bool ZoneIsOut(const std::string& zone) const {
+    return zones_out_.contains(zone);
+  }
+  bool VmIsOut(const std::string& vm) const { return vms_out_.contains(vm); }
+  const std::set<std::string>& zones_out() const { return zones_out_; }
+  const std::set<std::string>& vms_out() const { return vms_out_; }
+
+ private:
+  Configuration() = default;
+  void ReadSection(const IniSection& section,
+                   const std::string& source,
+                   std::vector<Error>* errors);
+
+  uint64_t version_ = 0;
+  std::string text_;
+  std::vector<std::string> change_ids_;
+  std::map<std::string, Profile> profiles_;
+  std::map<std::string, EndpointPolicy> models_;
+  std::map<std::string, EndpointPolicy> services_;
+  std::map<std::string, CustomerLimits> customers_;
+  CustomerLimits default_limits_;
+  std::set<std::string> zones_out_;
+  std::set<std::string> vms_out_;
+};
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_CONFIGURATION_H_
--- /dev/null
+++ b/src/libteaselthread/customer_limiter.cc
@@ -0,0 +1,71 @@
+#include "libteaselthread/customer_limiter.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace teaselthread {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A customer's connections spread unevenly over the nodes; each node grants
+// this multiple of an even part.
+constexpr double kUnevenSpread = 2;
+constexpr Duration kIdleLifetime = seconds(60);
+constexpr size_t kMaxCustomers = 10'000;
+constexpr Duration kRetryAfterConcurrency = milliseconds(1'000);
+
+double NodePart(double fleet_limit, size_t node_count) {
+  const double part = node_count <= 1 ? fleet_limit
+                                      : fleet_limit * kUnevenSpread /
+                                            static_cast<double>(node_count);
+  return std::min(fleet_limit, std::max(1.0, part));
+}
+
+}  // namespace
+
+std::optional<RefusedNotRun> CustomerLimiter::TryBegin(
+    const std::string& customer,
+    const CustomerLimits& fleet_limits,
+    size_t node_count,
+    Timestamp now) {
+  const double rate = NodePart(fleet_limits.requests_per_second, node_count);
+  const double burst = std::max(1.0, rate);
+  if (customers_.size() >= kMaxCustomers)
+    DropIdle(now);
+  auto [place, is_new] = customers_.try_emplace(customer, State{burst, now, 0});
+  State& state = place->second;
+  const double elapsed_s =
+      std::chrono::duration<double>(now - state.filled_at).count();
+  state.tokens = std::min(burst, state.tokens + elapsed_s * rate);
+  state.filled_at = now;
+  if (state.running >=
+      std::ceil(NodePart(fleet_limits.concurrency, node_count))) {
+    return RefusedNotRun{RefusalReason::kCustomerConcurrency,
+                         kRetryAfterConcurrency};
+  }
+  if (state.tokens < 1) {
+    const auto wait = std::chrono::duration<double>((1 - state.tokens) / rate);
+    return RefusedNotRun{RefusalReason::kCustomerRate,
+                         std::chrono::ceil<milliseconds>(wait)};
+  }
+  state.tokens -= 1;
+  ++state.running;
+  return std::nullopt;
+}
+
+void CustomerLimiter::End(const std::string& customer) {
+  auto found = customers_.find(customer);
+  if (found != customers_.end() && found->second.running > 0)
+    --found->second.running;
+}
+
+void CustomerLimiter::DropIdle(Timestamp now) {
+  std::erase_if(customers_, [now](const auto& item) {
+    return item.second.running == 0 &&
+           now - item.second.filled_at > kIdleLifetime;
+  });
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/libteaselthread/endpoint_queue.cc
@@ -0,0 +1,81 @@
+#include "libteaselthread/endpoint_queue.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace teaselthread {
+namespace {
+
+// Weight of the newest call in the moving average of the service time.
+constexpr int kAverageShare = 8;
+
+}  // namespace
+
+void EndpointQueue::Start(const AdmissionRequest& request, Timestamp now) {
+  running_.emplace(request.id, RunningCall{request.customer, now});
+}
+
+void EndpointQueue::Enqueue(const AdmissionRequest& request) {
+  waiting_.push_back(request);
+}
+
+void EndpointQueue::Remove(CallId id, Timestamp now) {
+  std::erase_if(waiting_, [id](const auto& call) { return call.id == id; });
+  auto found = running_.find(id);
+  if (found == running_.end())
+    return;
+  const Duration service = now - found->second.started;
+  const bool is_first = typical_service_ == Duration::zero();
+  typical_service_ =
+      is_first
+          ? service
+          : typical_service_ + (service - typical_service_) / kAverageShare;
+  running_.erase(found);
+}
+
+std::optional<AdmissionRequest> EndpointQueue::TakeNext() {
+  if (waiting_.empty())
+    return std::nullopt;
+  const auto rank = [this](const AdmissionRequest& call) {
+    return std::tuple(call.priority, RunningOf(call.customer), call.deadline,
+                      call.id);
+  };
+  auto next = std::min_element(
+      waiting_.begin(), waiting_.end(),
+      [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
+  AdmissionRequest taken = *next;
+  waiting_.erase(next);
+  return taken;
+}
+
+std::vector<CallId> EndpointQueue::TakeExpired(Timestamp now) {
+  std::vector<CallId> expired;
+  std::erase_if(waiting_, [&](const AdmissionRequest& call) {
+    if (call.deadline > now)
+      return false;
+    expired.push_back(call.id);
+    return true;
+  });
+  return expired;
+}
+
+std::vector<CallId> EndpointQueue::TakeAllWaiting() {
+  std::vector<CallId> ids;
+  for (const AdmissionRequest& call : waiting_)
+    ids.push_back(call.id);
+  waiting_.clear();
+  return ids;
+}
+
+Duration EndpointQueue::ExpectedWait(int limit) const {
+  const auto places = std::max(limit, 1);
+  return typical_service_ * static_cast<int64_t>(waiting_.size() + 1) / places;
+}
+
+uint32_t EndpointQueue::RunningOf(const std::string& customer) const {
+  return static_cast<uint32_t>(std::count_if(
+      running_.begin(), running_.end(),
+      [&](const auto& item) { return item.second.customer == customer; }));
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/libteaselthread/endpoint_queue.h
@@ -0,0 +1,67 @@
+#ifndef TEASELTHREAD_ENDPOINT_QUEUE_H_
+#define TEASELTHREAD_ENDPOINT_QUEUE_H_
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "libteaselthread/timestamp.h"
+
+namespace teaselthread {
+
+using CallId = uint64_t;
+
+// One call that asks an owner for a place at an endpoint.
+struct AdmissionRequest {
+  CallId id = 0;
+  std::string customer;
+  int priority = 0;
+  Timestamp deadline{};
+  bool may_queue = false;
+
+  friend auto operator<=>(const AdmissionRequest&,
+                          const AdmissionRequest&) = default;
+};
+
+// The calls that run at, or wait for, one endpoint. Waiting calls are taken
+// by priority, then from the customer with the fewest running calls here, then
+// by deadline.
+class EndpointQueue {
+ public:
+  static constexpr size_t kMaxWaiting = 64;
+
+  uint32_t running() const { return static_cast<uint32_t>(running_.size()); }
+  size_t waiting() const { return waiting_.size(); }
+  bool full() const { return waiting_.size() >= kMaxWaiting; }
+
+  void Start(const AdmissionRequest& request, Timestamp now);
+  void Enqueue(const AdmissionRequest& request);
+  // Ends a running call or drops a waiting one.
+  void Remove(CallId id, Timestamp now);
+  std::optional<AdmissionRequest> TakeNext();
+  // Takes out the waiting calls whose deadline has come.
+  std::vector<CallId> TakeExpired(Timestamp now);
+  std::vector<CallId> TakeAllWaiting();
+
+  // Expected wait of a call that joins the queue now, at `limit` places.
+  Duration ExpectedWait(int limit) const;
+
+ private:
+  struct RunningCall {
+    std::string customer;
+    Timestamp started;
+  };
+
+  uint32_t RunningOf(const std::string& customer) const;
+
+  std::map<CallId, RunningCall> running_;
+  std::vector<AdmissionRequest> waiting_;
+  Duration typical_service_{};
+};
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_ENDPOINT_QUEUE_H_
--- /dev/null
+++ b/src/libteaselthread/error.h
@@ -0,0 +1,66 @@
+#ifndef TEASELTHREAD_ERROR_H_
+#define TEASELTHREAD_ERROR_H_
+
+#include <compare>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace teaselthread {
+
+enum class ErrorCode {
+  kSyntax,
+  kUnknownSection,
+  kUnknownKey,
+  kMissingKey,
+  kOutOfRange,
+  kBadValue,
+  kUnreadableFile,
+  kMalformed,
+  kOversized,
+  kConflict,
+  kNotFound,
+  kUnavailable,
+  kTimeout,
+};
+
+std::string_view ToString(ErrorCode code);
+
+// A failure: its type, and where and why in words for a person.
+struct Error {
+  ErrorCode code = ErrorCode::kMalformed;
+  std::string detail;
+
+  friend auto operator<=>(const Error&, const Error&) = default;
+};
+
+// "detail (code)", one line.
+std::string Describe(const Error& error);
+
+// A value, or the reasons why there is none (at least one then).
+template <typename T>
+class Result {
+ public:
+  Result(T value) : value_(std::move(value)) {}
+  Result(Error reason) : reasons_{std::move(reason)} {}
+  Result(std::vector<Error> reasons) : reasons_(std::move(reasons)) {}
+
+  bool has_value() const { return value_.has_value(); }
+  explicit operator bool() const { return has_value(); }
+  const T& value() const { return *value_; }
+  T&& TakeValue() { return std::move(*value_); }
+  const T& operator*() const { return *value_; }
+  const T* operator->() const { return &*value_; }
+  const std::vector<Error>& reasons() const { return reasons_; }
+  const Error& last_reason() const { return reasons_.back(); }
+
+ private:
+  std::optional<T> value_;
+  std::vector<Error> reasons_;
+};
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_ERROR_H_
--- /dev/null
+++ b/src/libteaselthread/fleet_view.cc
@@ -0,0 +1,40 @@
+#include "libteaselthread/fleet_view.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace teaselthread {
+namespace {
+
+// Part of the multiple that is held back, because the mean is known late and
+// may have fallen meanwhile.
+constexpr double kStaleMeanReserve = 0.1;
+
+}  // namespace
+
+const EndpointPolicy* FleetView::PolicyOf(const Endpoint& endpoint) const {
+  if (!configuration->current() || endpoint.serves.empty())
+    return nullptr;
+  const std::string& target = endpoint.serves.front();
+  return endpoint.kind == EndpointKind::kModelEngine
+             ? configuration->current()->FindModel(target)
+             : configuration->current()->FindService(target);
+}
+
+int FleetView::LoadBoundOf(const Endpoint& endpoint,
+                           const EndpointPolicy& policy) const {
+  if (endpoint.kind == EndpointKind::kService)
+    return std::numeric_limits<int>::max();
+  std::vector<const Endpoint*> usable =
+      directory->Serving(endpoint.kind, endpoint.serves.front());
+  std::erase_if(usable, [this](const Endpoint* other) {
+    return !EndpointDirectory::TakesNewWork(*other, *configuration->current());
+  });
+  const double multiple =
+      std::max(1.0, policy.load_multiple * (1 - kStaleMeanReserve));
+  const double bound = std::ceil(multiple * loads->MeanOver(usable));
+  return std::max(1, static_cast<int>(bound));
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/libteaselthread/fleet_view.h
@@ -0,0 +1,31 @@
+#ifndef TEASELTHREAD_FLEET_VIEW_H_
+#define TEASELTHREAD_FLEET_VIEW_H_
+
+#include <memory>
+#include <string>
+
+#include "libteaselthread/configuration_holder.h"
+#include "libteaselthread/endpoint_directory.h"
+#include "libteaselthread/load_board.h"
+#include "libteaselthread/membership.h"
+
+namespace teaselthread {
+
+// Read access to the state that decisions are taken from. The objects belong
+// to the node and outlive the view.
+struct FleetView {
+  const Membership* membership = nullptr;
+  const ConfigurationHolder* configuration = nullptr;
+  const EndpointDirectory* directory = nullptr;
+  const LoadBoard* loads = nullptr;
+
+  // Null if the document does not name what the endpoint serves.
+  const EndpointPolicy* PolicyOf(const Endpoint& endpoint) const;
+  // The load bound of an endpoint at this moment: ceil(multiple x mean), and
+  // at least one. Unlimited for services.
+  int LoadBoundOf(const Endpoint& endpoint, const EndpointPolicy& policy) const;
+};
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_FLEET_VIEW_H_
--- /dev/null
+++ b/src/libteaselthread/ini_document.h
@@ -0,0 +1,63 @@
+#ifndef TEASELTHREAD_INI_DOCUMENT_H_
+#define TEASELTHREAD_INI_DOCUMENT_H_
+
+#include <compare>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "libteaselthread/error.h"
+
+namespace teaselthread {
+
+struct IniEntry {
+  std::string key;
+  std::string value;
+
+  friend auto operator<=>(const IniEntry&, const IniEntry&) = default;
+};
+
+// A section "[kind name]" or "[kind]"; `name` is empty for the latter.
+struct IniSection {
+  std::string kind;
+  std::string name;
+  std::vector<IniEntry> entries;
+
+  std::string Title() const;
+  const std::string* Find(std::string_view key) const;
+
+  friend auto operator<=>(const IniSection&, const IniSection&) = default;
+};
+
+// The sections of an INI text in their order. Knows nothing of their meaning.
+class IniDocument {
+ public:
+  // `source` is the file name or object name that error texts mention.
+  static Result<IniDocument> Parse(std::string_view text, std::string source);
+
+  const std::string& source() const { return source_; }
+  const std::vector<IniSection>& sections() const { return sections_; }
+  const IniSection* Find(std::string_view kind, std::string_view name) const;
+
+  // A copy in which one entry has a new value. Adds what is missing.
+  IniDocument WithEntry(std::string_view kind,
+                        std::string_view name,
+                        std::string_view key,
+                        std::string_view value) const;
+
+  // INI text that Parse reads back as an equal document.
+  std::string ToText() const;
+
+  friend bool operator==(const IniDocument&, const IniDocument&) = default;
+
+ private:
+  IniDocument(std::string source, std::vector<IniSection> sections)
+      : source_(std::move(source)), sections_(std::move(sections)) {}
+
+  std::string source_;
+  std::vector<IniSection> sections_;
+};
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_INI_DOCUMENT_H_
--- /dev/null
+++ b/src/libteaselthread/load_board.h
@@ -0,0 +1,57 @@
+#ifndef TEASELTHREAD_LOAD_BOARD_H_
+#define TEASELTHREAD_LOAD_BOARD_H_
+
+#include <compare>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "libteaselthread/endpoint.h"
+#include "libteaselthread/endpoint_directory.h"
+
+namespace teaselthread {
+
+// What an endpoint's owner says of it. Load is work admitted and not ended.
+struct EndpointLoad {
+  std::string endpoint;
+  std::string owner;  // the node that admits work to it
+  uint32_t load = 0;
+  EndpointTemperature temperature = EndpointTemperature::kCold;
+  uint64_t sequence = 0;  // a higher one replaces a lower one
+
+  friend auto operator<=>(const EndpointLoad&, const EndpointLoad&) = default;
+};
+
+// The newest load that this node knows for each endpoint, its own and those
+// that peers have passed on.
+class LoadBoard {
+ public:
+  // Returns whether the report was newer than the one known.
+  bool Merge(const EndpointLoad& report);
+
+  const EndpointLoad* Find(const std::string& endpoint) const;
+  uint32_t LoadOf(const std::string& endpoint) const;
+  // Mean over the given endpoints; one without a report counts as idle.
+  double MeanOver(const std::vector<const Endpoint*>& endpoints) const;
+
+  // Up to `most` of the reports that were merged last and have been sent to
+  // peers the fewest times. Each call counts as one sending.
+  std::vector<EndpointLoad> PickForPeer(size_t most);
+  // Drops endpoints that are no longer on the list.
+  void Forget(const EndpointDirectory& directory);
+
+ private:
+  struct Entry {
+    EndpointLoad report;
+    uint32_t times_sent = 0;
+  };
+
+  std::map<std::string, Entry> entries_;
+  std::deque<std::string> unsent_;  // endpoints with news for peers
+};
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_LOAD_BOARD_H_
--- /dev/null
+++ b/src/libteaselthread/member.cc
@@ -0,0 +1,11 @@
+#include "libteaselthread/member.h"
+
+namespace teaselthread {
+
+bool Outranks(const Member& candidate, const Member& known) {
+  if (candidate.generation != known.generation)
+    return candidate.generation > known.generation;
+  return candidate.status > known.status;
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/libteaselthread/membership.cc
@@ -0,0 +1,297 @@
+#include "libteaselthread/membership.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "libteaselthread/rendezvous_hash.h"
+
+namespace teaselthread {
+namespace {
+
+constexpr size_t kWitnessCount = 6;
+constexpr size_t kIndirectProbes = 2;
+constexpr size_t kUpdatesPerHeartbeat = 6;
+// Each update is sent this many times log2 of the fleet's size.
+constexpr double kSendingsFactor = 3;
+
+bool IsReachableStatus(MemberStatus status) {
+  return status != MemberStatus::kDead;
+}
+
+}  // namespace
+
+Membership::Membership(Member self,
+                       std::vector<std::string> seed_addresses,
+                       MembershipTiming timing,
+                       uint64_t random_seed)
+    : self_(std::move(self)),
+      seed_addresses_(std::move(seed_addresses)),
+      timing_(timing),
+      random_(random_seed) {
+  std::erase(seed_addresses_, self_.peer_address);
+}
+
+std::vector<SendHeartbeat> Membership::Tick(Timestamp now) {
+  ExpireSuspicions(now);
+  std::vector<SendHeartbeat> heartbeats;
+  const Peer* witness = NextWitness();
+  const Peer* other = NextInCycle();
+  for (const Peer* peer : {witness, other}) {
+    if (!peer || (peer == other && other == witness && !heartbeats.empty()))
+      continue;
+    heartbeats.push_back({peer->member.name, peer->member.peer_address});
+  }
+  if (heartbeats.empty()) {
+    for (const std::string& address : seed_addresses_)
+      heartbeats.push_back({"", address});
+  }
+  return heartbeats;
+}
+
+std::vector<Member> Membership::PickUpdates() {
+  std::vector<Peer*> fresh;
+  for (auto& [name, peer] : peers_) {
+    if (peer.updates_sent < SendingsPerUpdate())
+      fresh.push_back(&peer);
+  }
+  const size_t count = std::min(fresh.size(), kUpdatesPerHeartbeat);
+  std::partial_sort(fresh.begin(), fresh.begin() + count, fresh.end(),
+                    [](const Peer* a, const Peer* b) {
+                      return a->updates_sent < b->updates_sent;
+                    });
+  std::vector<Member> updates;
+  for (size_t i = 0; i < count; ++i) {
+    ++fresh[i]->updates_sent;
+    updates.push_back(fresh[i]->member);
+  }
+  return updates;
+}
+
+void Membership::OnContact(const Member& sender,
+                           const std::vector<Member>& updates,
+                           Timestamp now) {
+  if (sender.name == self_.name)
+    return;
+  knows_fleet_ = true;
+  Learn(sender, now);
+  for (const Member& update : updates)
+    Learn(update, now);
+  auto found = peers_.find(sender.name);
+  if (found == peers_.end())
+    return;
+  Peer& peer = found->second;
+  if (peer.member.incarnation != sender.incarnation)
+    return;
+  peer.last_contact = now;
+  // A peer that speaks is not dead. It has to refute what others hold against
+  // it, and does so once it hears of it in the answer to this contact.
+  if (peer.member.status >= MemberStatus::kSuspect)
+    peer.updates_sent = 0;
+}
+
+std::vector<SendProbe> Membership::OnHeartbeatFailed(const std::string& name,
+                                                     Timestamp now) {
+  auto found = peers_.find(name);
+  if (found == peers_.end())
+    return {};
+  const Member& target = found->second.member;
+  std::vector<const Member*> helpers;
+  for (const auto& [peer_name, peer] : peers_) {
+    if (peer_name != name && peer.member.status <= MemberStatus::kLeaving)
+      helpers.push_back(&peer.member);
+  }
+  if (helpers.empty()) {
+    Suspect(found->second, now);
+    return {};
+  }
+  std::shuffle(helpers.begin(), helpers.end(), random_);
+  helpers.resize(std::min(helpers.size(), kIndirectProbes));
+  std::vector<SendProbe> probes;
+  for (const Member* helper : helpers)
+    probes.push_back({helper->peer_address, name, target.peer_address});
+  return probes;
+}
+
+void Membership::OnProbeResult(const std::string& target,
+                               bool reachable,
+                               Timestamp now) {
+  auto found = peers_.find(target);
+  if (found == peers_.end() || reachable)
+    return;
+  Suspect(found->second, now);
+}
+
+void Membership::OnPlatformList(const std::vector<Member>& leased,
+                                Timestamp now) {
+  knows_fleet_ = true;
+  for (const Member& member : leased)
+    Learn(member, now);
+  const size_t erased = std::erase_if(peers_, [&](const auto& item) {
+    const Member& known = item.second.member;
+    const bool is_listed =
+        std::any_of(leased.begin(), leased.end(), [&](const Member& member) {
+          return member.incarnation == known.incarnation;
+        });
+    return known.status == MemberStatus::kDead && !is_listed;
+  });
+  if (erased > 0)
+    OnPeersChanged();
+}
+
+void Membership::BeginLeaving() {
+  self_.status = MemberStatus::kLeaving;
+  ++self_.generation;
+  ++revision_;
+}
+
+std::vector<const Member*> Membership::peers() const {
+  std::vector<const Member*> members;
+  for (const auto& [name, peer] : peers_)
+    members.push_back(&peer.member);
+  return members;
+}
+
+std::vector<const Member*> Membership::serving() const {
+  std::vector<const Member*> members;
+  if (self_.status == MemberStatus::kAlive)
+    members.push_back(&self_);
+  for (const auto& [name, peer] : peers_) {
+    // A suspect keeps what it owns until it is dead or has refuted.
+    if (peer.member.status == MemberStatus::kAlive ||
+        peer.member.status == MemberStatus::kSuspect) {
+      members.push_back(&peer.member);
+    }
+  }
+  return members;
+}
+
+const Member* Membership::Find(const std::string& name) const {
+  if (name == self_.name)
+    return &self_;
+  auto found = peers_.find(name);
+  return found == peers_.end() ? nullptr : &found->second.member;
+}
+
+const Member* Membership::FindIncarnation(Incarnation incarnation) const {
+  if (incarnation == self_.incarnation)
+    return &self_;
+  for (const auto& [name, peer] : peers_) {
+    if (peer.member.incarnation == incarnation)
+      return &peer.member;
+  }
+  return nullptr;
+}
+
+bool Membership::InGoodStanding(Timestamp now) const {
+  if (!knows_fleet_)
+    return seed_addresses_.empty();
+  size_t in_contact = 1;  // this node itself
+  for (const std::string& name : witnesses_) {
+    const std::optional<Timestamp>& contact = peers_.at(name).last_contact;
+    if (contact && now - *contact <= timing_.fence_timeout)
+      ++in_contact;
+  }
+  return in_contact * 2 > witnesses_.size() + 1;
+}
+
+void Membership::Learn(const Member& update, Timestamp now) {
+  if (update.name == self_.name) {
+    LearnAboutSelf(update);
+    return;
+  }
+  auto [place, is_new] = peers_.try_emplace(update.name, Peer{update, {}});
+  Peer& peer = place->second;
+  if (!is_new && !Outranks(update, peer.member))
+    return;
+  const bool is_replacement =
+      !is_new && peer.member.incarnation != update.incarnation;
+  peer.member = update;
+  peer.updates_sent = 0;
+  if (is_replacement)
+    peer.last_contact.reset();
+  if (update.status == MemberStatus::kSuspect)
+    peer.suspect_since = now;
+  ++revision_;
+  if (is_new)
+    OnPeersChanged();
+}
+
+void Membership::LearnAboutSelf(const Member& update) {
+  const bool is_about_this_life = update.incarnation == self_.incarnation;
+  if (!is_about_this_life || update.status <= self_.status)
+    return;
+  if (update.generation >= self_.generation)
+    self_.generation = update.generation + 1;
+}
+
+void Membership::Suspect(Peer& peer, Timestamp now) {
+  if (peer.member.status >= MemberStatus::kSuspect)
+    return;
+  peer.member.status = MemberStatus::kSuspect;
+  peer.suspect_since = now;
+  peer.updates_sent = 0;
+  ++revision_;
+}
+
+void Membership::ExpireSuspicions(Timestamp now) {
+  for (auto& [name, peer] : peers_) {
+    if (peer.member.status != MemberStatus::kSuspect ||
+        now - peer.suspect_since < timing_.suspicion_timeout) {
+      continue;
+    }
+    peer.member.status = MemberStatus::kDead;
+    peer.updates_sent = 0;
+    ++revision_;
+  }
+}
+
+std::vector<std::string> Membership::PickWitnesses() const {
+  std::vector<std::string> names;
+  for (const auto& [name, peer] : peers_)
+    names.push_back(name);
+  const size_t count = std::min(names.size(), kWitnessCount);
+  std::partial_sort(names.begin(), names.begin() + count, names.end(),
+                    [this](const std::string& a, const std::string& b) {
+                      return RendezvousWeight(self_.name, a) >
+                             RendezvousWeight(self_.name, b);
+                    });
+  names.resize(count);
+  return names;
+}
+
+void Membership::OnPeersChanged() {
+  ++revision_;
+  cycle_.clear();
+  witnesses_ = PickWitnesses();
+}
+
+const Membership::Peer* Membership::NextWitness() {
+  if (witnesses_.empty())
+    return nullptr;
+  // Dead witnesses are tried too: one that was cut off comes back this way.
+  return &peers_.at(witnesses_[next_witness_++ % witnesses_.size()]);
+}
+
+const Membership::Peer* Membership::NextInCycle() {
+  if (cycle_.empty()) {
+    for (const auto& [name, peer] : peers_) {
+      if (IsReachableStatus(peer.member.status))
+        cycle_.push_back(name);
+    }
+    std::shuffle(cycle_.begin(), cycle_.end(), random_);
+  }
+  while (!cycle_.empty()) {
+    auto found = peers_.find(cycle_.back());
+    cycle_.pop_back();
+    if (found != peers_.end())
+      return &found->second;
+  }
+  return nullptr;
+}
+
+uint32_t Membership::SendingsPerUpdate() const {
+  const double fleet = static_cast<double>(peers_.size()) + 2;
+  return static_cast<uint32_t>(std::ceil(kSendingsFactor * std::log2(fleet)));
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/libteaselthread/metrics.cc
@@ -0,0 +1,154 @@
+#include "libteaselthread/metrics.h"
+
+#include <sstream>
+
+namespace teaselthread {
+namespace {
+
+namespace acc = boost::accumulators;
+
+constexpr double kReportedQuantile = 0.95;
+
+void Line(std::ostream& out, std::string_view name, double value) {
+  out << "teaselthread_" << name << " " << value << "\n";
+}
+
+void LabelledLine(std::ostream& out,
+                  std::string_view name,
+                  std::string_view label,
+                  std::string_view label_value,
+                  double value) {
+  out << "teaselthread_" << name << "{" << label << "=\"" << label_value
+      << "\"} " << value << "\n";
+}
+
+void Summary(std::ostream& out,
+             const std::string& name,
+             const std::string& labels,
+             const LatencyStatistic& latency) {
+  const std::string separator = labels.empty() ? "" : ",";
+  out << "teaselthread_" << name << "{" << labels << separator
+      << "quantile=\"0.95\"} " << latency.p95_s() << "\n";
+  const std::string braces = labels.empty() ? "" : "{" + labels + "}";
+  out << "teaselthread_" << name << "_sum" << braces << " " << latency.sum_s()
+      << "\n";
+  out << "teaselthread_" << name << "_count" << braces << " " << latency.count()
+      << "\n";
+}
+
+void Type(std::ostream& out, std::string_view name, std::string_view type) {
+  out << "# TYPE teaselthread_" << name << " " << type << "\n";
+}
+
+}  // namespace
+
+LatencyStatistic::LatencyStatistic()
+    : accumulator_(acc::quantile_probability = kReportedQuantile) {}
+
+void LatencyStatistic::Add(Duration latency) {
+  accumulator_(std::chrono::duration<double>(latency).count());
+}
+
+uint64_t LatencyStatistic::count() const {
+  return acc::count(accumulator_);
+}
+
+double LatencyStatistic::sum_s() const {
+  return acc::sum(accumulator_);
+}
+
+double LatencyStatistic::max_s() const {
+  return count() == 0 ? 0 : acc::max(accumulator_);
+}
+
+double LatencyStatistic::p95_s() const {
+  return count() == 0 ? 0 : acc::p_square_quantile(accumulator_);
+}
+
+void Metrics::OnOutcome(const std::string& profile,
+                        const Outcome& outcome,
+                        Duration latency) {
+  ProfileCounts& counts = profiles_[profile];
+  if (const RefusedNotRun* refused = outcome.refused()) {
+    ++counts.not_run;
+    OnRefusal(refused->reason);
+  } else if (const MayHaveRun* unknown = outcome.may_have_run()) {
+    ++counts.unknown;
+    ++unknowns_[static_cast<size_t>(unknown->reason)];
+  } else {
+    ++counts.answered;
+    counts.latency.Add(latency);
+  }
+}
+
+void Metrics::OnRefusal(RefusalReason reason) {
+  ++refusals_[static_cast<size_t>(reason)];
+}
+
+void Metrics::OnRetry(RetryReason reason) {
+  ++retries_[static_cast<size_t>(reason)];
+}
+
+void Metrics::OnFirstByte(Duration latency) {
+  first_byte_.Add(latency);
+}
+
+void Metrics::OnHeartbeatSent(uint64_t bytes) {
+  ++heartbeats_sent_;
+  heartbeat_bytes_ += bytes;
+}
+
+void Metrics::OnPlatformCall(bool succeeded) {
+  ++platform_calls_;
+  platform_failures_ += succeeded ? 0 : 1;
+}
+
+std::string Metrics::Render(const Gauges& gauges) const {
+  std::ostringstream out;
+  Type(out, "refusals_total", "counter");
+  for (size_t i = 0; i < refusals_.size(); ++i) {
+    LabelledLine(out, "refusals_total", "reason",
+                 ToString(static_cast<RefusalReason>(i)), refusals_[i]);
+  }
+  Type(out, "unknown_outcomes_total", "counter");
+  for (size_t i = 0; i < unknowns_.size(); ++i) {
+    LabelledLine(out, "unknown_outcomes_total", "reason",
+                 ToString(static_cast<UnknownReason>(i)), unknowns_[i]);
+  }
+  Type(out, "retries_total", "counter");
+  for (size_t i = 0; i < retries_.size(); ++i) {
+    LabelledLine(out, "retries_total", "reason",
+                 ToString(static_cast<RetryReason>(i)), retries_[i]);
+  }
+  Type(out, "requests_total", "counter");
+  for (const auto& [name, counts] : profiles_) {
+    const std::string labels = "profile=\"" + name + "\",outcome=\"";
+    out << "teaselthread_requests_total{" << labels << "answered\"} "
+        << counts.answered << "\n"
+        << "teaselthread_requests_total{" << labels << "not-run\"} "
+        << counts.not_run << "\n"
+        << "teaselthread_requests_total{" << labels << "unknown\"} "
+        << counts.unknown << "\n";
+  }
+  Type(out, "request_seconds", "summary");
+  for (const auto& [name, counts] : profiles_)
+    Summary(out, "request_seconds", "profile=\"" + name + "\"", counts.latency);
+  Type(out, "first_byte_seconds", "summary");
+  Summary(out, "first_byte_seconds", "", first_byte_);
+  Line(out, "heartbeats_sent_total", heartbeats_sent_);
+  Line(out, "heartbeat_bytes_total", heartbeat_bytes_);
+  Line(out, "heartbeats_failed_total", heartbeats_failed_);
+  Line(out, "platform_calls_total", platform_calls_);
+  Line(out, "platform_failures_total", platform_failures_);
+  Line(out, "configuration_version", gauges.configuration_version);
+  Line(out, "members_serving", gauges.members_serving);
+  Line(out, "endpoints_owned", gauges.endpoints_owned);
+  Line(out, "calls_running", gauges.calls_running);
+  Line(out, "idempotency_keys", gauges.idempotency_keys);
+  Line(out, "kept_answer_bytes", gauges.kept_answer_bytes);
+  Line(out, "in_good_standing", gauges.in_good_standing ? 1 : 0);
+  Line(out, "ready", gauges.ready ? 1 : 0);
+  return out.str();
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/libteaselthread/metrics.h
@@ -0,0 +1,91 @@
+#ifndef TEASELTHREAD_METRICS_H_
+#define TEASELTHREAD_METRICS_H_
+
+#include <array>
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "libteaselthread/outcome.h"
+
+namespace teaselthread {
+
+// A distribution of durations in seconds: count, sum, maximum and the 95th
+// percentile since the process started.
+class LatencyStatistic {
+ public:
+  LatencyStatistic();
+  void Add(Duration latency);
+
+  uint64_t count() const;
+  double sum_s() const;
+  double max_s() const;
+  double p95_s() const;
+
+ private:
+  using Accumulator = boost::accumulators::accumulator_set<
+      double,
+      boost::accumulators::stats<boost::accumulators::tag::count,
+                                 boost::accumulators::tag::sum,
+                                 boost::accumulators::tag::max,
+                                 boost::accumulators::tag::p_square_quantile>>;
+  Accumulator accumulator_;
+};
+
+// Gauges that are read from the node's state when metrics are rendered.
+struct Gauges {
+  uint64_t configuration_version = 0;
+  uint64_t members_serving = 0;
+  uint64_t endpoints_owned = 0;
+  uint64_t calls_running = 0;
+  uint64_t idempotency_keys = 0;
+  uint64_t kept_answer_bytes = 0;
+  bool in_good_standing = false;
+  bool ready = false;
+};
+
+// The node's counters and latencies, and their Prometheus text.
+class Metrics {
+ public:
+  void OnOutcome(const std::string& profile,
+                 const Outcome& outcome,
+                 Duration latency);
+  // A refusal of something that was not yet a request with a profile.
+  void OnRefusal(RefusalReason reason);
+  void OnRetry(RetryReason reason);
+  void OnFirstByte(Duration latency);
+  void OnHeartbeatSent(uint64_t bytes);
+  void OnHeartbeatFailed() { ++heartbeats_failed_; }
+  void OnPlatformCall(bool succeeded);
+
+  std::string Render(const Gauges& gauges) const;
+
+ private:
+  struct ProfileCounts {
+    uint64_t answered = 0;
+    uint64_t not_run = 0;
+    uint64_t unknown = 0;
+    LatencyStatistic latency;
+  };
+
+  std::array<uint64_t, kRefusalReasonCount> refusals_{};
+  std::array<uint64_t, kUnknownReasonCount> unknowns_{};
+  std::array<uint64_t, kRetryReasonCount> retries_{};
+  std::map<std::string, ProfileCounts> profiles_;
+  LatencyStatistic first_byte_;
+  uint64_t heartbeats_sent_ = 0;
+  uint64_t heartbeat_bytes_ = 0;
+  uint64_t heartbeats_failed_ = 0;
+  uint64_t platform_calls_ = 0;
+  uint64_t platform_failures_ = 0;
+};
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_METRICS_H_
--- /dev/null
+++ b/src/libteaselthread/rendezvous_hash.h
@@ -0,0 +1,16 @@
+#ifndef TEASELTHREAD_RENDEZVOUS_HASH_H_
+#define TEASELTHREAD_RENDEZVOUS_HASH_H_
+
+#include <cstdint>
+#include <string_view>
+
+namespace teaselthread {
+
+// Highest random weight hashing (Thaler and Ravishankar 1998): a key belongs
+// to the node with the highest weight for it, so that a node that comes or
+// goes moves only its own keys.
+uint64_t RendezvousWeight(std::string_view key, std::string_view node);
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_RENDEZVOUS_HASH_H_
--- /dev/null
+++ b/src/libteaselthread/request_context.h
@@ -0,0 +1,46 @@
+#ifndef TEASELTHREAD_REQUEST_CONTEXT_H_
+#define TEASELTHREAD_REQUEST_CONTEXT_H_
+
+#include <compare>
+#include <optional>
+#include <string>
+
+#include "libteaselthread/configuration.h"
+#include "libteaselthread/endpoint.h"
+#include "libteaselthread/ticket.h"
+
+namespace teaselthread {
+
+// A caller's request as read from its connection.
+struct CallerRequest {
+  std::string id;  // unique over the fleet
+  std::string customer;
+  std::string profile;
+  std::string chat;  // empty: no later turn is expected
+  std::string hint;  // endpoint that answered the previous turn, or empty
+  EndpointKind kind = EndpointKind::kModelEngine;
+  std::string target;  // model or service
+  std::string method;
+  std::string path;  // at the endpoint, with its query
+  std::string content_type;
+  std::string body;
+  std::string idempotency_key;
+  bool streamed = false;
+  // Time that is left, if the caller or a peer has set one.
+  std::optional<Duration> remaining;
+
+  friend auto operator<=>(const CallerRequest&, const CallerRequest&) = default;
+};
+
+// A request with what the filters have found out about it.
+struct RequestContext {
+  CallerRequest request;
+  std::optional<Profile> profile;
+  Timestamp deadline{};
+  std::optional<Ticket> ticket;  // set for calls that may not be repeated
+  bool counted_by_limiter = false;
+};
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_REQUEST_CONTEXT_H_
--- /dev/null
+++ b/src/libteaselthread/routed_request.h
@@ -0,0 +1,107 @@
+#ifndef TEASELTHREAD_ROUTED_REQUEST_H_
+#define TEASELTHREAD_ROUTED_REQUEST_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "libteaselthread/outcome.h"
+#include "libteaselthread/retry_budget.h"
+#include "libteaselthread/router.h"
+#include "libteaselthread/sse_assembler.h"
+
+namespace teaselthread {
+
+// Give the call to the owner of the endpoint.
+struct ForwardCall {
+  Placement placement;
+  uint32_t resume_from = 0;  // whole events that the caller already has
+  std::optional<RetryReason> retry_of;  // why the previous attempt ended
+  friend auto operator<=>(const ForwardCall&, const ForwardCall&) = default;
+};
+
+struct RelayHead {
+  int status = 0;
+  std::string content_type;
+  std::string endpoint;
+  friend auto operator<=>(const RelayHead&, const RelayHead&) = default;
+};
+
+struct RelayData {
+  std::string bytes;
+  friend auto operator<=>(const RelayData&, const RelayData&) = default;
+};
+
+struct FinishCall {
+  Outcome outcome;
+  friend bool operator==(const FinishCall&, const FinishCall&) = default;
+};
+
+using RouteAction = std::variant<ForwardCall, RelayHead, RelayData, FinishCall>;
+using RouteActions = std::vector<RouteAction>;
+
+// One request on its way from its entry node to its end: places it, follows
+// the attempt, decides about another one, and makes sure that only a whole
+// answer passes as one. Every event returns what has to be done next, in
+// order; FinishCall comes exactly once and last.
+class RoutedRequest {
+ public:
+  RoutedRequest(const Router* router,
+                RetryBudget* budget,
+                PlacementQuery query,
+                bool repeatable);
+
+  RouteActions Start();
+  RouteActions OnHead(int status, std::string_view content_type);
+  RouteActions OnData(std::string_view bytes);
+  // The peer or endpoint says that the body had this many bytes.
+  RouteActions OnEnd(uint64_t body_bytes);
+  // The owner states that no byte of the call has been sent.
+  RouteActions OnNotRun(const RefusedNotRun& statement);
+  // The attempt has broken off; it may have run.
+  RouteActions OnLost(UnknownReason reason);
+  RouteActions OnDeadline();
+  // Nobody waits for the answer any more.
+  RouteActions OnCallerGone();
+
+  bool finished() const { return finished_; }
+  const std::string& endpoint() const { return placement_.endpoint; }
+
+ private:
+  RouteActions TryPlace(std::optional<RetryReason> retry_of,
+                        const std::optional<RefusedNotRun>& last_refusal);
+  RouteActions Rerun(UnknownReason reason);
+  RouteActions Finish(Outcome outcome);
+  RouteActions FinishAnswered();
+  RouteActions GiveUp(const RefusedNotRun& refusal);
+  RelayHead HeadToRelay() const;
+  bool AnswerIsWhole(uint64_t body_bytes) const;
+
+  const Router* router_;
+  RetryBudget* budget_;
+  PlacementQuery query_;
+  bool repeatable_;
+
+  std::variant<UnsentCall, ExposedCall> call_;
+  // An earlier attempt may have run, so the request cannot end as "not run".
+  std::optional<UnknownReason> earlier_loss_;
+  Placement placement_;
+  int placements_ = 0;
+  int reruns_ = 0;
+
+  int status_ = 0;
+  std::string content_type_;
+  bool is_event_stream_ = false;
+  bool head_relayed_ = false;
+  SseAssembler events_;
+  std::string body_;
+  uint64_t attempt_bytes_ = 0;
+  bool finished_ = false;
+};
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_ROUTED_REQUEST_H_
--- /dev/null
+++ b/src/libteaselthread/router.cc
@@ -0,0 +1,82 @@
+#include "libteaselthread/router.h"
+
+#include <algorithm>
+
+#include "libteaselthread/ownership.h"
+#include "libteaselthread/rendezvous_hash.h"
+
+namespace teaselthread {
+namespace {
+
+constexpr Duration kRetryAfter = std::chrono::milliseconds(1'000);
+
+}  // namespace
+
+std::variant<Placement, RefusedNotRun> Router::Place(
+    const PlacementQuery& query) const {
+  if (!fleet_.configuration->current())
+    return RefusedNotRun{RefusalReason::kNotReady, kRetryAfter};
+  const std::vector<const Endpoint*> usable = Usable(query);
+  if (usable.empty())
+    return RefusedNotRun{RefusalReason::kNoEndpoint, kRetryAfter};
+  for (const Endpoint* endpoint : usable) {
+    if (!query.busy.contains(endpoint->name) && HasRoom(*endpoint))
+      return PlaceAt(*endpoint, /*may_queue=*/false);
+  }
+  const auto least_loaded = std::min_element(
+      usable.begin(), usable.end(), [this](const auto* a, const auto* b) {
+        return fleet_.loads->LoadOf(a->name) < fleet_.loads->LoadOf(b->name);
+      });
+  return PlaceAt(**least_loaded, /*may_queue=*/true);
+}
+
+std::vector<const Endpoint*> Router::Usable(const PlacementQuery& query) const {
+  std::vector<const Endpoint*> usable =
+      fleet_.directory->Serving(query.kind, query.target);
+  std::erase_if(usable, [&](const Endpoint* endpoint) {
+    return query.excluded.contains(endpoint->name) ||
+           !EndpointDirectory::TakesNewWork(*endpoint,
+                                            *fleet_.configuration->current());
+  });
+  struct Ranked {
+    bool is_hint;
+    uint64_t weight;
+    const Endpoint* endpoint;
+    auto operator<=>(const Ranked&) const = default;
+  };
+  std::vector<Ranked> ranked;
+  for (const Endpoint* endpoint : usable) {
+    ranked.push_back({endpoint->name == query.hint,
+                      RendezvousWeight(query.affinity, endpoint->name),
+                      endpoint});
+  }
+  std::sort(ranked.begin(), ranked.end(), std::greater<>());
+  std::transform(ranked.begin(), ranked.end(), usable.begin(),
+                 [](const Ranked& item) { return item.endpoint; });
+  return usable;
+}
+
+bool Router::HasRoom(const Endpoint& endpoint) const {
+  const EndpointPolicy* policy = fleet_.PolicyOf(endpoint);
+  if (!policy)
+    return false;
+  const EndpointLoad* report = fleet_.loads->Find(endpoint.name);
+  if (!report)
+    return true;
+  const int by_temperature = report->temperature == EndpointTemperature::kCold
+                                 ? policy->cold_concurrency
+                                 : policy->slots;
+  const int limit =
+      std::min(by_temperature, fleet_.LoadBoundOf(endpoint, *policy));
+  return static_cast<int>(report->load) < limit;
+}
+
+std::variant<Placement, RefusedNotRun> Router::PlaceAt(const Endpoint& endpoint,
+                                                       bool may_queue) const {
+  const Member* owner = OwnerOf(endpoint, *fleet_.membership);
+  if (!owner)
+    return RefusedNotRun{RefusalReason::kNoEndpoint, kRetryAfter};
+  return Placement{endpoint.name, owner->name, may_queue};
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/libteaselthread/router.h
@@ -0,0 +1,58 @@
+#ifndef TEASELTHREAD_ROUTER_H_
+#define TEASELTHREAD_ROUTER_H_
+
+#include <compare>
+#include <set>
+#include <string>
+#include <variant>
+
+#include "libteaselthread/fleet_view.h"
+#include "libteaselthread/outcome.h"
+
+namespace teaselthread {
+
+// What has to be placed.
+struct PlacementQuery {
+  EndpointKind kind = EndpointKind::kModelEngine;
+  std::string target;    // model or service
+  std::string affinity;  // equal for the turns of one chat
+  std::string hint;      // endpoint that answered the previous turn, or empty
+  std::set<std::string> excluded;  // refused for good
+  std::set<std::string> busy;      // refused, but may be waited for
+
+  friend auto operator<=>(const PlacementQuery&,
+                          const PlacementQuery&) = default;
+};
+
+struct Placement {
+  std::string endpoint;
+  std::string owner;  // the node that admits work to it
+  bool may_queue = false;
+
+  friend auto operator<=>(const Placement&, const Placement&) = default;
+};
+
+// Chooses an endpoint for a request: the hinted endpoint, then the order of
+// rendezvous hashing over the chat, skipping endpoints at their bound
+// (consistent hashing with bounded loads: Mirrokni, Thorup and Zadimoghaddam
+// 2016). Where all are at their bound, the least loaded queues the request.
+class Router {
+ public:
+  explicit Router(FleetView fleet) : fleet_(fleet) {}
+
+  std::variant<Placement, RefusedNotRun> Place(
+      const PlacementQuery& query) const;
+
+ private:
+  // The endpoints that may be tried, in the order of preference.
+  std::vector<const Endpoint*> Usable(const PlacementQuery& query) const;
+  bool HasRoom(const Endpoint& endpoint) const;
+  std::variant<Placement, RefusedNotRun> PlaceAt(const Endpoint& endpoint,
+                                                 bool may_queue) const;
+
+  FleetView fleet_;
+};
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_ROUTER_H_
--- /dev/null
+++ b/src/teaselthread/answer_sink.h
@@ -0,0 +1,24 @@
+#ifndef TEASELTHREAD_DAEMON_ANSWER_SINK_H_
+#define TEASELTHREAD_DAEMON_ANSWER_SINK_H_
+
+#include <string>
+
+#include "libteaselthread/outcome.h"
+#include "libteaselthread/routed_request.h"
+#include "teaselthread/asio.h"
+
+namespace teaselthread {
+
+// Receives the answer to one request: OnHead, any number of OnData, OnFinish;
+// or OnFinish alone. OnHead and OnData return false once nobody listens.
+class AnswerSink {
+ public:
+  virtual ~AnswerSink() = default;
+  virtual asio::awaitable<bool> OnHead(const RelayHead& head) = 0;
+  virtual asio::awaitable<bool> OnData(std::string bytes) = 0;
+  virtual asio::awaitable<void> OnFinish(const Outcome& outcome) = 0;
+};
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_DAEMON_ANSWER_SINK_H_
--- /dev/null
+++ b/src/teaselthread/command_line.h
@@ -0,0 +1,26 @@
+#ifndef TEASELTHREAD_DAEMON_COMMAND_LINE_H_
+#define TEASELTHREAD_DAEMON_COMMAND_LINE_H_
+
+#include <string>
+#include <vector>
+
+#include "libteaselthread/error.h"
+
+namespace teaselthread {
+
+// The program's arguments.
+struct CommandLine {
+  bool version = false;
+  bool check = false;
+  std::string config_file;
+  std::string platform = "127.0.0.1:7000";
+  std::string node;
+  std::vector<std::string> words;  // "node", or "ctl" and its command
+
+  // Prints the help and exits for --help.
+  static Result<CommandLine> Parse(int argc, const char** argv);
+};
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_DAEMON_COMMAND_LINE_H_
--- /dev/null
+++ b/src/teaselthread/configuration_writer.cc
@@ -0,0 +1,126 @@
+#include "teaselthread/configuration_writer.h"
+
+#include <algorithm>
+#include <random>
+
+#include "libteaselthread/configuration.h"
+#include "libteaselthread/incarnation.h"
+#include "libteaselthread/section_reader.h"
+#include "teaselthread/platform_controller.h"
+
+namespace teaselthread {
+namespace {
+
+constexpr char kSource[] = "configuration";
+constexpr char kFleet[] = "fleet";
+constexpr char kChangeIds[] = "change_ids";
+constexpr size_t kChangeIdsKept = 16;
+constexpr int kMaxRaces = 8;
+constexpr int kMaxReadBacks = 10;
+constexpr std::chrono::milliseconds kReadBackPause{500};
+
+std::string MakeChangeId() {
+  std::random_device entropy;
+  const uint64_t high = entropy();
+  return Incarnation((high << 32) | entropy()).ToString();
+}
+
+std::vector<std::string> ChangeIdsOf(const IniDocument& document) {
+  const IniSection* fleet = document.Find(kFleet, "");
+  const std::string* ids = fleet ? fleet->Find(kChangeIds) : nullptr;
+  return ids ? SplitList(*ids) : std::vector<std::string>();
+}
+
+IniDocument WithChangeId(const IniDocument& document,
+                         const IniDocument& current,
+                         const std::string& change_id) {
+  std::vector<std::string> ids = ChangeIdsOf(current);
+  ids.insert(ids.begin(), change_id);
+  ids.resize(std::min(ids.size(), kChangeIdsKept));
+  return document.WithEntry(kFleet, "", kChangeIds, JoinList(ids));
+}
+
+}  // namespace
+
+asio::awaitable<Result<uint64_t>> ConfigurationWriter::Apply(
+    const ConfigurationCommand& command,
+    bool retry_on_conflict) {
+  for (int race = 0; race < kMaxRaces; ++race) {
+    const Result<PlatformObject> current = co_await ReadCurrent();
+    if (!current)
+      co_return current.last_reason();
+    const Result<IniDocument> before =
+        IniDocument::Parse(current->value, kSource);
+    if (!before)
+      co_return before.reasons();
+    const Result<IniDocument> changed = command.Apply(*before);
+    if (!changed)
+      co_return changed.reasons();
+    const std::string change_id = MakeChangeId();
+    const std::string text =
+        WithChangeId(*changed, *before, change_id).ToText();
+    const Result<Configuration> checked =
+        Configuration::Parse(text, kSource, current->version + 1);
+    if (!checked)
+      co_return checked.reasons();
+    const Result<uint64_t> written = co_await client_.Write(
+        kConfigurationKind, kConfigurationName, text, current->version);
+    if (written)
+      co_return written;
+    const ErrorCode code = written.last_reason().code;
+    if (code == ErrorCode::kTimeout || code == ErrorCode::kMalformed)
+      co_return co_await SettleLostReply(change_id, current->version);
+    if (code != ErrorCode::kConflict)
+      co_return written.last_reason();
+    if (!retry_on_conflict) {
+      const Result<PlatformObject> winner = co_await ReadCurrent();
+      const std::string version =
+          winner ? std::to_string(winner->version) : "unknown";
+      co_return Error{ErrorCode::kConflict,
+                      "version " + version +
+                          " came first; this change was "
+                          "made for version " +
+                          std::to_string(current->version)};
+    }
+  }
+  co_return Error{
+      ErrorCode::kConflict,
+      "lost the race to other changes " + std::to_string(kMaxRaces) + " times"};
+}
+
+asio::awaitable<Result<PlatformObject>> ConfigurationWriter::ReadCurrent() {
+  Result<PlatformObject> current =
+      co_await client_.Read(kConfigurationKind, kConfigurationName);
+  if (!current && current.last_reason().code == ErrorCode::kNotFound)
+    co_return PlatformObject{kConfigurationName, 0, ""};
+  co_return current;
+}
+
+asio::awaitable<Result<uint64_t>> ConfigurationWriter::SettleLostReply(
+    std::string change_id,
+    uint64_t version_before) {
+  asio::steady_timer pause(co_await asio::this_coro::executor);
+  for (int attempt = 0; attempt < kMaxReadBacks; ++attempt) {
+    const Result<PlatformObject> current = co_await ReadCurrent();
+    if (current) {
+      const Result<IniDocument> document =
+          IniDocument::Parse(current->value, kSource);
+      const std::vector<std::string> ids =
+          document ? ChangeIdsOf(*document) : std::vector<std::string>();
+      if (std::find(ids.begin(), ids.end(), change_id) != ids.end())
+        co_return current->version;
+      if (current->version != version_before) {
+        co_return Error{
+            ErrorCode::kConflict,
+            "version " + std::to_string(current->version) + " came first"};
+      }
+    }
+    pause.expires_after(kReadBackPause);
+    co_await pause.async_wait(kAsTuple);
+  }
+  co_return Error{ErrorCode::kTimeout,
+                  "no reply to the write, and it could not be settled by "
+                  "reading back; run 'ctl show' before trying again"};
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/teaselthread/endpoint_controller.cc
@@ -0,0 +1,109 @@
+#include "teaselthread/endpoint_controller.h"
+
+#include <boost/json.hpp>
+
+#include "teaselthread/http_client.h"
+
+namespace teaselthread {
+namespace {
+
+namespace json = boost::json;
+using std::chrono::milliseconds;
+
+constexpr Duration kTickInterval = milliseconds(100);
+constexpr Duration kHandOverInterval = milliseconds(300);
+constexpr Duration kHandOverTimeout = milliseconds(500);
+constexpr int kOk = 200;
+
+// {"running": 3, "cold": false}
+std::optional<EndpointReport> ReadReport(const std::string& body) {
+  try {
+    const json::value value = json::parse(body);
+    return EndpointReport{value.at("running").to_number<uint32_t>(),
+                          value.at("cold").as_bool()
+                              ? EndpointTemperature::kCold
+                              : EndpointTemperature::kWarm};
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace
+
+EndpointController::EndpointController(NodeState* state,
+                                       OwnerService* owner,
+                                       PeerClient* peers)
+    : state_(state), owner_(owner), peers_(peers) {
+  TimerService& timers = state_->timers();
+  const Timestamp now = state_->Now();
+  timers.Subscribe(kTickInterval, now, [this](Timestamp t) { Tick(t); });
+  timers.Subscribe(kHandOverInterval, now,
+                   [this](Timestamp) { AskForHandOvers(); });
+}
+
+wire::HandOverReply EndpointController::OnHandOver(
+    const wire::HandOverRequest& request) {
+  wire::HandOverReply reply;
+  reply.set_load(state_->admission().HandOver(
+      request.endpoint(), request.new_owner(), state_->Now()));
+  return reply;
+}
+
+void EndpointController::Tick(Timestamp now) {
+  owner_->Resolve(state_->admission().Tick(now));
+  PollDue(now);
+}
+
+void EndpointController::PollDue(Timestamp now) {
+  std::map<std::string, Timestamp> next_poll;
+  for (const std::string& name : state_->admission().OwnedEndpoints()) {
+    const Endpoint* endpoint = state_->directory().Find(name);
+    if (!endpoint)
+      continue;
+    auto known = next_poll_.find(name);
+    Timestamp due = known == next_poll_.end() ? now : known->second;
+    if (due <= now) {
+      asio::co_spawn(state_->io(), Poll(*endpoint), asio::detached);
+      due = now + state_->settings().timing().endpoint_poll;
+    }
+    next_poll.emplace(name, due);
+  }
+  next_poll_ = std::move(next_poll);
+}
+
+asio::awaitable<void> EndpointController::Poll(Endpoint endpoint) {
+  const Result<HttpReply> reply =
+      co_await HttpCall(endpoint.address, http::verb::get, "/load", "",
+                        state_->settings().timing().connect_timeout);
+  const Timestamp now = state_->Now();
+  if (!reply) {
+    if (reply.last_reason().code == ErrorCode::kUnavailable)
+      state_->admission().OnEndpointUnreachable(endpoint.name, now);
+    co_return;
+  }
+  const std::optional<EndpointReport> report = ReadReport(reply->body);
+  if (reply->status == kOk && report)
+    state_->admission().OnEndpointReport(endpoint.name, *report, now);
+}
+
+void EndpointController::AskForHandOvers() {
+  for (const RequestHandOver& pending :
+       state_->admission().PendingHandOvers()) {
+    const Member* previous = state_->membership().Find(pending.previous_owner);
+    if (!previous || previous->name == state_->membership().self().name)
+      continue;
+    wire::HandOverRequest request;
+    request.set_endpoint(pending.endpoint);
+    request.set_new_owner(state_->membership().self().name);
+    peers_->HandOver(previous->peer_address, request, kHandOverTimeout,
+                     [this, endpoint = pending.endpoint](
+                         const std::optional<wire::HandOverReply>& reply) {
+                       if (reply) {
+                         state_->admission().OnHandedOver(
+                             endpoint, reply->load(), state_->Now());
+                       }
+                     });
+  }
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/teaselthread/endpoint_controller.h
@@ -0,0 +1,35 @@
+#ifndef TEASELTHREAD_DAEMON_ENDPOINT_CONTROLLER_H_
+#define TEASELTHREAD_DAEMON_ENDPOINT_CONTROLLER_H_
+
+#include <map>
+#include <string>
+
+#include "teaselthread/node_state.h"
+#include "teaselthread/owner_service.h"
+#include "teaselthread/peer_client.h"
+
+namespace teaselthread {
+
+// Keeps the endpoints that this node owns: asks them for their load, asks
+// previous owners to hand over, and drives the admission controller.
+class EndpointController {
+ public:
+  EndpointController(NodeState* state, OwnerService* owner, PeerClient* peers);
+
+  wire::HandOverReply OnHandOver(const wire::HandOverRequest& request);
+
+ private:
+  void Tick(Timestamp now);
+  void PollDue(Timestamp now);
+  asio::awaitable<void> Poll(Endpoint endpoint);
+  void AskForHandOvers();
+
+  NodeState* state_;
+  OwnerService* owner_;
+  PeerClient* peers_;
+  std::map<std::string, Timestamp> next_poll_;
+};
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_DAEMON_ENDPOINT_CONTROLLER_H_
--- /dev/null
+++ b/src/teaselthread/endpoint_pool.cc
@@ -0,0 +1,33 @@
+#include "teaselthread/endpoint_pool.h"
+
+namespace teaselthread {
+namespace {
+
+constexpr size_t kMaxIdlePerEndpoint = 16;
+constexpr std::chrono::seconds kMaxIdleTime{20};
+
+}  // namespace
+
+std::optional<tcp::socket> EndpointPool::Take(const SocketAddress& address) {
+  auto found = idle_.find(address);
+  if (found == idle_.end())
+    return std::nullopt;
+  std::vector<IdleSocket>& sockets = found->second;
+  const auto now = std::chrono::steady_clock::now();
+  while (!sockets.empty()) {
+    IdleSocket idle = std::move(sockets.back());
+    sockets.pop_back();
+    if (now - idle.since <= kMaxIdleTime)
+      return std::move(idle.socket);
+  }
+  return std::nullopt;
+}
+
+void EndpointPool::Return(const SocketAddress& address, tcp::socket socket) {
+  std::vector<IdleSocket>& sockets = idle_[address];
+  if (sockets.size() >= kMaxIdlePerEndpoint)
+    return;
+  sockets.push_back({std::move(socket), std::chrono::steady_clock::now()});
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/teaselthread/entry_service.cc
@@ -0,0 +1,416 @@
+#include "teaselthread/entry_service.h"
+
+#include <algorithm>
+
+#include "teaselthread/wire_conversion.h"
+
+namespace teaselthread {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Between two looks at an attempt that says nothing.
+constexpr Duration kWatchInterval = milliseconds(200);
+// An owner says at once whether it takes a call; one that does not is lost.
+constexpr Duration kAcceptTimeout = milliseconds(1'000);
+constexpr Duration kChannelTimeout = milliseconds(500);
+constexpr Duration kChannelPoll = milliseconds(5);
+constexpr Duration kRetryAfterPause = milliseconds(500);
+
+PlacementQuery MakeQuery(const CallerRequest& request) {
+  PlacementQuery query;
+  query.kind = request.kind;
+  query.target = request.target;
+  query.hint = request.hint;
+  query.affinity = request.customer + "/" +
+                   (request.chat.empty() ? request.id : request.chat);
+  return query;
+}
+
+uint64_t FingerprintOf(const CallerRequest& request) {
+  return IdempotencyTable::Fingerprint(request.method, request.path,
+                                       request.body);
+}
+
+Outcome Unknown(UnknownReason reason) {
+  return UnsentCall().Expose().LoseTrack(reason);
+}
+
+}  // namespace
+
+// Keeps a whole answer instead of relaying it.
+class EntryService::CapturingSink : public AnswerSink {
+ public:
+  asio::awaitable<bool> OnHead(const RelayHead& head) override {
+    head_ = head;
+    co_return true;
+  }
+  asio::awaitable<bool> OnData(std::string bytes) override {
+    body_.append(bytes);
+    co_return true;
+  }
+  asio::awaitable<void> OnFinish(const Outcome& /*outcome*/) override {
+    co_return;
+  }
+
+  const RelayHead& head() const { return head_; }
+  const std::string& body() const { return body_; }
+
+ private:
+  RelayHead head_;
+  std::string body_;
+};
+
+// The attempt of a request that is under way.
+struct EntryService::Attempt {
+  std::shared_ptr<FrameQueue> frames;
+  std::string owner;
+  Incarnation owner_incarnation;
+  Timestamp last_progress{};
+  bool accepted = false;
+  bool streaming = false;
+
+  void Stop() {
+    if (frames)
+      frames->Cancel();
+  }
+};
+
+asio::awaitable<void> EntryService::Serve(CallerRequest request,
+                                          AnswerSink& sink) {
+  ++state_->requests_in_progress;
+  const Timestamp begun_at = state_->Now();
+  RequestContext context;
+  context.request = std::move(request);
+  std::optional<Outcome> outcome;
+  if (const auto refusal = state_->filters().Apply(context, begun_at)) {
+    outcome = UnsentCall().Refuse(refusal->reason, refusal->retry_after);
+  } else {
+    const Member* home =
+        context.ticket
+            ? state_->membership().FindIncarnation(context.ticket->home())
+            : nullptr;
+    if (!context.ticket)
+      outcome = co_await RunRouted(context, sink);
+    else if (!home || home->status == MemberStatus::kDead)
+      outcome = Unknown(UnknownReason::kHomeGone);
+    else if (home == &state_->membership().self())
+      outcome = co_await RunKeyed(context, sink);
+    else
+      outcome = co_await DelegateToHome(context, Member(*home), sink);
+    state_->filters().OnEnd(context);
+  }
+  const std::string profile = context.profile ? context.profile->name : "none";
+  state_->metrics().OnOutcome(profile, *outcome, state_->Now() - begun_at);
+  co_await sink.OnFinish(*outcome);
+  --state_->requests_in_progress;
+}
+
+asio::awaitable<void> EntryService::ServeForPeer(
+    wire::ForwardRequest message,
+    std::shared_ptr<FrameSink> sink) {
+  ++state_->requests_in_progress;
+  RequestContext context;
+  context.request = FromWire(message);
+  const Timestamp now = state_->Now();
+  context.deadline = now + *context.request.remaining;
+  Profile profile;
+  profile.name = context.request.profile;
+  profile.priority = static_cast<int>(message.priority());
+  profile.repeatable = false;
+  context.profile = profile;
+  CapturingSink captured;
+  const Outcome outcome = co_await RunKeyed(context, captured);
+  if (const RefusedNotRun* refused = outcome.refused()) {
+    sink->Write(ToWire(*refused));
+  } else if (const MayHaveRun* unknown = outcome.may_have_run()) {
+    sink->Write(ToWire(*unknown));
+  } else {
+    wire::ForwardFrame head;
+    head.mutable_head()->set_status(
+        static_cast<uint32_t>(captured.head().status));
+    head.mutable_head()->set_content_type(captured.head().content_type);
+    sink->Write(std::move(head));
+    wire::ForwardFrame data;
+    data.set_data(captured.body());
+    sink->Write(std::move(data));
+    wire::ForwardFrame end;
+    end.mutable_end()->set_body_bytes(captured.body().size());
+    sink->Write(std::move(end));
+  }
+  sink->Close();
+  --state_->requests_in_progress;
+}
+
+asio::awaitable<Outcome> EntryService::RunRouted(const RequestContext& context,
+                                                 AnswerSink& sink) {
+  RoutedRequest routed(&state_->router(), &state_->retry_budget(),
+                       MakeQuery(context.request), context.profile->repeatable);
+  Attempt attempt;
+  RouteActions actions = routed.Start();
+  for (;;) {
+    bool caller_listens = true;
+    for (const RouteAction& action : actions) {
+      if (const auto* forward = std::get_if<ForwardCall>(&action)) {
+        attempt.Stop();
+        co_await StartAttempt(context, *forward, &attempt);
+      } else if (const auto* head = std::get_if<RelayHead>(&action)) {
+        caller_listens = co_await sink.OnHead(*head);
+      } else if (const auto* data = std::get_if<RelayData>(&action)) {
+        std::string bytes = data->bytes;
+        caller_listens = co_await sink.OnData(std::move(bytes));
+      } else {
+        if (!std::get<FinishCall>(action).outcome.answered())
+          attempt.Stop();
+        co_return std::get<FinishCall>(action).outcome;
+      }
+    }
+    if (caller_listens)
+      actions = co_await NextActions(context, routed, attempt);
+    else
+      actions = routed.OnCallerGone();
+  }
+}
+
+asio::awaitable<Outcome> EntryService::RunKeyed(const RequestContext& context,
+                                                AnswerSink& sink) {
+  const CallerRequest& request = context.request;
+  for (;;) {
+    const KeyDecision decision = state_->idempotency().Begin(
+        request.customer, request.idempotency_key, FingerprintOf(request),
+        state_->Wall(), state_->Now());
+    switch (decision.verdict) {
+      case KeyVerdict::kRun:
+        co_return co_await RunFirstUse(context, sink);
+      case KeyVerdict::kRefused:
+        co_return UnsentCall().Refuse(*decision.refusal, kRetryAfterPause);
+      case KeyVerdict::kUnknown:
+        co_return Unknown(*decision.unknown);
+      case KeyVerdict::kReplay: {
+        const RelayHead head{decision.answer->status,
+                             decision.answer->content_type, ""};
+        co_await sink.OnHead(head);
+        std::string body = decision.answer->body;
+        co_await sink.OnData(std::move(body));
+        co_return UnsentCall().Expose().Answer();
+      }
+      case KeyVerdict::kJoin:
+        co_await WaitForKey(context);
+        if (state_->Now() >= context.deadline)
+          co_return Unknown(UnknownReason::kTimedOut);
+    }
+  }
+}
+
+asio::awaitable<Outcome> EntryService::RunFirstUse(
+    const RequestContext& context,
+    AnswerSink& sink) {
+  CapturingSink captured;
+  const Outcome outcome = co_await RunRouted(context, captured);
+  IdempotencyTable& table = state_->idempotency();
+  const std::string& customer = context.request.customer;
+  const std::string& key = context.request.idempotency_key;
+  if (const MayHaveRun* unknown = outcome.may_have_run()) {
+    table.LoseTrack(customer, key, unknown->reason);
+  } else if (outcome.refused()) {
+    table.Withdraw(customer, key);
+  } else {
+    table.Complete(
+        customer, key,
+        {captured.head().status, captured.head().content_type, captured.body()},
+        state_->Now());
+  }
+  WakeJoiners(context);
+  if (outcome.answered()) {
+    co_await sink.OnHead(captured.head());
+    std::string body = captured.body();
+    co_await sink.OnData(std::move(body));
+  }
+  co_return outcome;
+}
+
+asio::awaitable<Outcome> EntryService::DelegateToHome(
+    const RequestContext& context,
+    const Member& home,
+    AnswerSink& sink) {
+  UnsentCall unsent;
+  if (!co_await ChannelIsReady(home.peer_address)) {
+    // An earlier use of the key may have run there.
+    co_return Unknown(UnknownReason::kHomeGone);
+  }
+  wire::ForwardRequest message = ToWire(context, state_->Now());
+  message.set_stage(wire::FORWARD_STAGE_HOME);
+  const auto frames = peers_->Forward(home.peer_address, message);
+  ExposedCall exposed = std::move(unsent).Expose();
+  const Outcome outcome = co_await RelayFromHome(context, *frames, sink);
+  if (const RefusedNotRun* refused = outcome.refused()) {
+    co_return std::move(exposed).ConfirmUnsent(*refused).Refuse(
+        refused->reason, refused->retry_after);
+  }
+  co_return outcome;
+}
+
+asio::awaitable<Outcome> EntryService::RelayFromHome(
+    const RequestContext& context,
+    FrameQueue& frames,
+    AnswerSink& sink) {
+  RelayHead head;
+  std::string body;
+  for (;;) {
+    wire::ForwardFrame frame;
+    const FrameQueue::Event event =
+        co_await frames.Next(NodeState::ToSteady(context.deadline), &frame);
+    if (event == FrameQueue::Event::kTimedOut)
+      co_return Unknown(UnknownReason::kTimedOut);
+    if (event == FrameQueue::Event::kClosed)
+      co_return Unknown(UnknownReason::kHomeGone);
+    if (frame.has_not_run()) {
+      const RefusedNotRun refusal = FromWire(frame.not_run());
+      co_return UnsentCall().Refuse(refusal.reason, refusal.retry_after);
+    }
+    if (frame.has_maybe_run())
+      co_return Unknown(FromWire(frame.maybe_run()));
+    if (frame.has_head()) {
+      head.status = static_cast<int>(frame.head().status());
+      head.content_type = frame.head().content_type();
+    } else if (frame.has_data()) {
+      body.append(frame.data());
+    } else if (frame.has_end()) {
+      if (frame.end().body_bytes() != body.size())
+        co_return Unknown(UnknownReason::kTruncatedAnswer);
+      co_await sink.OnHead(head);
+      co_await sink.OnData(std::move(body));
+      co_return UnsentCall().Expose().Answer();
+    }
+  }
+}
+
+asio::awaitable<void> EntryService::StartAttempt(const RequestContext& context,
+                                                 const ForwardCall& forward,
+                                                 Attempt* attempt) {
+  if (forward.retry_of)
+    state_->metrics().OnRetry(*forward.retry_of);
+  *attempt = Attempt();
+  attempt->owner = forward.placement.owner;
+  wire::ForwardRequest message = ToWire(context, state_->Now());
+  message.set_stage(wire::FORWARD_STAGE_OWNER);
+  message.set_endpoint(forward.placement.endpoint);
+  message.set_may_queue(forward.placement.may_queue);
+  message.set_resume_from(forward.resume_from);
+  const EndpointLoad* load = state_->loads().Find(forward.placement.endpoint);
+  if (load)
+    *message.add_loads() = ToWire(*load);
+  const Member* owner = state_->membership().Find(forward.placement.owner);
+  const std::string address = owner ? owner->peer_address : "";
+  if (owner)
+    attempt->owner_incarnation = owner->incarnation;
+  if (owner == &state_->membership().self()) {
+    attempt->frames = std::make_shared<FrameQueue>(state_->io().get_executor());
+    asio::co_spawn(state_->io(),
+                   owner_->Run(std::move(message), attempt->frames),
+                   asio::detached);
+  } else if (owner && co_await ChannelIsReady(address)) {
+    attempt->frames = peers_->Forward(address, message);
+  } else {
+    // Nothing has been sent to the owner, so nothing can have run.
+    attempt->frames = std::make_shared<FrameQueue>(state_->io().get_executor());
+    attempt->frames->Write(
+        ToWire(RefusedNotRun{RefusalReason::kNotOwner, kRetryAfterPause}));
+  }
+  attempt->last_progress = state_->Now();
+}
+
+asio::awaitable<RouteActions> EntryService::NextActions(
+    const RequestContext& context,
+    RoutedRequest& routed,
+    Attempt& attempt) {
+  const Timestamp until =
+      std::min(context.deadline, state_->Now() + kWatchInterval);
+  wire::ForwardFrame frame;
+  const FrameQueue::Event event =
+      co_await attempt.frames->Next(NodeState::ToSteady(until), &frame);
+  if (event == FrameQueue::Event::kClosed)
+    co_return routed.OnLost(UnknownReason::kOwnerLost);
+  if (event == FrameQueue::Event::kTimedOut)
+    co_return OnSilence(context, routed, attempt);
+  attempt.last_progress = state_->Now();
+  attempt.accepted = true;
+  for (const wire::EndpointLoad& load : frame.loads())
+    state_->loads().Merge(FromWire(load));
+  co_return OnFrame(frame, routed, attempt);
+}
+
+RouteActions EntryService::OnFrame(const wire::ForwardFrame& frame,
+                                   RoutedRequest& routed,
+                                   Attempt& attempt) {
+  switch (frame.kind_case()) {
+    case wire::ForwardFrame::kHead:
+      attempt.streaming = true;
+      return routed.OnHead(static_cast<int>(frame.head().status()),
+                           frame.head().content_type());
+    case wire::ForwardFrame::kData:
+      return routed.OnData(frame.data());
+    case wire::ForwardFrame::kEnd:
+      return routed.OnEnd(frame.end().body_bytes());
+    case wire::ForwardFrame::kNotRun:
+      return routed.OnNotRun(FromWire(frame.not_run()));
+    case wire::ForwardFrame::kMaybeRun:
+      return routed.OnLost(FromWire(frame.maybe_run()));
+    default:
+      return {};
+  }
+}
+
+RouteActions EntryService::OnSilence(const RequestContext& context,
+                                     RoutedRequest& routed,
+                                     Attempt& attempt) {
+  const Timestamp now = state_->Now();
+  if (now >= context.deadline)
+    return routed.OnDeadline();
+  const Member* owner = state_->membership().Find(attempt.owner);
+  const bool owner_is_gone = !owner || owner->status == MemberStatus::kDead ||
+                             owner->incarnation != attempt.owner_incarnation;
+  if (owner_is_gone)
+    return routed.OnLost(UnknownReason::kOwnerLost);
+  const Duration silence = now - attempt.last_progress;
+  const bool repeatable = context.profile->repeatable;
+  if (repeatable && !attempt.accepted && silence >= kAcceptTimeout)
+    return routed.OnLost(UnknownReason::kOwnerLost);
+  const bool stream_stalls =
+      context.request.streamed && attempt.streaming &&
+      silence >= state_->settings().timing().progress_timeout;
+  if (stream_stalls)
+    return routed.OnLost(UnknownReason::kConnectionLost);
+  return {};
+}
+
+asio::awaitable<bool> EntryService::ChannelIsReady(const std::string& address) {
+  const Timestamp give_up_at = state_->Now() + kChannelTimeout;
+  asio::steady_timer pause(state_->io());
+  while (!peers_->IsConnected(address)) {
+    if (state_->Now() >= give_up_at)
+      co_return false;
+    pause.expires_after(kChannelPoll);
+    co_await pause.async_wait(kAsTuple);
+  }
+  co_return true;
+}
+
+asio::awaitable<void> EntryService::WaitForKey(const RequestContext& context) {
+  auto signal = std::make_shared<asio::steady_timer>(state_->io());
+  signal->expires_at(NodeState::ToSteady(context.deadline));
+  joiners_[context.request.idempotency_key].push_back(signal);
+  co_await signal->async_wait(kAsTuple);
+}
+
+void EntryService::WakeJoiners(const RequestContext& context) {
+  auto found = joiners_.find(context.request.idempotency_key);
+  if (found == joiners_.end())
+    return;
+  const std::vector<JoinSignal> signals = std::move(found->second);
+  joiners_.erase(found);
+  for (const JoinSignal& signal : signals)
+    signal->cancel();
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/teaselthread/http_answer_sink.h
@@ -0,0 +1,38 @@
+#ifndef TEASELTHREAD_DAEMON_HTTP_ANSWER_SINK_H_
+#define TEASELTHREAD_DAEMON_HTTP_ANSWER_SINK_H_
+
+#include <string>
+
+#include "teaselthread/answer_sink.h"
+
+namespace teaselthread {
+
+// Writes an answer to a caller's connection: an event stream in chunks as it
+// comes, anything else in one piece when it is whole.
+class HttpAnswerSink : public AnswerSink {
+ public:
+  HttpAnswerSink(tcp::socket* socket, std::string request_id, bool keep_alive);
+
+  asio::awaitable<bool> OnHead(const RelayHead& head) override;
+  asio::awaitable<bool> OnData(std::string bytes) override;
+  asio::awaitable<void> OnFinish(const Outcome& outcome) override;
+
+  // Whether the connection can take another request.
+  bool connection_is_usable() const { return connection_is_usable_; }
+
+ private:
+  http::response<http::string_body> MakeResponse() const;
+  asio::awaitable<void> WriteWhole(http::response<http::string_body> response);
+
+  tcp::socket* socket_;
+  std::string request_id_;
+  bool keep_alive_;
+  RelayHead head_;
+  std::string body_;
+  bool streaming_ = false;
+  bool connection_is_usable_ = true;
+};
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_DAEMON_HTTP_ANSWER_SINK_H_
--- /dev/null
+++ b/src/teaselthread/http_client.cc
@@ -0,0 +1,67 @@
+#include "teaselthread/http_client.h"
+
+#include "teaselthread/io_timeout.h"
+
+namespace teaselthread {
+namespace {
+
+constexpr int kHttp11 = 11;
+constexpr uint64_t kMaxReplyBytes = 64ull << 20;
+
+}  // namespace
+
+asio::awaitable<Result<tcp::socket>> Connect(SocketAddress address,
+                                             Duration timeout) {
+  tcp::socket socket(co_await asio::this_coro::executor);
+  const tcp::endpoint endpoint(asio::ip::make_address(address.host),
+                               address.port);
+  IoTimeout limit(socket);
+  limit.Arm(timeout);
+  auto [failure] = co_await socket.async_connect(endpoint, kAsTuple);
+  limit.Disarm();
+  if (failure) {
+    co_return Error{ErrorCode::kUnavailable,
+                    address.ToString() + ": " + failure.message()};
+  }
+  boost::system::error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  co_return Result<tcp::socket>(std::move(socket));
+}
+
+asio::awaitable<Result<HttpReply>> HttpCall(SocketAddress address,
+                                            http::verb method,
+                                            std::string target,
+                                            std::string body,
+                                            Duration timeout) {
+  Result<tcp::socket> connected = co_await Connect(address, timeout);
+  if (!connected)
+    co_return connected.last_reason();
+  tcp::socket socket = connected.TakeValue();
+  http::request<http::string_body> request(method, target, kHttp11);
+  request.set(http::field::host, address.ToString());
+  request.set(http::field::connection, "close");
+  request.set(http::field::content_type, "application/json");
+  request.body() = std::move(body);
+  request.prepare_payload();
+  IoTimeout limit(socket);
+  limit.Arm(timeout);
+  const auto fail = [&](const boost::system::error_code& failure) {
+    return Error{limit.expired() ? ErrorCode::kTimeout : ErrorCode::kMalformed,
+                 address.ToString() + target + ": " + failure.message()};
+  };
+  auto [write_failure, written] =
+      co_await http::async_write(socket, request, kAsTuple);
+  if (write_failure)
+    co_return fail(write_failure);
+  beast::flat_buffer buffer;
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(kMaxReplyBytes);
+  auto [read_failure, read] =
+      co_await http::async_read(socket, buffer, parser, kAsTuple);
+  if (read_failure)
+    co_return fail(read_failure);
+  co_return HttpReply{static_cast<int>(parser.get().result_int()),
+                      std::move(parser.get().body())};
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/teaselthread/main.cc
@@ -0,0 +1,62 @@
+#include <spdlog/spdlog.h>
+
+#include <iostream>
+
+#include "teaselthread/command_line.h"
+#include "teaselthread/ctl_command.h"
+#include "teaselthread/exit_code.h"
+#include "teaselthread/node.h"
+
+namespace teaselthread {
+namespace {
+
+constexpr char kVersion[] = "teaselthread 0.1.0";
+
+ExitCode ReportAll(const std::vector<Error>& reasons, ExitCode code) {
+  for (const Error& reason : reasons)
+    std::cerr << "teaselthread: " << Describe(reason) << "\n";
+  return code;
+}
+
+ExitCode RunNode(const CommandLine& command_line) {
+  if (command_line.config_file.empty()) {
+    std::cerr << "teaselthread: node needs --config FILE\n";
+    return ExitCode::kUsage;
+  }
+  Result<Settings> settings = Settings::Load(command_line.config_file);
+  if (!settings)
+    return ReportAll(settings.reasons(), ExitCode::kInvalid);
+  if (command_line.check) {
+    std::cout << command_line.config_file << ": valid\n";
+    return ExitCode::kSuccess;
+  }
+  spdlog::set_level(spdlog::level::from_str(settings->log_level()));
+  spdlog::flush_on(spdlog::level::info);
+  const Result<int> ended = Node::Run(settings.TakeValue());
+  return ended ? ExitCode::kSuccess
+               : ReportAll(ended.reasons(), ExitCode::kUnavailable);
+}
+
+ExitCode Run(int argc, const char** argv) {
+  const Result<CommandLine> command_line = CommandLine::Parse(argc, argv);
+  if (!command_line)
+    return ReportAll(command_line.reasons(), ExitCode::kUsage);
+  if (command_line->version) {
+    std::cout << kVersion << "\n";
+    return ExitCode::kSuccess;
+  }
+  const std::vector<std::string>& words = command_line->words;
+  if (words.size() == 1 && words[0] == "node")
+    return RunNode(*command_line);
+  if (words.size() >= 2 && words[0] == "ctl")
+    return RunCtl(*command_line);
+  std::cerr << "teaselthread: expected node or ctl; see teaselthread --help\n";
+  return ExitCode::kUsage;
+}
+
+}  // namespace
+}  // namespace teaselthread
+
+int main(int argc, const char** argv) {
+  return static_cast<int>(teaselthread::Run(argc, argv));
+}
--- /dev/null
+++ b/src/teaselthread/membership_controller.cc
@@ -0,0 +1,132 @@
+#include "teaselthread/membership_controller.h"
+
+#include <spdlog/spdlog.h>
+
+#include "teaselthread/wire_conversion.h"
+
+namespace teaselthread {
+namespace {
+
+constexpr size_t kLoadsPerHeartbeat = 24;
+constexpr Duration kFetchTimeout = std::chrono::seconds(2);
+
+}  // namespace
+
+MembershipController::MembershipController(NodeState* state, PeerClient* peers)
+    : state_(state), peers_(peers) {
+  state_->timers().Subscribe(state_->settings().timing().heartbeat_interval,
+                             state_->Now(),
+                             [this](Timestamp now) { Tick(now); });
+}
+
+wire::HeartbeatMessage MembershipController::OnHeartbeat(
+    const wire::HeartbeatMessage& message) {
+  Take(message);
+  return MakeMessage();
+}
+
+void MembershipController::OnProbe(
+    const wire::ProbeRequest& request,
+    PeerHandler::Respond<wire::ProbeReply> respond) {
+  peers_->Heartbeat(
+      request.target_address(), MakeMessage(),
+      state_->settings().timing().heartbeat_timeout,
+      [this, respond](const std::optional<wire::HeartbeatMessage>& reply) {
+        if (reply)
+          Take(*reply);
+        wire::ProbeReply result;
+        result.set_reachable(reply.has_value());
+        respond(result);
+      });
+}
+
+void MembershipController::Tick(Timestamp now) {
+  for (const SendHeartbeat& heartbeat : state_->membership().Tick(now))
+    Send(heartbeat);
+}
+
+void MembershipController::Send(const SendHeartbeat& heartbeat) {
+  wire::HeartbeatMessage message = MakeMessage();
+  state_->metrics().OnHeartbeatSent(message.ByteSizeLong());
+  peers_->Heartbeat(
+      heartbeat.address, std::move(message),
+      state_->settings().timing().heartbeat_timeout,
+      [this, heartbeat](const std::optional<wire::HeartbeatMessage>& reply) {
+        if (reply)
+          Take(*reply);
+        else
+          OnFailed(heartbeat);
+      });
+}
+
+void MembershipController::OnFailed(const SendHeartbeat& heartbeat) {
+  state_->metrics().OnHeartbeatFailed();
+  peers_->DropConnection(heartbeat.address);
+  const std::vector<SendProbe> probes =
+      state_->membership().OnHeartbeatFailed(heartbeat.name, state_->Now());
+  if (probes.empty())
+    return;
+  // The member is suspected only once no helper has reached it.
+  auto open = std::make_shared<size_t>(probes.size());
+  auto reached = std::make_shared<bool>(false);
+  for (const SendProbe& probe : probes) {
+    wire::ProbeRequest request;
+    request.set_target_address(probe.target_address);
+    peers_->ProbePeer(
+        probe.via_address, std::move(request),
+        2 * state_->settings().timing().heartbeat_timeout,
+        [this, open, reached,
+         target = probe.target](const std::optional<wire::ProbeReply>& reply) {
+          *reached = *reached || (reply && reply->reachable());
+          if (--*open == 0) {
+            state_->membership().OnProbeResult(target, *reached, state_->Now());
+          }
+        });
+  }
+}
+
+wire::HeartbeatMessage MembershipController::MakeMessage() {
+  wire::HeartbeatMessage message;
+  *message.mutable_sender() = ToWire(state_->membership().self());
+  for (const Member& member : state_->membership().PickUpdates())
+    *message.add_updates() = ToWire(member);
+  for (const EndpointLoad& load :
+       state_->loads().PickForPeer(kLoadsPerHeartbeat)) {
+    *message.add_loads() = ToWire(load);
+  }
+  message.set_configuration_version(state_->configuration().version());
+  return message;
+}
+
+void MembershipController::Take(const wire::HeartbeatMessage& message) {
+  std::vector<Member> updates;
+  for (const wire::MemberUpdate& update : message.updates())
+    updates.push_back(FromWire(update));
+  state_->membership().OnContact(FromWire(message.sender()), updates,
+                                 state_->Now());
+  for (const wire::EndpointLoad& load : message.loads())
+    state_->loads().Merge(FromWire(load));
+  if (message.configuration_version() > state_->configuration().version())
+    FetchConfiguration(message.sender().peer_address());
+}
+
+void MembershipController::FetchConfiguration(const std::string& address) {
+  if (fetching_configuration_)
+    return;
+  fetching_configuration_ = true;
+  wire::FetchConfigurationRequest request;
+  request.set_newer_than(state_->configuration().version());
+  peers_->FetchConfiguration(
+      address, request, kFetchTimeout,
+      [this](const std::optional<wire::ConfigurationDocument>& document) {
+        fetching_configuration_ = false;
+        if (!document || document->text().empty())
+          return;
+        const auto offer = state_->configuration().Consider(document->version(),
+                                                            document->text());
+        if (offer == ConfigurationHolder::Offer::kTaken)
+          spdlog::info("configuration {} from a peer", document->version());
+      });
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/teaselthread/node_state.h
@@ -0,0 +1,85 @@
+#ifndef TEASELTHREAD_DAEMON_NODE_STATE_H_
+#define TEASELTHREAD_DAEMON_NODE_STATE_H_
+
+#include <random>
+
+#include "libteaselthread/admission_controller.h"
+#include "libteaselthread/filter_chain.h"
+#include "libteaselthread/idempotency_table.h"
+#include "libteaselthread/metrics.h"
+#include "libteaselthread/retry_budget.h"
+#include "libteaselthread/router.h"
+#include "libteaselthread/settings.h"
+#include "libteaselthread/timer_service.h"
+#include "teaselthread/asio.h"
+
+namespace teaselthread {
+
+// All state of one node: the decision objects, and the clocks that they are
+// driven by. Used from the node's one thread only.
+class NodeState {
+ public:
+  NodeState(asio::io_context* io, Settings settings);
+  NodeState(const NodeState&) = delete;
+  NodeState& operator=(const NodeState&) = delete;
+
+  asio::io_context& io() { return *io_; }
+  const Settings& settings() const { return settings_; }
+  const Incarnation& incarnation() const {
+    return membership_.self().incarnation;
+  }
+
+  Timestamp Now() const;
+  WallSeconds Wall() const;
+  // The same moment on the clock of timers.
+  static std::chrono::steady_clock::time_point ToSteady(Timestamp time);
+
+  Membership& membership() { return membership_; }
+  ConfigurationHolder& configuration() { return configuration_; }
+  EndpointDirectory& directory() { return directory_; }
+  LoadBoard& loads() { return loads_; }
+  AdmissionController& admission() { return admission_; }
+  IdempotencyTable& idempotency() { return idempotency_; }
+  FilterChain& filters() { return filters_; }
+  const Router& router() const { return router_; }
+  RetryBudget& retry_budget() { return retry_budget_; }
+  Metrics& metrics() { return metrics_; }
+  const Metrics& metrics() const { return metrics_; }
+  TimerService& timers() { return timers_; }
+  std::mt19937_64& random() { return random_; }
+  FleetView fleet() const {
+    return {&membership_, &configuration_, &directory_, &loads_};
+  }
+
+  bool leaving() const {
+    return membership_.self().status == MemberStatus::kLeaving;
+  }
+  // Empty if the node is ready to serve.
+  std::string NotReadyReason() const;
+  Gauges CurrentGauges() const;
+
+  // Callers' requests and peers' calls in progress.
+  uint32_t requests_in_progress = 0;
+
+ private:
+  Member MakeSelf();
+
+  asio::io_context* io_;
+  Settings settings_;
+  std::mt19937_64 random_;
+  Membership membership_;
+  ConfigurationHolder configuration_;
+  EndpointDirectory directory_;
+  LoadBoard loads_;
+  AdmissionController admission_;
+  IdempotencyTable idempotency_;
+  FilterChain filters_;
+  Router router_;
+  RetryBudget retry_budget_;
+  Metrics metrics_;
+  TimerService timers_;
+};
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_DAEMON_NODE_STATE_H_
--- /dev/null
+++ b/src/teaselthread/platform_controller.cc
@@ -0,0 +1,193 @@
+#include "teaselthread/platform_controller.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "teaselthread/platform_json.h"
+
+namespace teaselthread {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kWatchWait = seconds(25);
+constexpr Duration kPauseAfterFailure = milliseconds(500);
+constexpr Duration kMaxJitter = milliseconds(500);
+constexpr Duration kReadLeasesInterval = seconds(120);
+// A lease that has not been renewed for this many intervals has lapsed.
+constexpr int kLeaseIntervals = 3;
+
+}  // namespace
+
+PlatformController::PlatformController(NodeState* state, PlatformClient client)
+    : state_(state), client_(std::move(client)) {}
+
+void PlatformController::Start() {
+  asio::co_spawn(state_->io(), WatchConfiguration(), asio::detached);
+  asio::co_spawn(state_->io(), WatchVms(), asio::detached);
+  asio::co_spawn(state_->io(), KeepLease(), asio::detached);
+}
+
+asio::awaitable<void> PlatformController::ReleaseLease() {
+  if (lease_version_ == 0)
+    co_return;
+  co_await client_.Remove(kNodesKind, state_->settings().name(),
+                          lease_version_);
+}
+
+asio::awaitable<void> PlatformController::WatchConfiguration() {
+  uint64_t revision = 0;
+  for (;;) {
+    const Result<PlatformList> list =
+        co_await client_.Watch(kConfigurationKind, revision, kWatchWait);
+    NotePlatform(list.has_value());
+    if (!list) {
+      co_await Pause(kPauseAfterFailure);
+      continue;
+    }
+    revision = std::max(revision, list->revision);
+    TakeConfiguration(*list);
+  }
+}
+
+asio::awaitable<void> PlatformController::WatchVms() {
+  uint64_t revision = 0;
+  for (;;) {
+    const Result<PlatformList> list =
+        co_await client_.Watch(kVmsKind, revision, kWatchWait);
+    NotePlatform(list.has_value());
+    if (!list) {
+      co_await Pause(kPauseAfterFailure);
+      continue;
+    }
+    if (list->revision > revision) {
+      revision = list->revision;
+      TakeVms(*list);
+    }
+  }
+}
+
+asio::awaitable<void> PlatformController::KeepLease() {
+  for (;;) {
+    co_await RenewLease();
+    const std::vector<const Member*> peers = state_->membership().peers();
+    const bool has_dead_peers = std::any_of(
+        peers.begin(), peers.end(),
+        [](const Member* peer) { return peer->status == MemberStatus::kDead; });
+    const bool is_due = !leases_read_at_ ||
+                        state_->Now() - *leases_read_at_ >= kReadLeasesInterval;
+    if (has_dead_peers || is_due)
+      co_await ReadLeases();
+    // A node that has not seen the list yet hurries to see it.
+    co_await Pause(leases_read_at_ ? state_->settings().timing().lease_interval
+                                   : kPauseAfterFailure);
+  }
+}
+
+asio::awaitable<void> PlatformController::RenewLease() {
+  const std::string& name = state_->settings().name();
+  const std::string value = WriteLease(state_->membership().self());
+  const Result<uint64_t> written =
+      co_await client_.Write(kNodesKind, name, value, lease_version_);
+  NotePlatform(written || written.last_reason().code == ErrorCode::kConflict);
+  if (written) {
+    lease_version_ = *written;
+    co_return;
+  }
+  if (written.last_reason().code != ErrorCode::kConflict)
+    co_return;
+  // Left by an earlier life of the name, or by a write whose reply was lost.
+  const Result<PlatformObject> current =
+      co_await client_.Read(kNodesKind, name);
+  if (current)
+    lease_version_ = current->version;
+  else if (current.last_reason().code == ErrorCode::kNotFound)
+    lease_version_ = 0;
+}
+
+asio::awaitable<void> PlatformController::ReadLeases() {
+  const Result<PlatformList> list = co_await client_.List(kNodesKind);
+  NotePlatform(list.has_value());
+  if (!list)
+    co_return;
+  const Timestamp now = state_->Now();
+  leases_read_at_ = now;
+  std::vector<Member> leased;
+  std::vector<PlatformObject> lapsed;
+  for (const PlatformObject& object : list->objects) {
+    const Result<Member> member = ReadLease(object);
+    if (HasLapsed(object, now))
+      lapsed.push_back(object);
+    else if (member)
+      leased.push_back(*member);
+  }
+  state_->membership().OnPlatformList(leased, now);
+  for (const PlatformObject& object : lapsed) {
+    seen_leases_.erase(object.name);
+    co_await client_.Remove(kNodesKind, object.name, object.version);
+  }
+}
+
+bool PlatformController::HasLapsed(const PlatformObject& object,
+                                   Timestamp now) {
+  Lease& lease = seen_leases_[object.name];
+  if (lease.version != object.version) {
+    lease = {object.version, now};
+    return false;
+  }
+  const Member* member = state_->membership().Find(object.name);
+  const bool is_dead = member && member->status == MemberStatus::kDead;
+  const Duration lifetime =
+      kLeaseIntervals * state_->settings().timing().lease_interval;
+  return is_dead && now - lease.unchanged_since >= lifetime;
+}
+
+asio::awaitable<void> PlatformController::Pause(Duration duration) {
+  std::uniform_int_distribution<int64_t> jitter(0, kMaxJitter.count());
+  asio::steady_timer timer(state_->io());
+  timer.expires_after(duration + Duration(jitter(state_->random())));
+  co_await timer.async_wait(kAsTuple);
+}
+
+void PlatformController::TakeConfiguration(const PlatformList& list) {
+  for (const PlatformObject& object : list.objects) {
+    if (object.name != kConfigurationName)
+      continue;
+    const auto offer =
+        state_->configuration().Consider(object.version, object.value);
+    if (offer == ConfigurationHolder::Offer::kTaken) {
+      spdlog::info("configuration {} from the platform", object.version);
+    } else if (offer == ConfigurationHolder::Offer::kRejected) {
+      spdlog::error("configuration {} is not valid: {}", object.version,
+                    Describe(state_->configuration().last_reason()));
+    }
+  }
+}
+
+void PlatformController::TakeVms(const PlatformList& list) {
+  std::vector<Endpoint> endpoints;
+  for (const PlatformObject& object : list.objects) {
+    Result<Endpoint> endpoint = ReadEndpoint(object);
+    if (endpoint)
+      endpoints.push_back(endpoint.TakeValue());
+    else
+      spdlog::warn("{}", Describe(endpoint.last_reason()));
+  }
+  state_->directory().Replace(std::move(endpoints));
+  state_->loads().Forget(state_->directory());
+}
+
+void PlatformController::NotePlatform(bool reachable) {
+  state_->metrics().OnPlatformCall(reachable);
+  if (reachable == platform_is_reachable_)
+    return;
+  platform_is_reachable_ = reachable;
+  if (reachable)
+    spdlog::info("the platform is reachable");
+  else
+    spdlog::warn("the platform is not reachable");
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/teaselthread/problem.h
@@ -0,0 +1,21 @@
+#ifndef TEASELTHREAD_DAEMON_PROBLEM_H_
+#define TEASELTHREAD_DAEMON_PROBLEM_H_
+
+#include <string>
+
+#include "libteaselthread/outcome.h"
+#include "teaselthread/asio.h"
+
+namespace teaselthread {
+
+// Problem details (RFC 9457) for a request that got no answer of an endpoint.
+// "run" is "not-run" or "may-have-run"; `detail` is for a person.
+http::response<http::string_body> MakeProblem(const RefusedNotRun& refusal,
+                                              const std::string& detail);
+http::response<http::string_body> MakeProblem(const MayHaveRun& unknown);
+// For paths and methods that do not exist.
+http::response<http::string_body> MakeNotFound(const std::string& path);
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_DAEMON_PROBLEM_H_
--- /dev/null
+++ b/standins/main.cc
@@ -0,0 +1,27 @@
+#include <cstdlib>
+#include <iostream>
+#include <string_view>
+
+#include "standin_main.h"
+
+// Usage: teaselthread-standin platform|engine|service PORT [TOKEN_MS]
+int main(int argc, char** argv) {
+  using namespace teaselthread::standins;
+  if (argc < 3) {
+    std::cerr << "usage: teaselthread-standin platform|engine|service PORT "
+                 "[TOKEN_MS]\n";
+    return 1;
+  }
+  const std::string_view role = argv[1];
+  const auto port = static_cast<uint16_t>(std::atoi(argv[2]));
+  const auto token_ms =
+      static_cast<uint32_t>(argc > 3 ? std::atoi(argv[3]) : 5);
+  if (role == "platform")
+    return RunPlatform(port);
+  if (role == "engine")
+    return RunEngine(port, token_ms);
+  if (role == "service")
+    return RunService(port);
+  std::cerr << "no such role: " << role << "\n";
+  return 1;
+}
--- /dev/null
+++ b/standins/standin_main.h
@@ -0,0 +1,16 @@
+#ifndef TEASELTHREAD_STANDINS_STANDIN_MAIN_H_
+#define TEASELTHREAD_STANDINS_STANDIN_MAIN_H_
+
+#include <cstdint>
+
+namespace teaselthread::standins {
+
+// Each serves on a loopback port until SIGTERM; the source file describes the
+// interface and the faults that it can be told to make.
+int RunPlatform(uint16_t port);
+int RunEngine(uint16_t port, uint32_t token_interval_ms);
+int RunService(uint16_t port);
+
+}  // namespace teaselthread::standins
+
+#endif  // TEASELTHREAD_STANDINS_STANDIN_MAIN_H_
--- /dev/null
+++ b/standins/standin_server.h
@@ -0,0 +1,37 @@
+#ifndef TEASELTHREAD_STANDINS_STANDIN_SERVER_H_
+#define TEASELTHREAD_STANDINS_STANDIN_SERVER_H_
+
+#include <functional>
+#include <string>
+
+#include "teaselthread/asio.h"
+
+namespace teaselthread::standins {
+
+using Request = http::request<http::string_body>;
+using Response = http::response<http::string_body>;
+
+// A request together with the connection that its answer goes to.
+struct Exchange {
+  tcp::socket& socket;
+  const Request& request;
+
+  std::string Path() const;
+  // The value of a query parameter, or `fallback`.
+  std::string Query(std::string_view name, std::string_view fallback) const;
+  uint64_t Number(std::string_view name, uint64_t fallback) const;
+  std::string Header(std::string_view name) const;
+  asio::awaitable<void> Reply(int status, std::string body) const;
+  // Closes the connection without an answer.
+  void Drop() const;
+};
+
+// Serves HTTP on a loopback port until SIGTERM.
+using Handler = std::function<asio::awaitable<void>(Exchange)>;
+int Serve(asio::io_context& io, uint16_t port, Handler handler);
+
+asio::awaitable<void> Sleep(std::chrono::milliseconds duration);
+
+}  // namespace teaselthread::standins
+
+#endif  // TEASELTHREAD_STANDINS_STANDIN_SERVER_H_
