--- a/src/libteaselthread/error.h
+++ b/src/libteaselthread/error.h
@@ -43,9 +43,12 @@
 template <typename T>
 class Result {
  public:
+  // Implicit, so that functions can return a value or a reason.
+  // NOLINTBEGIN(google-explicit-constructor)
   Result(T value) : value_(std::move(value)) {}
   Result(Error reason) : reasons_{std::move(reason)} {}
   Result(std::vector<Error> reasons) : reasons_(std::move(reasons)) {}
+  // NOLINTEND(google-explicit-constructor)
 
   bool has_value() const { return value_.has_value(); }
   explicit operator bool() const { return has_value(); }
--- a/src/libteaselthread/ini_document.cc
+++ b/src/libteaselthread/ini_document.cc
@@ -1,21 +1,45 @@
 #include "libteaselthread/ini_document.h"
 
 #include <algorithm>
+#include <boost/algorithm/string/trim.hpp>
 #include <boost/property_tree/ini_parser.hpp>
 #include <boost/property_tree/ptree.hpp>
+#include <set>
 #include <sstream>
 
 namespace teaselthread {
 namespace {
 
-IniSection ReadSection(const std::string& title,
-                       const boost::property_tree::ptree& tree) {
+using boost::property_tree::ptree;
+
+// The titles of all sections in their order. The library drops sections
+// without entries, which here mean "all defaults".
+std::vector<std::string> ReadTitles(std::string_view text) {
+  std::vector<std::string> titles;
+  std::istringstream input{std::string(text)};
+  std::string line;
+  while (std::getline(input, line)) {
+    boost::algorithm::trim(line);
+    const size_t end = line.find(']');
+    if (line.empty() || line.front() != '[' || end == std::string::npos)
+      continue;
+    std::string title = line.substr(1, end - 1);
+    boost::algorithm::trim(title);
+    titles.push_back(title);
+  }
+  return titles;
+}
+
+IniSection ReadSection(const std::string& title, const ptree& document) {
   IniSection section;
   const size_t space = title.find(' ');
   section.kind = title.substr(0, space);
   if (space != std::string::npos)
     section.name = title.substr(space + 1);
-  for (const auto& [key, value] : tree)
+  const auto found = document.find(title);
+  if (found == document.not_found())
+    return section;
+  for (const auto& [key, value] : found->second)
     section.entries.push_back({key, value.data()});
   return section;
 }
@@ -34,7 +58,7 @@
 
 Result<IniDocument> IniDocument::Parse(std::string_view text,
                                        std::string source) {
-  boost::property_tree::ptree tree;
+  ptree tree;
   std::istringstream input{std::string(text)};
   try {
     boost::property_tree::ini_parser::read_ini(input, tree);
@@ -43,13 +67,20 @@
                                          std::to_string(failure.line()) + ": " +
                                          failure.message()};
   }
+  for (const auto& [key, child] : tree) {
+    if (child.empty()) {
+      return Error{ErrorCode::kSyntax,
+                   source + ": key '" + key + "' stands outside a section"};
+    }
+  }
   std::vector<IniSection> sections;
-  for (const auto& [title, child] : tree) {
-    if (child.empty() && !child.data().empty()) {
+  std::set<std::string> seen;
+  for (const std::string& title : ReadTitles(text)) {
+    if (!seen.insert(title).second) {
       return Error{ErrorCode::kSyntax,
-                   source + ": key '" + title + "' stands outside a section"};
+                   source + ": section [" + title + "] stands twice"};
     }
-    sections.push_back(ReadSection(title, child));
+    sections.push_back(ReadSection(title, tree));
   }
   return IniDocument(std::move(source), std::move(sections));
 }
--- a/src/libteaselthread/routed_request.cc
+++ b/src/libteaselthread/routed_request.cc
@@ -165,7 +165,7 @@
 
 RouteActions RoutedRequest::Finish(Outcome outcome) {
   finished_ = true;
-  return {FinishCall{std::move(outcome)}};
+  return {FinishCall{outcome}};
 }
 
 RouteActions RoutedRequest::FinishAnswered() {
--- a/src/libteaselthread/settings.cc
+++ b/src/libteaselthread/settings.cc
@@ -22,7 +22,7 @@
 constexpr IntegerRange kConnectionsRange{1, 1'000'000};
 constexpr IntegerRange kKeysRange{1, 10'000'000};
 constexpr IntegerRange kAnswerBytesRange{0, 1'073'741'824};
-constexpr IntegerRange kLifetimeRangeS{1, 7 * 86'400};
+constexpr IntegerRange kLifetimeRangeS{1, 604'800};
 
 bool IsIpNumber(const std::string& host) {
   in6_addr ignored;
--- a/src/libteaselthread/timestamp.h
+++ b/src/libteaselthread/timestamp.h
@@ -15,6 +15,8 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<SteadyClock, duration>;
+  // The name that std::chrono asks for.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   static constexpr bool is_steady = true;
 };
 
--- a/src/teaselthread/io_timeout.h
+++ b/src/teaselthread/io_timeout.h
@@ -13,7 +13,7 @@
 class IoTimeout {
  public:
   explicit IoTimeout(tcp::socket& socket);
-  ~IoTimeout() { Disarm(); }
+  ~IoTimeout() { ++state_->generation; }
   IoTimeout(const IoTimeout&) = delete;
   IoTimeout& operator=(const IoTimeout&) = delete;
 
--- /dev/null
+++ b/tests/fleet/membership_test.cc
@@ -0,0 +1,198 @@
+#include "libteaselthread/membership.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <set>
+
+#include "libteaselthread/ownership.h"
+#include "support/fake_fleet.h"
+
+namespace teaselthread {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using test::At;
+
+constexpr Duration kInterval = milliseconds(500);
+
+// Members that exchange heartbeats in virtual time, except over cut links.
+class HeartbeatNet {
+ public:
+  explicit HeartbeatNet(int size) {
+    for (int i = 1; i <= size; ++i) {
+      const std::vector<std::string> seeds = {
+          test::MakeMember(1, "a").peer_address};
+      members_.emplace_back(test::MakeMember(i, i % 2 ? "a" : "b"), seeds,
+                            MembershipTiming{seconds(3), milliseconds(2'500)},
+                            static_cast<uint64_t>(i));
+    }
+  }
+
+  Membership& operator[](int number) { return members_[number - 1]; }
+  void Cut(int number) { cut_.insert(number); }
+  void Heal(int number) { cut_.erase(number); }
+  Timestamp now() const { return now_; }
+
+  void RunFor(Duration duration) {
+    for (const Timestamp end = now_ + duration; now_ < end; now_ += kInterval) {
+      for (int i = 1; i <= static_cast<int>(members_.size()); ++i)
+        Tick(i);
+    }
+  }
+
+ private:
+  bool CanTalk(int a, int b) const {
+    return a == b || (!cut_.contains(a) && !cut_.contains(b));
+  }
+  int NumberOf(const std::string& address) const {
+    for (size_t i = 0; i < members_.size(); ++i) {
+      if (members_[i].self().peer_address == address)
+        return static_cast<int>(i) + 1;
+    }
+    return 0;
+  }
+  bool Exchange(int from, int to) {
+    if (!CanTalk(from, to))
+      return false;
+    Membership& a = (*this)[from];
+    Membership& b = (*this)[to];
+    const Member sender = a.self();
+    b.OnContact(sender, a.PickUpdates(), now_);
+    a.OnContact(b.self(), b.PickUpdates(), now_);
+    return true;
+  }
+  void Tick(int number) {
+    Membership& self = (*this)[number];
+    for (const SendHeartbeat& heartbeat : self.Tick(now_)) {
+      const int target = NumberOf(heartbeat.address);
+      if (Exchange(number, target) || heartbeat.name.empty())
+        continue;
+      for (const SendProbe& probe :
+           self.OnHeartbeatFailed(heartbeat.name, now_)) {
+        const int helper = NumberOf(probe.via_address);
+        const bool reached =
+            CanTalk(number, helper) && Exchange(helper, target);
+        self.OnProbeResult(probe.target, reached, now_);
+      }
+    }
+  }
+
+  std::deque<Membership> members_;
+  std::set<int> cut_;
+  Timestamp now_ = At(seconds(0));
+};
+
+BOOST_AUTO_TEST_SUITE(nodes_learn_of_each_other)
+
+BOOST_AUTO_TEST_CASE(from_one_seed) {
+  HeartbeatNet net(8);
+  net.RunFor(seconds(5));
+  for (int i = 1; i <= 8; ++i) {
+    BOOST_TEST(net[i].serving().size() == 8u);
+    BOOST_TEST(net[i].InGoodStanding(net.now()));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_node_that_knows_nobody_is_not_in_good_standing) {
+  HeartbeatNet net(3);
+  net.Cut(2);
+  net.RunFor(seconds(5));
+  BOOST_TEST(!net[2].InGoodStanding(net.now()));
+}
+
+BOOST_AUTO_TEST_SUITE(and_of_failures)
+
+BOOST_AUTO_TEST_CASE(one_that_stops_is_dead_for_all_and_fences_itself_before) {
+  HeartbeatNet net(8);
+  net.RunFor(seconds(5));
+  net.Cut(3);
+  const Timestamp cut_at = net.now();
+  Timestamp fenced_at{};
+  Timestamp first_death{};
+  while (net.now() < cut_at + seconds(30)) {
+    net.RunFor(kInterval);
+    if (fenced_at == Timestamp{} && !net[3].InGoodStanding(net.now()))
+      fenced_at = net.now();
+    for (int i = 1; i <= 8 && first_death == Timestamp{}; ++i) {
+      const Member* member = i == 3 ? nullptr : net[i].Find("entry-3");
+      if (member && member->status == MemberStatus::kDead)
+        first_death = net.now();
+    }
+  }
+  BOOST_TEST((fenced_at > cut_at));
+  BOOST_TEST((first_death >= fenced_at));
+  for (int i = 1; i <= 8; ++i) {
+    if (i != 3)
+      BOOST_TEST((net[i].Find("entry-3")->status == MemberStatus::kDead));
+  }
+  BOOST_TEST((first_death - cut_at <= seconds(8)));
+}
+
+BOOST_AUTO_TEST_CASE(one_that_comes_back_refutes_its_death) {
+  HeartbeatNet net(8);
+  net.RunFor(seconds(5));
+  net.Cut(3);
+  net.RunFor(seconds(20));
+  net.Heal(3);
+  net.RunFor(seconds(20));
+  for (int i = 1; i <= 8; ++i)
+    BOOST_TEST(net[i].serving().size() == 8u);
+}
+
+BOOST_AUTO_TEST_CASE(a_replacement_of_the_same_name_replaces_it) {
+  HeartbeatNet net(3);
+  net.RunFor(seconds(5));
+  Member replacement = net[2].self();
+  replacement.incarnation = Incarnation(99);
+  replacement.generation = 1'000;
+  net[1].OnContact(replacement, {}, net.now());
+  BOOST_TEST(net[1].FindIncarnation(Incarnation(2)) == nullptr);
+  BOOST_TEST(net[1].FindIncarnation(Incarnation(99)) != nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(a_dead_node_is_forgotten_once_its_lease_has_lapsed) {
+  HeartbeatNet net(3);
+  net.RunFor(seconds(5));
+  net.Cut(2);
+  net.RunFor(seconds(20));
+  net[1].OnPlatformList({net[2].self(), net[3].self()}, net.now());
+  BOOST_TEST(net[1].Find("entry-2") != nullptr);
+  net[1].OnPlatformList({net[3].self()}, net.now());
+  BOOST_TEST(net[1].Find("entry-2") == nullptr);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(a_leaving_node_takes_no_new_work) {
+  HeartbeatNet net(4);
+  net.RunFor(seconds(5));
+  net[2].BeginLeaving();
+  net.RunFor(seconds(3));
+  for (int i = 1; i <= 4; ++i)
+    BOOST_TEST(net[i].serving().size() == 3u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(every_endpoint_has_one_owner)
+
+BOOST_AUTO_TEST_CASE(in_its_zone_if_there_is_a_node_and_the_same_for_all) {
+  HeartbeatNet net(8);
+  net.RunFor(seconds(5));
+  for (int i = 0; i < 40; ++i) {
+    const Endpoint near = test::MakeEngine("engine-" + std::to_string(i), "a");
+    const Endpoint far = test::MakeEngine("engine-" + std::to_string(i), "c");
+    BOOST_TEST(OwnerOf(near, net[1])->zone == "a");
+    for (int node = 2; node <= 8; ++node) {
+      BOOST_TEST(OwnerOf(near, net[node])->name == OwnerOf(near, net[1])->name);
+      BOOST_TEST(OwnerOf(far, net[node])->name == OwnerOf(far, net[1])->name);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace teaselthread
