--- a/src/libteaselthread/admission_controller.cc
+++ b/src/libteaselthread/admission_controller.cc
@@ -188,6 +188,13 @@
   return names;
 }
 
+size_t AdmissionController::AdmittingCount() const {
+  return static_cast<size_t>(
+      std::count_if(sites_.begin(), sites_.end(), [](const auto& item) {
+        return item.second.owned && !item.second.guarded;
+      }));
+}
+
 uint32_t AdmissionController::RunningTotal() const {
   uint32_t total = 0;
   for (const auto& [name, site] : sites_)
--- a/src/libteaselthread/admission_controller.h
+++ b/src/libteaselthread/admission_controller.h
@@ -98,6 +98,8 @@
                    Timestamp now);
 
   std::vector<std::string> OwnedEndpoints() const;
+  // Owned endpoints whose guard has been lifted.
+  size_t AdmittingCount() const;
   uint32_t RunningTotal() const;
 
  private:
--- a/src/libteaselthread/metrics.cc
+++ b/src/libteaselthread/metrics.cc
@@ -143,6 +143,7 @@
   Line(out, "configuration_version", gauges.configuration_version);
   Line(out, "members_serving", gauges.members_serving);
   Line(out, "endpoints_owned", gauges.endpoints_owned);
+  Line(out, "endpoints_admitting", gauges.endpoints_admitting);
   Line(out, "calls_running", gauges.calls_running);
   Line(out, "idempotency_keys", gauges.idempotency_keys);
   Line(out, "kept_answer_bytes", gauges.kept_answer_bytes);
--- a/src/libteaselthread/metrics.h
+++ b/src/libteaselthread/metrics.h
@@ -43,6 +43,7 @@
   uint64_t configuration_version = 0;
   uint64_t members_serving = 0;
   uint64_t endpoints_owned = 0;
+  uint64_t endpoints_admitting = 0;  // owned and past the guard
   uint64_t calls_running = 0;
   uint64_t idempotency_keys = 0;
   uint64_t kept_answer_bytes = 0;
--- a/src/teaselthread/node_state.cc
+++ b/src/teaselthread/node_state.cc
@@ -93,6 +93,7 @@
   gauges.configuration_version = configuration_.version();
   gauges.members_serving = membership_.serving().size();
   gauges.endpoints_owned = admission_.OwnedEndpoints().size();
+  gauges.endpoints_admitting = admission_.AdmittingCount();
   gauges.calls_running = admission_.RunningTotal();
   gauges.idempotency_keys = idempotency_.key_count();
   gauges.kept_answer_bytes = idempotency_.answer_bytes();
