Only a key's home may say that its order did not run

Cause, found by the new process test: a repeat of an answered order that came in at another node was refused there by the customer's rate limit with "run": "not-run", though the order had run ("said not run, ran; told ['answered', 'not-run']"). Every refusal an entry node made before it asked the home could be false in this way. Ruled out: counting such refusals as unknown, which would send clerks to the phone for requests that never started. Change: a call that may not be repeated goes to the home of its key first; the home looks the key up and only then applies filters and limits. Requests that could not be read say "not-read" instead of "not-run". Also: nodes fetch configuration and endpoint list from peers that have newer ones, and ctl offers an accepted document to five nodes itself, so that it is in force also when the platform fails right after the write.

--- a/src/libteaselthread/admission_controller.cc
+++ b/src/libteaselthread/admission_controller.cc
@@ -204,7 +204,7 @@
 
 void AdmissionController::FollowOwnership(Timestamp now) {
   const uint64_t members = fleet_.membership->revision() + 1;
-  const uint64_t endpoints = fleet_.directory->revision() + 1;
+  const uint64_t endpoints = fleet_.directory->version() + 1;
   if (members == followed_members_ && endpoints == followed_endpoints_)
     return;
   followed_members_ = members;
--- a/src/libteaselthread/endpoint_directory.cc
+++ b/src/libteaselthread/endpoint_directory.cc
@@ -2,8 +2,11 @@
 
 namespace teaselthread {
 
-void EndpointDirectory::Replace(std::vector<Endpoint> endpoints) {
-  ++revision_;
+bool EndpointDirectory::Replace(uint64_t version,
+                                std::vector<Endpoint> endpoints) {
+  if (version <= version_)
+    return false;
+  version_ = version;
   by_name_.clear();
   by_target_.clear();
   for (Endpoint& endpoint : endpoints) {
@@ -14,6 +17,7 @@
     for (const std::string& target : endpoint.serves)
       by_target_[{endpoint.kind, target}].push_back(&endpoint);
   }
+  return true;
 }
 
 const Endpoint* EndpointDirectory::Find(const std::string& name) const {
--- a/src/libteaselthread/endpoint_directory.h
+++ b/src/libteaselthread/endpoint_directory.h
@@ -13,11 +13,14 @@
 // The endpoints on the platform's list, by name and by what they serve.
 class EndpointDirectory {
  public:
-  void Replace(std::vector<Endpoint> endpoints);
+  // Takes the list if its version, the platform's revision, is higher than
+  // that of the list known. Returns whether it did.
+  bool Replace(uint64_t version, std::vector<Endpoint> endpoints);
+
+  // 0 until the first list has come.
+  uint64_t version() const { return version_; }
 
   const std::map<std::string, Endpoint>& all() const { return by_name_; }
-  // Changes with each Replace.
-  uint64_t revision() const { return revision_; }
   const Endpoint* Find(const std::string& name) const;
   // Every endpoint that serves the model or service, usable or not.
   std::vector<const Endpoint*> Serving(EndpointKind kind,
@@ -34,7 +37,7 @@
     friend auto operator<=>(const Target&, const Target&) = default;
   };
 
-  uint64_t revision_ = 0;
+  uint64_t version_ = 0;
   std::map<std::string, Endpoint> by_name_;
   std::map<Target, std::vector<const Endpoint*>> by_target_;
 };
--- a/src/libteaselthread/request_context.h
+++ b/src/libteaselthread/request_context.h
@@ -7,7 +7,6 @@
 
 #include "libteaselthread/configuration.h"
 #include "libteaselthread/endpoint.h"
-#include "libteaselthread/ticket.h"
 
 namespace teaselthread {
 
@@ -37,7 +36,6 @@
   CallerRequest request;
   std::optional<Profile> profile;
   Timestamp deadline{};
-  std::optional<Ticket> ticket;  // set for calls that may not be repeated
   bool counted_by_limiter = false;
 };
 
--- a/src/libteaselthread/request_filters.cc
+++ b/src/libteaselthread/request_filters.cc
@@ -51,8 +51,7 @@
   const std::string& key = context.request.idempotency_key;
   if (!Ticket::LooksLikeTicket(key))
     return RefusedNotRun{RefusalReason::kTicketRequired, kNeverAsItIs};
-  context.ticket = Ticket::ParseKey(key);
-  if (!context.ticket)
+  if (!Ticket::ParseKey(key))
     return RefusedNotRun{RefusalReason::kTicketMalformed, kNeverAsItIs};
   return std::nullopt;
 }
--- a/src/libteaselthread/request_filters.h
+++ b/src/libteaselthread/request_filters.h
@@ -4,6 +4,7 @@
 #include "libteaselthread/customer_limiter.h"
 #include "libteaselthread/filter_chain.h"
 #include "libteaselthread/fleet_view.h"
+#include "libteaselthread/ticket.h"
 
 namespace teaselthread {
 
--- a/src/teaselthread/asio.h
+++ b/src/teaselthread/asio.h
@@ -5,6 +5,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
--- a/src/teaselthread/caller_server.cc
+++ b/src/teaselthread/caller_server.cc
@@ -116,9 +116,10 @@
   ++connections_;
   if (connections_ > limits.max_connections) {
     state_->metrics().OnRefusal(RefusalReason::kTooManyConnections);
-    co_await Write(socket, MakeProblem({RefusalReason::kTooManyConnections,
-                                        kRetryConnection},
-                                       ""));
+    co_await Write(
+        socket,
+        MakeUnreadProblem(
+            {RefusalReason::kTooManyConnections, kRetryConnection}, ""));
   } else {
     beast::flat_buffer buffer;
     while (co_await ServeOneRequest(socket, buffer)) {
@@ -159,7 +160,7 @@
   const RefusalReason reason = ReasonOf(failure, limit.expired());
   state_->metrics().OnRefusal(reason);
   CallerHttpResponse refusal =
-      MakeProblem({reason, Duration::zero()}, failure.message());
+      MakeUnreadProblem({reason, Duration::zero()}, failure.message());
   refusal.keep_alive(false);
   co_await Write(socket, std::move(refusal));
   co_return false;
@@ -178,8 +179,8 @@
     if (!parsed) {
       state_->metrics().OnRefusal(RefusalReason::kMalformed);
       CallerHttpResponse refusal =
-          MakeProblem({RefusalReason::kMalformed, Duration::zero()},
-                      parsed.last_reason().detail);
+          MakeUnreadProblem({RefusalReason::kMalformed, Duration::zero()},
+                            parsed.last_reason().detail);
       refusal.keep_alive(keep_alive);
       co_return co_await Write(socket, std::move(refusal));
     }
@@ -220,8 +221,8 @@
   const auto configuration = state_->configuration().current();
   if (!configuration) {
     state_->metrics().OnRefusal(RefusalReason::kNotReady);
-    return MakeProblem({RefusalReason::kNotReady, kRetryConnection},
-                       state_->NotReadyReason());
+    return MakeUnreadProblem({RefusalReason::kNotReady, kRetryConnection},
+                             state_->NotReadyReason());
   }
   std::vector<const Member*> members = state_->membership().serving();
   std::erase_if(members, [&](const Member* member) {
@@ -239,8 +240,8 @@
   }
   if (members.empty()) {
     state_->metrics().OnRefusal(RefusalReason::kLeaving);
-    return MakeProblem({RefusalReason::kLeaving, kRetryConnection},
-                       "no node takes new callers");
+    return MakeUnreadProblem({RefusalReason::kLeaving, kRetryConnection},
+                             "no node takes new callers");
   }
   std::uniform_int_distribution<size_t> pick(0, members.size() - 1);
   const Member& member = *members[pick(state_->random())];
--- a/src/teaselthread/configuration_writer.cc
+++ b/src/teaselthread/configuration_writer.cc
@@ -42,7 +42,7 @@
 
 }  // namespace
 
-asio::awaitable<Result<uint64_t>> ConfigurationWriter::Apply(
+asio::awaitable<Result<PlatformObject>> ConfigurationWriter::Apply(
     const ConfigurationCommand& command,
     bool retry_on_conflict) {
   for (int race = 0; race < kMaxRaces; ++race) {
@@ -66,7 +66,7 @@
     const Result<uint64_t> written = co_await client_.Write(
         kConfigurationKind, kConfigurationName, text, current->version);
     if (written)
-      co_return written;
+      co_return PlatformObject{kConfigurationName, *written, text};
     const ErrorCode code = written.last_reason().code;
     if (code == ErrorCode::kTimeout || code == ErrorCode::kMalformed)
       co_return co_await SettleLostReply(change_id, current->version);
@@ -96,7 +96,7 @@
   co_return current;
 }
 
-asio::awaitable<Result<uint64_t>> ConfigurationWriter::SettleLostReply(
+asio::awaitable<Result<PlatformObject>> ConfigurationWriter::SettleLostReply(
     std::string change_id,
     uint64_t version_before) {
   asio::steady_timer pause(co_await asio::this_coro::executor);
@@ -108,7 +108,7 @@
       const std::vector<std::string> ids =
           document ? ChangeIdsOf(*document) : std::vector<std::string>();
       if (std::find(ids.begin(), ids.end(), change_id) != ids.end())
-        co_return current->version;
+        co_return *current;
       if (current->version != version_before) {
         co_return Error{
             ErrorCode::kConflict,
--- a/src/teaselthread/configuration_writer.h
+++ b/src/teaselthread/configuration_writer.h
@@ -16,19 +16,21 @@
   explicit ConfigurationWriter(PlatformClient client)
       : client_(std::move(client)) {}
 
-  // Returns the version that was accepted. Errors: kConflict (another change
+  // Returns the document that was accepted. Errors: kConflict (another change
   // came first; nothing was changed), kTimeout (not known whether accepted),
   // kUnavailable (nothing was changed), and those of the command and of the
   // document's check.
-  asio::awaitable<Result<uint64_t>> Apply(const ConfigurationCommand& command,
-                                          bool retry_on_conflict);
+  asio::awaitable<Result<PlatformObject>> Apply(
+      const ConfigurationCommand& command,
+      bool retry_on_conflict);
 
   // The document in force; version 0 and no text if there is none.
   asio::awaitable<Result<PlatformObject>> ReadCurrent();
 
  private:
-  asio::awaitable<Result<uint64_t>> SettleLostReply(std::string change_id,
-                                                    uint64_t version_before);
+  asio::awaitable<Result<PlatformObject>> SettleLostReply(
+      std::string change_id,
+      uint64_t version_before);
 
   PlatformClient client_;
 };
--- a/src/teaselthread/ctl_command.cc
+++ b/src/teaselthread/ctl_command.cc
@@ -9,6 +9,7 @@
 #include "libteaselthread/configuration.h"
 #include "libteaselthread/configuration_command.h"
 #include "libteaselthread/settings.h"
+#include "teaselthread/configuration_announcer.h"
 #include "teaselthread/configuration_writer.h"
 #include "teaselthread/http_client.h"
 
@@ -79,12 +80,18 @@
   const Result<PlatformClient> client = MakeClient(command_line);
   if (!client)
     return Report(client.reasons());
+  const std::vector<std::string> nodes =
+      RunToEnd(ConfigurationAnnouncer::FindNodes(*client));
   ConfigurationWriter writer(*client);
-  const Result<uint64_t> version =
+  const Result<PlatformObject> accepted =
       RunToEnd(writer.Apply(command, retry_on_conflict));
-  if (!version)
-    return Report(version.reasons());
-  std::cout << "accepted as version " << *version << "\n";
+  if (!accepted)
+    return Report(accepted.reasons());
+  const Announcement announcement =
+      ConfigurationAnnouncer::Announce(nodes, *accepted);
+  std::cout << "accepted as version " << accepted->version << ", in force on "
+            << announcement.in_force << " of " << announcement.told
+            << " nodes told\n";
   return ExitCode::kSuccess;
 }
 
--- a/src/teaselthread/entry_service.cc
+++ b/src/teaselthread/entry_service.cc
@@ -16,6 +16,8 @@
 constexpr Duration kChannelTimeout = milliseconds(500);
 constexpr Duration kChannelPoll = milliseconds(5);
 constexpr Duration kRetryAfterPause = milliseconds(500);
+// Until a key's home has found the profile's own deadline.
+constexpr Duration kDefaultDeadline = std::chrono::seconds(60);
 
 PlacementQuery MakeQuery(const CallerRequest& request) {
   PlacementQuery query;
@@ -82,27 +84,18 @@
   const Timestamp begun_at = state_->Now();
   RequestContext context;
   context.request = std::move(request);
-  std::optional<Outcome> outcome;
-  if (const auto refusal = state_->filters().Apply(context, begun_at)) {
-    outcome = UnsentCall().Refuse(refusal->reason, refusal->retry_after);
+  const std::optional<Ticket> ticket = KeyedTicket(context.request);
+  Outcome outcome = Unknown(UnknownReason::kHomeGone);
+  if (ticket) {
+    context.deadline =
+        begun_at + context.request.remaining.value_or(kDefaultDeadline);
+    outcome = co_await ServeKeyed(context, *ticket, sink);
   } else {
-    const Member* home =
-        context.ticket
-            ? state_->membership().FindIncarnation(context.ticket->home())
-            : nullptr;
-    if (!context.ticket)
-      outcome = co_await RunRouted(context, sink);
-    else if (!home || home->status == MemberStatus::kDead)
-      outcome = Unknown(UnknownReason::kHomeGone);
-    else if (home == &state_->membership().self())
-      outcome = co_await RunKeyed(context, sink);
-    else
-      outcome = co_await DelegateToHome(context, Member(*home), sink);
-    state_->filters().OnEnd(context);
+    outcome = co_await ServeFiltered(context, sink);
   }
-  const std::string profile = context.profile ? context.profile->name : "none";
-  state_->metrics().OnOutcome(profile, *outcome, state_->Now() - begun_at);
-  co_await sink.OnFinish(*outcome);
+  state_->metrics().OnOutcome(ProfileLabel(context.request), outcome,
+                              state_->Now() - begun_at);
+  co_await sink.OnFinish(outcome);
   --state_->requests_in_progress;
 }
 
@@ -112,13 +105,7 @@
   ++state_->requests_in_progress;
   RequestContext context;
   context.request = FromWire(message);
-  const Timestamp now = state_->Now();
-  context.deadline = now + *context.request.remaining;
-  Profile profile;
-  profile.name = context.request.profile;
-  profile.priority = static_cast<int>(message.priority());
-  profile.repeatable = false;
-  context.profile = profile;
+  context.deadline = state_->Now() + *context.request.remaining;
   CapturingSink captured;
   const Outcome outcome = co_await RunKeyed(context, captured);
   if (const RefusedNotRun* refused = outcome.refused()) {
@@ -142,6 +129,44 @@
   --state_->requests_in_progress;
 }
 
+std::optional<Ticket> EntryService::KeyedTicket(
+    const CallerRequest& request) const {
+  const auto configuration = state_->configuration().current();
+  const Profile* profile =
+      configuration ? configuration->FindProfile(request.profile) : nullptr;
+  if (profile && profile->repeatable)
+    return std::nullopt;
+  return Ticket::ParseKey(request.idempotency_key);
+}
+
+std::string EntryService::ProfileLabel(const CallerRequest& request) const {
+  const auto configuration = state_->configuration().current();
+  const bool is_known =
+      configuration && configuration->FindProfile(request.profile);
+  return is_known ? request.profile : "none";
+}
+
+asio::awaitable<Outcome> EntryService::ServeFiltered(RequestContext& context,
+                                                     AnswerSink& sink) {
+  if (const auto refusal = state_->filters().Apply(context, state_->Now()))
+    co_return UnsentCall().Refuse(refusal->reason, refusal->retry_after);
+  const Outcome outcome = co_await RunRouted(context, sink);
+  state_->filters().OnEnd(context);
+  co_return outcome;
+}
+
+asio::awaitable<Outcome> EntryService::ServeKeyed(const RequestContext& context,
+                                                  const Ticket& ticket,
+                                                  AnswerSink& sink) {
+  const Member* home = state_->membership().FindIncarnation(ticket.home());
+  if (!home || home->status == MemberStatus::kDead)
+    co_return Unknown(UnknownReason::kHomeGone);
+  if (home == &state_->membership().self())
+    co_return co_await RunKeyed(context, sink);
+  const std::string address = home->peer_address;
+  co_return co_await DelegateToHome(context, address, sink);
+}
+
 asio::awaitable<Outcome> EntryService::RunRouted(const RequestContext& context,
                                                  AnswerSink& sink) {
   RoutedRequest routed(&state_->router(), &state_->retry_budget(),
@@ -202,11 +227,10 @@
   }
 }
 
-asio::awaitable<Outcome> EntryService::RunFirstUse(
-    const RequestContext& context,
-    AnswerSink& sink) {
+asio::awaitable<Outcome> EntryService::RunFirstUse(RequestContext context,
+                                                   AnswerSink& sink) {
   CapturingSink captured;
-  const Outcome outcome = co_await RunRouted(context, captured);
+  const Outcome outcome = co_await ServeFiltered(context, captured);
   IdempotencyTable& table = state_->idempotency();
   const std::string& customer = context.request.customer;
   const std::string& key = context.request.idempotency_key;
@@ -231,16 +255,16 @@
 
 asio::awaitable<Outcome> EntryService::DelegateToHome(
     const RequestContext& context,
-    const Member& home,
+    const std::string& address,
     AnswerSink& sink) {
   UnsentCall unsent;
-  if (!co_await ChannelIsReady(home.peer_address)) {
+  if (!co_await ChannelIsReady(address)) {
     // An earlier use of the key may have run there.
     co_return Unknown(UnknownReason::kHomeGone);
   }
   wire::ForwardRequest message = ToWire(context, state_->Now());
   message.set_stage(wire::FORWARD_STAGE_HOME);
-  const auto frames = peers_->Forward(home.peer_address, message);
+  const auto frames = peers_->Forward(address, message);
   ExposedCall exposed = std::move(unsent).Expose();
   const Outcome outcome = co_await RelayFromHome(context, *frames, sink);
   if (const RefusedNotRun* refused = outcome.refused()) {
--- a/src/teaselthread/entry_service.h
+++ b/src/teaselthread/entry_service.h
@@ -33,14 +33,23 @@
   struct Attempt;
   using JoinSignal = std::shared_ptr<asio::steady_timer>;
 
+  // The ticket of a call that may not be repeated. Only the home that it names
+  // can say whether the key has run, so no other node refuses such a call.
+  std::optional<Ticket> KeyedTicket(const CallerRequest& request) const;
+  std::string ProfileLabel(const CallerRequest& request) const;
+  asio::awaitable<Outcome> ServeFiltered(RequestContext& context,
+                                         AnswerSink& sink);
+  asio::awaitable<Outcome> ServeKeyed(const RequestContext& context,
+                                      const Ticket& ticket,
+                                      AnswerSink& sink);
   asio::awaitable<Outcome> RunRouted(const RequestContext& context,
                                      AnswerSink& sink);
   asio::awaitable<Outcome> RunKeyed(const RequestContext& context,
                                     AnswerSink& sink);
-  asio::awaitable<Outcome> RunFirstUse(const RequestContext& context,
+  asio::awaitable<Outcome> RunFirstUse(RequestContext context,
                                        AnswerSink& sink);
   asio::awaitable<Outcome> DelegateToHome(const RequestContext& context,
-                                          const Member& home,
+                                          const std::string& address,
                                           AnswerSink& sink);
   asio::awaitable<Outcome> RelayFromHome(const RequestContext& context,
                                          FrameQueue& frames,
--- a/src/teaselthread/http_answer_sink.cc
+++ b/src/teaselthread/http_answer_sink.cc
@@ -55,7 +55,7 @@
 
 asio::awaitable<void> HttpAnswerSink::OnFinish(const Outcome& outcome) {
   if (const RefusedNotRun* refused = outcome.refused()) {
-    co_await WriteWhole(MakeProblem(*refused, ""));
+    co_await WriteWhole(MakeProblem(*refused));
     co_return;
   }
   const MayHaveRun* unknown = outcome.may_have_run();
--- a/src/teaselthread/membership_controller.cc
+++ b/src/teaselthread/membership_controller.cc
@@ -1,19 +1,18 @@
 #include "teaselthread/membership_controller.h"
 
-#include <spdlog/spdlog.h>
-
 #include "teaselthread/wire_conversion.h"
 
 namespace teaselthread {
 namespace {
 
 constexpr size_t kLoadsPerHeartbeat = 24;
-constexpr Duration kFetchTimeout = std::chrono::seconds(2);
 
 }  // namespace
 
-MembershipController::MembershipController(NodeState* state, PeerClient* peers)
-    : state_(state), peers_(peers) {
+MembershipController::MembershipController(NodeState* state,
+                                           PeerClient* peers,
+                                           StateFetcher* fetcher)
+    : state_(state), peers_(peers), fetcher_(fetcher) {
   state_->timers().Subscribe(state_->settings().timing().heartbeat_interval,
                              state_->Now(),
                              [this](Timestamp now) { Tick(now); });
@@ -95,6 +94,7 @@
     *message.add_loads() = ToWire(load);
   }
   message.set_configuration_version(state_->configuration().version());
+  message.set_endpoints_version(state_->directory().version());
   return message;
 }
 
@@ -106,27 +106,7 @@
                                  state_->Now());
   for (const wire::EndpointLoad& load : message.loads())
     state_->loads().Merge(FromWire(load));
-  if (message.configuration_version() > state_->configuration().version())
-    FetchConfiguration(message.sender().peer_address());
-}
-
-void MembershipController::FetchConfiguration(const std::string& address) {
-  if (fetching_configuration_)
-    return;
-  fetching_configuration_ = true;
-  wire::FetchConfigurationRequest request;
-  request.set_newer_than(state_->configuration().version());
-  peers_->FetchConfiguration(
-      address, request, kFetchTimeout,
-      [this](const std::optional<wire::ConfigurationDocument>& document) {
-        fetching_configuration_ = false;
-        if (!document || document->text().empty())
-          return;
-        const auto offer = state_->configuration().Consider(document->version(),
-                                                            document->text());
-        if (offer == ConfigurationHolder::Offer::kTaken)
-          spdlog::info("configuration {} from a peer", document->version());
-      });
+  fetcher_->OnPeerVersions(message);
 }
 
 }  // namespace teaselthread
--- a/src/teaselthread/membership_controller.h
+++ b/src/teaselthread/membership_controller.h
@@ -4,14 +4,16 @@
 #include "teaselthread/node_state.h"
 #include "teaselthread/peer_client.h"
 #include "teaselthread/peer_server.h"
+#include "teaselthread/state_fetcher.h"
 
 namespace teaselthread {
 
-// Keeps the view of the peers: sends and answers heartbeats and probes, and
-// fetches a newer configuration from a peer that has one.
+// Keeps the view of the peers: sends and answers heartbeats and probes.
 class MembershipController {
  public:
-  MembershipController(NodeState* state, PeerClient* peers);
+  MembershipController(NodeState* state,
+                       PeerClient* peers,
+                       StateFetcher* fetcher);
 
   wire::HeartbeatMessage OnHeartbeat(const wire::HeartbeatMessage& message);
   void OnProbe(const wire::ProbeRequest& request,
@@ -23,11 +25,10 @@
   void OnFailed(const SendHeartbeat& heartbeat);
   wire::HeartbeatMessage MakeMessage();
   void Take(const wire::HeartbeatMessage& message);
-  void FetchConfiguration(const std::string& address);
 
   NodeState* state_;
   PeerClient* peers_;
-  bool fetching_configuration_ = false;
+  StateFetcher* fetcher_;
 };
 
 }  // namespace teaselthread
--- a/src/teaselthread/node.cc
+++ b/src/teaselthread/node.cc
@@ -42,7 +42,8 @@
       peers_(io),
       owner_(&state_),
       entry_(&state_, &owner_, &peers_),
-      membership_(&state_, &peers_),
+      fetcher_(&state_, &peers_),
+      membership_(&state_, &peers_, &fetcher_),
       endpoints_(&state_, &owner_, &peers_),
       platform_(
           &state_,
@@ -64,13 +65,17 @@
 
 wire::ConfigurationDocument Node::OnFetchConfiguration(
     const wire::FetchConfigurationRequest& request) {
-  wire::ConfigurationDocument document;
-  const auto current = state_.configuration().current();
-  if (!current || current->version() <= request.newer_than())
-    return document;
-  document.set_version(current->version());
-  document.set_text(current->text());
-  return document;
+  return fetcher_.OnFetchConfiguration(request);
+}
+
+wire::OfferReply Node::OnOfferConfiguration(
+    const wire::ConfigurationDocument& document) {
+  return fetcher_.OnOfferConfiguration(document);
+}
+
+wire::EndpointList Node::OnFetchEndpoints(
+    const wire::FetchEndpointsRequest& request) {
+  return fetcher_.OnFetchEndpoints(request);
 }
 
 void Node::OnForward(wire::ForwardRequest request,
--- a/src/teaselthread/node.h
+++ b/src/teaselthread/node.h
@@ -13,6 +13,7 @@
 #include "teaselthread/peer_client.h"
 #include "teaselthread/peer_server.h"
 #include "teaselthread/platform_controller.h"
+#include "teaselthread/state_fetcher.h"
 
 namespace teaselthread {
 
@@ -29,6 +30,10 @@
   wire::HandOverReply OnHandOver(const wire::HandOverRequest& request) override;
   wire::ConfigurationDocument OnFetchConfiguration(
       const wire::FetchConfigurationRequest& request) override;
+  wire::OfferReply OnOfferConfiguration(
+      const wire::ConfigurationDocument& document) override;
+  wire::EndpointList OnFetchEndpoints(
+      const wire::FetchEndpointsRequest& request) override;
   void OnForward(wire::ForwardRequest request,
                  std::shared_ptr<FrameSink> sink) override;
 
@@ -43,6 +48,7 @@
   PeerClient peers_;
   OwnerService owner_;
   EntryService entry_;
+  StateFetcher fetcher_;
   MembershipController membership_;
   EndpointController endpoints_;
   PlatformController platform_;
--- a/src/teaselthread/peer_client.cc
+++ b/src/teaselthread/peer_client.cc
@@ -147,6 +147,24 @@
   CallUnary(address, std::move(request), timeout, std::move(on_reply), method);
 }
 
+void PeerClient::OfferConfiguration(const std::string& address,
+                                    wire::ConfigurationDocument document,
+                                    Duration timeout,
+                                    OnReply<wire::OfferReply> on_reply) {
+  const UnaryMethod<wire::ConfigurationDocument, wire::OfferReply> method =
+      &Async::OfferConfiguration;
+  CallUnary(address, std::move(document), timeout, std::move(on_reply), method);
+}
+
+void PeerClient::FetchEndpoints(const std::string& address,
+                                wire::FetchEndpointsRequest request,
+                                Duration timeout,
+                                OnReply<wire::EndpointList> on_reply) {
+  const UnaryMethod<wire::FetchEndpointsRequest, wire::EndpointList> method =
+      &Async::FetchEndpoints;
+  CallUnary(address, request, timeout, std::move(on_reply), method);
+}
+
 std::shared_ptr<FrameQueue> PeerClient::Forward(
     const std::string& address,
     const wire::ForwardRequest& request) {
--- a/src/teaselthread/peer_client.h
+++ b/src/teaselthread/peer_client.h
@@ -39,6 +39,14 @@
                           wire::FetchConfigurationRequest request,
                           Duration timeout,
                           OnReply<wire::ConfigurationDocument> on_reply);
+  void OfferConfiguration(const std::string& address,
+                          wire::ConfigurationDocument document,
+                          Duration timeout,
+                          OnReply<wire::OfferReply> on_reply);
+  void FetchEndpoints(const std::string& address,
+                      wire::FetchEndpointsRequest request,
+                      Duration timeout,
+                      OnReply<wire::EndpointList> on_reply);
   // Starts the call; its frames arrive in the queue.
   std::shared_ptr<FrameQueue> Forward(const std::string& address,
                                       const wire::ForwardRequest& request);
--- a/src/teaselthread/peer_server.cc
+++ b/src/teaselthread/peer_server.cc
@@ -115,6 +115,23 @@
     });
   }
 
+  grpc::ServerUnaryReactor* OfferConfiguration(
+      grpc::CallbackServerContext* context,
+      const wire::ConfigurationDocument* request,
+      wire::OfferReply* reply) override {
+    return Answer(context, reply, [=, this] {
+      return handler_->OnOfferConfiguration(*request);
+    });
+  }
+
+  grpc::ServerUnaryReactor* FetchEndpoints(
+      grpc::CallbackServerContext* context,
+      const wire::FetchEndpointsRequest* request,
+      wire::EndpointList* reply) override {
+    return Answer(context, reply,
+                  [=, this] { return handler_->OnFetchEndpoints(*request); });
+  }
+
   grpc::ServerWriteReactor<wire::ForwardFrame>* Forward(
       grpc::CallbackServerContext* /*context*/,
       const wire::ForwardRequest* request) override {
--- a/src/teaselthread/peer_server.h
+++ b/src/teaselthread/peer_server.h
@@ -28,6 +28,10 @@
       const wire::HandOverRequest& request) = 0;
   virtual wire::ConfigurationDocument OnFetchConfiguration(
       const wire::FetchConfigurationRequest& request) = 0;
+  virtual wire::OfferReply OnOfferConfiguration(
+      const wire::ConfigurationDocument& document) = 0;
+  virtual wire::EndpointList OnFetchEndpoints(
+      const wire::FetchEndpointsRequest& request) = 0;
   virtual void OnForward(wire::ForwardRequest request,
                          std::shared_ptr<FrameSink> sink) = 0;
 };
--- a/src/teaselthread/platform_controller.cc
+++ b/src/teaselthread/platform_controller.cc
@@ -175,8 +175,8 @@
     else
       spdlog::warn("{}", Describe(endpoint.last_reason()));
   }
-  state_->directory().Replace(std::move(endpoints));
-  state_->loads().Forget(state_->directory());
+  if (state_->directory().Replace(list.revision, std::move(endpoints)))
+    state_->loads().Forget(state_->directory());
 }
 
 void PlatformController::NotePlatform(bool reachable) {
--- a/src/teaselthread/problem.cc
+++ b/src/teaselthread/problem.cc
@@ -32,31 +32,42 @@
   return response;
 }
 
-}  // namespace
-
-http::response<http::string_body> MakeProblem(const RefusedNotRun& refusal,
-                                              const std::string& detail) {
+http::response<http::string_body> RenderRefusal(const RefusedNotRun& refusal,
+                                                const std::string& run,
+                                                const std::string& detail) {
   http::response<http::string_body> response =
       Render({HttpStatus(refusal.reason), std::string(ToString(refusal.reason)),
-              "not-run", detail});
-  if (refusal.retry_after > Duration::zero()) {
-    const auto seconds =
-        std::chrono::ceil<std::chrono::seconds>(refusal.retry_after);
-    const auto milliseconds =
-        std::chrono::ceil<std::chrono::milliseconds>(refusal.retry_after);
-    response.set(http::field::retry_after, std::to_string(seconds.count()));
-    response.set("X-Retry-After-Ms", std::to_string(milliseconds.count()));
-  }
+              run, detail});
+  if (refusal.retry_after == Duration::zero())
+    return response;
+  const auto seconds =
+      std::chrono::ceil<std::chrono::seconds>(refusal.retry_after);
+  const auto milliseconds =
+      std::chrono::ceil<std::chrono::milliseconds>(refusal.retry_after);
+  response.set(http::field::retry_after, std::to_string(seconds.count()));
+  response.set("X-Retry-After-Ms", std::to_string(milliseconds.count()));
   return response;
 }
 
+}  // namespace
+
+http::response<http::string_body> MakeProblem(const RefusedNotRun& refusal) {
+  return RenderRefusal(refusal, "not-run", "");
+}
+
+http::response<http::string_body> MakeUnreadProblem(
+    const RefusedNotRun& refusal,
+    const std::string& detail) {
+  return RenderRefusal(refusal, "not-read", detail);
+}
+
 http::response<http::string_body> MakeProblem(const MayHaveRun& unknown) {
   return Render({HttpStatus(unknown.reason),
                  std::string(ToString(unknown.reason)), "may-have-run", ""});
 }
 
 http::response<http::string_body> MakeNotFound(const std::string& path) {
-  return Render({kNotFoundStatus, "unknown-path", "not-run", path});
+  return Render({kNotFoundStatus, "unknown-path", "not-read", path});
 }
 
 }  // namespace teaselthread
--- a/src/teaselthread/wire_conversion.cc
+++ b/src/teaselthread/wire_conversion.cc
@@ -58,6 +58,33 @@
           load.sequence()};
 }
 
+wire::EndpointEntry ToWire(const Endpoint& endpoint) {
+  wire::EndpointEntry entry;
+  entry.set_name(endpoint.name);
+  entry.set_zone(endpoint.zone);
+  entry.set_address(endpoint.address.ToString());
+  entry.set_kind(static_cast<uint32_t>(endpoint.kind));
+  for (const std::string& target : endpoint.serves)
+    entry.add_serves(target);
+  entry.set_leaving(endpoint.leaving);
+  return entry;
+}
+
+std::optional<Endpoint> FromWire(const wire::EndpointEntry& entry) {
+  const Result<SocketAddress> address = SocketAddress::Parse(entry.address());
+  if (!address || entry.serves().empty())
+    return std::nullopt;
+  const bool is_service =
+      entry.kind() == static_cast<uint32_t>(EndpointKind::kService);
+  return Endpoint{
+      entry.name(),
+      entry.zone(),
+      *address,
+      is_service ? EndpointKind::kService : EndpointKind::kModelEngine,
+      {entry.serves().begin(), entry.serves().end()},
+      entry.leaving()};
+}
+
 wire::ForwardRequest ToWire(const RequestContext& context, Timestamp now) {
   const CallerRequest& request = context.request;
   wire::ForwardRequest message;
@@ -77,8 +104,10 @@
   message.set_idempotency_key(request.idempotency_key);
   message.set_streamed(request.streamed);
   message.set_remaining_ms(ToMilliseconds(context.deadline - now));
-  message.set_priority(static_cast<uint32_t>(context.profile->priority));
-  message.set_repeatable(context.profile->repeatable);
+  if (context.profile) {
+    message.set_priority(static_cast<uint32_t>(context.profile->priority));
+    message.set_repeatable(context.profile->repeatable);
+  }
   return message;
 }
 
--- a/src/teaselthread/wire_conversion.h
+++ b/src/teaselthread/wire_conversion.h
@@ -17,6 +17,10 @@
 wire::EndpointLoad ToWire(const EndpointLoad& load);
 EndpointLoad FromWire(const wire::EndpointLoad& load);
 
+wire::EndpointEntry ToWire(const Endpoint& endpoint);
+// Nothing if the address is not one.
+std::optional<Endpoint> FromWire(const wire::EndpointEntry& entry);
+
 // What a node passes on of a request; the caller fills in the stage.
 wire::ForwardRequest ToWire(const RequestContext& context, Timestamp now);
 CallerRequest FromWire(const wire::ForwardRequest& request);
--- a/tests/support/fake_fleet.cc
+++ b/tests/support/fake_fleet.cc
@@ -43,7 +43,7 @@
     : membership(self, {}, kMembershipTiming, self.incarnation.value()),
       admission(fleet(), &loads, kAdmissionTiming, 0),
       router(fleet()) {
-  directory.Replace(std::move(endpoints));
+  directory.Replace(1, std::move(endpoints));
   Configure(DocumentWithModel("slots = 8\nramp_ms = 0\n"));
 }
 
