Configuration through outages, lost replies, stale answers and races

Found by the new test: ctl reported an outage as an invalid document (exit 2), because a connection that breaks after something was sent had the same error type as a reply that cannot be parsed; and a node whose platform answers with an older state asked again without a pause. Change: kConnectionLost is a type of its own, a failed read before the write is "unavailable, nothing changed" (exit 3), and a watch that brings nothing newer pauses for 0.5 s.

--- a/src/libteaselthread/error.cc
+++ b/src/libteaselthread/error.cc
@@ -5,11 +5,11 @@
 namespace teaselthread {
 namespace {
 
-constexpr std::array<std::string_view, 13> kNames = {
-    "syntax",       "unknown-section", "unknown-key",     "missing-key",
-    "out-of-range", "bad-value",       "unreadable-file", "malformed",
-    "oversized",    "conflict",        "not-found",       "unavailable",
-    "timeout"};
+constexpr std::array<std::string_view, 14> kNames = {
+    "syntax",          "unknown-section", "unknown-key",     "missing-key",
+    "out-of-range",    "bad-value",       "unreadable-file", "malformed",
+    "oversized",       "conflict",        "not-found",       "unavailable",
+    "connection-lost", "timeout"};
 
 }  // namespace
 
--- a/src/libteaselthread/error.h
+++ b/src/libteaselthread/error.h
@@ -22,7 +22,8 @@
   kOversized,
   kConflict,
   kNotFound,
-  kUnavailable,
+  kUnavailable,     // nothing was sent
+  kConnectionLost,  // after something was sent
   kTimeout,
 };
 
--- a/src/teaselthread/configuration_writer.cc
+++ b/src/teaselthread/configuration_writer.cc
@@ -47,8 +47,10 @@
     bool retry_on_conflict) {
   for (int race = 0; race < kMaxRaces; ++race) {
     const Result<PlatformObject> current = co_await ReadCurrent();
-    if (!current)
-      co_return current.last_reason();
+    if (!current) {
+      // Nothing has been written yet.
+      co_return Error{ErrorCode::kUnavailable, current.last_reason().detail};
+    }
     const Result<IniDocument> before =
         IniDocument::Parse(current->value, kSource);
     if (!before)
@@ -68,7 +70,10 @@
     if (written)
       co_return PlatformObject{kConfigurationName, *written, text};
     const ErrorCode code = written.last_reason().code;
-    if (code == ErrorCode::kTimeout || code == ErrorCode::kMalformed)
+    const bool reply_is_lost = code == ErrorCode::kTimeout ||
+                               code == ErrorCode::kConnectionLost ||
+                               code == ErrorCode::kMalformed;
+    if (reply_is_lost)
       co_return co_await SettleLostReply(change_id, current->version);
     if (code != ErrorCode::kConflict)
       co_return written.last_reason();
--- a/src/teaselthread/ctl_command.cc
+++ b/src/teaselthread/ctl_command.cc
@@ -24,6 +24,7 @@
     std::cerr << "teaselthread: " << Describe(reason) << "\n";
   switch (reasons.back().code) {
     case ErrorCode::kUnavailable:
+    case ErrorCode::kConnectionLost:
       return ExitCode::kUnavailable;
     case ErrorCode::kConflict:
       return ExitCode::kConflict;
--- a/src/teaselthread/http_client.cc
+++ b/src/teaselthread/http_client.cc
@@ -46,8 +46,9 @@
   IoTimeout limit(socket);
   limit.Arm(timeout);
   const auto fail = [&](const boost::system::error_code& failure) {
-    return Error{limit.expired() ? ErrorCode::kTimeout : ErrorCode::kMalformed,
-                 address.ToString() + target + ": " + failure.message()};
+    return Error{
+        limit.expired() ? ErrorCode::kTimeout : ErrorCode::kConnectionLost,
+        address.ToString() + target + ": " + failure.message()};
   };
   auto [write_failure, written] =
       co_await http::async_write(socket, request, kAsTuple);
--- a/src/teaselthread/http_client.h
+++ b/src/teaselthread/http_client.h
@@ -19,7 +19,7 @@
                                              Duration timeout);
 
 // One call on a connection of its own. Fails with kUnavailable if no
-// connection could be made, with kTimeout or kMalformed after that.
+// connection could be made, with kTimeout or kConnectionLost after that.
 asio::awaitable<Result<HttpReply>> HttpCall(SocketAddress address,
                                             http::verb method,
                                             std::string target,
--- a/src/teaselthread/platform_client.h
+++ b/src/teaselthread/platform_client.h
@@ -27,8 +27,9 @@
 //   DELETE /objects/KIND/NAME?version=N
 //   GET    /watch/KIND?since=R&wait_ms=M  all objects once one is newer than
 //                                         R, or 204 after M
-// Errors: kUnavailable, kTimeout, kMalformed; kNotFound; kConflict. After
-// kTimeout or kMalformed a write may have taken effect.
+// Errors: kUnavailable, kTimeout, kConnectionLost, kMalformed; kNotFound;
+// kConflict. After kTimeout, kConnectionLost or kMalformed a write may have
+// taken effect.
 class PlatformClient {
  public:
   PlatformClient(SocketAddress address, Duration timeout)
--- a/src/teaselthread/platform_controller.cc
+++ b/src/teaselthread/platform_controller.cc
@@ -25,8 +25,12 @@
     : state_(state), client_(std::move(client)) {}
 
 void PlatformController::Start() {
-  asio::co_spawn(state_->io(), WatchConfiguration(), asio::detached);
-  asio::co_spawn(state_->io(), WatchVms(), asio::detached);
+  asio::co_spawn(
+      state_->io(),
+      Watch(kConfigurationKind, &PlatformController::TakeConfiguration),
+      asio::detached);
+  asio::co_spawn(state_->io(), Watch(kVmsKind, &PlatformController::TakeVms),
+                 asio::detached);
   asio::co_spawn(state_->io(), KeepLease(), asio::detached);
 }
 
@@ -37,35 +41,23 @@
                           lease_version_);
 }
 
-asio::awaitable<void> PlatformController::WatchConfiguration() {
+asio::awaitable<void> PlatformController::Watch(const char* kind,
+                                                TakeList take) {
   uint64_t revision = 0;
   for (;;) {
     const Result<PlatformList> list =
-        co_await client_.Watch(kConfigurationKind, revision, kWatchWait);
+        co_await client_.Watch(kind, revision, kWatchWait);
     NotePlatform(list.has_value());
     if (!list) {
       co_await Pause(kPauseAfterFailure);
       continue;
     }
+    (this->*take)(*list);
+    // A platform that answers at once with nothing newer is behind.
+    const bool is_behind = !list->objects.empty() && list->revision <= revision;
     revision = std::max(revision, list->revision);
-    TakeConfiguration(*list);
-  }
-}
-
-asio::awaitable<void> PlatformController::WatchVms() {
-  uint64_t revision = 0;
-  for (;;) {
-    const Result<PlatformList> list =
-        co_await client_.Watch(kVmsKind, revision, kWatchWait);
-    NotePlatform(list.has_value());
-    if (!list) {
+    if (is_behind)
       co_await Pause(kPauseAfterFailure);
-      continue;
-    }
-    if (list->revision > revision) {
-      revision = list->revision;
-      TakeVms(*list);
-    }
   }
 }
 
@@ -167,6 +159,8 @@
 }
 
 void PlatformController::TakeVms(const PlatformList& list) {
+  if (list.revision <= state_->directory().version())
+    return;
   std::vector<Endpoint> endpoints;
   for (const PlatformObject& object : list.objects) {
     Result<Endpoint> endpoint = ReadEndpoint(object);
--- a/src/teaselthread/platform_controller.h
+++ b/src/teaselthread/platform_controller.h
@@ -32,8 +32,9 @@
     Timestamp unchanged_since{};
   };
 
-  asio::awaitable<void> WatchConfiguration();
-  asio::awaitable<void> WatchVms();
+  using TakeList = void (PlatformController::*)(const PlatformList&);
+
+  asio::awaitable<void> Watch(const char* kind, TakeList take);
   asio::awaitable<void> KeepLease();
   asio::awaitable<void> RenewLease();
   asio::awaitable<void> ReadLeases();
--- a/tests/process/fleet.py
+++ b/tests/process/fleet.py
@@ -43,12 +43,13 @@
     """The processes of one deployment, each ended by its own id."""
 
     def __init__(self, zones, engines, services, nodes, base_port, model="dossier",
-                 service="desk", token_ms=5, configuration=None, node_settings=""):
+                 service="desk", token_ms=5, configuration=None, node_settings="", cut_off=()):
         self.zones = zones
         self.model = model
         self.service = service
         self.base = base_port
         self.node_settings = node_settings
+        self.cut_off = set(cut_off)  # nodes that never reach the platform
         self.processes = {}
         self.folder = tempfile.TemporaryDirectory()
         self.platform = f"127.0.0.1:{base_port}"
@@ -121,6 +122,7 @@
         seeds = ", ".join(f"127.0.0.1:{self.base + 400 + i}"
                           for i in range(1, min(len(self.nodes), 3) + 1))
         settings = f"{self.folder.name}/{name}.ini"
+        platform = "127.0.0.1:1" if name in self.cut_off else self.platform
         with open(settings, "w", encoding="utf-8") as file:
             file.write(f"""[node]
 name = {name}
@@ -130,7 +132,7 @@
 [peers]
 seeds = {seeds}
 [platform]
-address = {self.platform}
+address = {platform}
 [callers]
 address_ttl_ms = 1000
 {self.node_settings}""")
