At most once over 1,000 seeded schedules, against a naive version

Cause: kills and freezes on real processes try few interleavings. Change: callers, three homes and a service in virtual time; messages late or lost, homes frozen and replaced, owners that send long after their home gave up, four attempts per key at random nodes. The naive version, in which each node decides alone, runs in the same world.

--- /dev/null
+++ b/tests/requests/at_most_once_test.cc
@@ -0,0 +1,274 @@
+#include <algorithm>
+#include <array>
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+
+#include "libteaselthread/idempotency_table.h"
+#include "libteaselthread/routed_request.h"
+#include "support/fake_fleet.h"
+
+namespace teaselthread {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using test::At;
+using test::FakeNode;
+
+constexpr int kNodes = 3;
+constexpr int kKeys = 12;
+constexpr int kAttemptsPerKey = 4;
+constexpr WallSeconds kWall(1'000'000);
+constexpr Duration kCallDeadline = seconds(5);
+constexpr uint64_t kSeeds = 1'000;
+
+enum class Told { kAnswered, kNotRun, kUnknown };
+
+// Who decides whether a key runs: its home, or, in the naive version, every
+// node that a caller sends it to.
+enum class Design { kHomePerKey, kNaive };
+
+// Callers, nodes and one service in virtual time. Messages are late or lost,
+// nodes freeze and are replaced, and callers retry at other nodes.
+class World {
+ public:
+  World(uint64_t seed, Design design) : random_(seed), design_(design) {
+    for (int i = 0; i < kNodes; ++i)
+      Replace(i);
+  }
+
+  void Run() {
+    for (int key = 0; key < kKeys; ++key) {
+      const std::string text =
+          Ticket(homes_[Pick(kNodes)]->self, kWall, 1).ToString() + "-" +
+          std::to_string(key);
+      for (int attempt = 0; attempt < kAttemptsPerKey; ++attempt)
+        After(milliseconds(Pick(15'000)), [=, this] { Send(text); });
+    }
+    for (int i = 0; i < 3; ++i) {
+      After(milliseconds(Pick(15'000)), [this] { Replace(Pick(kNodes)); });
+      After(milliseconds(Pick(15'000)), [this] { Freeze(Pick(kNodes)); });
+    }
+    while (!events_.empty()) {
+      auto event = events_.extract(events_.begin());
+      now_ = event.key();
+      event.mapped()();
+    }
+  }
+
+  int most_runs() const {
+    int most = 0;
+    for (const auto& [key, runs] : runs_)
+      most = std::max(most, runs);
+    return most;
+  }
+  int false_refusals() const { return false_refusals_; }
+  int false_answers() const { return false_answers_; }
+  int answered() const { return answered_; }
+
+ private:
+  struct Home {
+    explicit Home(Incarnation incarnation)
+        : self(incarnation),
+          table(incarnation,
+                {1'000, 1'000'000, seconds(600), WallSeconds(3'600)}),
+          node(test::MakeMember(1, "a"),
+               {test::MakeService("desk-1", "a"),
+                test::MakeService("desk-2", "a")}) {}
+    Incarnation self;
+    IdempotencyTable table;
+    FakeNode node;
+    RetryBudget budget;
+    Timestamp frozen_until{};
+  };
+  using HomePtr = std::shared_ptr<Home>;
+  struct Call {
+    HomePtr home;
+    std::string key;
+    RoutedRequest routed;
+  };
+  using CallPtr = std::shared_ptr<Call>;
+
+  int Pick(int count) { return static_cast<int>(random_() % count); }
+  bool Chance(int percent) { return Pick(100) < percent; }
+  void After(Duration delay, std::function<void()> action) {
+    events_.emplace(now_ + delay, std::move(action));
+  }
+  // Runs the action at a node, once that is not frozen, if it still lives.
+  void AtNode(const HomePtr& home, std::function<void()> action) {
+    const Duration transit = milliseconds(1 + Pick(20));
+    const Duration thaw = std::max(Duration(0), home->frozen_until - now_);
+    After(transit + thaw, [=, this] {
+      if (IsAlive(home))
+        action();
+    });
+  }
+  bool IsAlive(const HomePtr& home) const {
+    return std::find(homes_.begin(), homes_.end(), home) != homes_.end();
+  }
+  void Replace(int index) {
+    homes_[index] = std::make_shared<Home>(Incarnation(++last_incarnation_));
+  }
+  void Freeze(int index) {
+    homes_[index]->frozen_until = now_ + seconds(1 + Pick(9));
+  }
+
+  // A caller's request reaches any node, which passes it to the key's home.
+  void Send(const std::string& key) {
+    HomePtr home = homes_[Pick(kNodes)];
+    if (design_ == Design::kHomePerKey) {
+      const Incarnation named = Ticket::ParseKey(key)->home();
+      for (const HomePtr& candidate : homes_) {
+        if (candidate->self == named)
+          home = candidate;
+      }
+      if (home->self != named)
+        return Tell(key, Told::kUnknown);
+    }
+    AtNode(home, [=, this] { Begin(home, key); });
+  }
+
+  void Begin(const HomePtr& home, const std::string& key) {
+    std::string at_home = key;
+    if (design_ == Design::kNaive)
+      at_home = Ticket(home->self, kWall, 1).ToString() + "-" + key;
+    const KeyDecision decision =
+        home->table.Begin("customer", at_home, 1, kWall, now_);
+    switch (decision.verdict) {
+      case KeyVerdict::kRun:
+        return Start(home, at_home, key);
+      case KeyVerdict::kReplay:
+        return Tell(key, Told::kAnswered);
+      case KeyVerdict::kRefused:
+        return Tell(key, Told::kNotRun);
+      default:
+        return Tell(key, Told::kUnknown);
+    }
+  }
+
+  void Start(const HomePtr& home,
+             const std::string& at_home,
+             const std::string& key) {
+    const auto call = std::make_shared<Call>(
+        Call{home, at_home,
+             RoutedRequest(&home->node.router, &home->budget,
+                           {EndpointKind::kService, "desk", key, "", {}, {}},
+                           /*repeatable=*/false)});
+    After(kCallDeadline, [=, this] {
+      AtNode(home, [=, this] { Act(call, key, call->routed.OnDeadline()); });
+    });
+    Act(call, key, call->routed.Start());
+  }
+
+  // What may happen to an attempt on its way to the service and back.
+  void Attempt(const CallPtr& call, const std::string& key) {
+    const auto back = [=, this](auto event) {
+      AtNode(call->home, [=, this] { Act(call, key, event(call->routed)); });
+    };
+    if (Chance(20)) {
+      return back([](RoutedRequest& routed) {
+        return routed.OnNotRun({RefusalReason::kEndpointBusy, seconds(1)});
+      });
+    }
+    // A frozen owner may send the call long after its home has given it up.
+    const Duration delay = Chance(20) ? seconds(8) : milliseconds(5);
+    After(delay, [=, this] {
+      ++runs_[key];
+      if (Chance(20)) {
+        return back([](RoutedRequest& routed) {
+          return routed.OnLost(UnknownReason::kConnectionLost);
+        });
+      }
+      if (Chance(10))
+        return;  // the reply never comes
+      back([](RoutedRequest& routed) {
+        routed.OnHead(200, "text/plain");
+        routed.OnData("done");
+        return routed.OnEnd(4);
+      });
+    });
+  }
+
+  void Act(const CallPtr& call,
+           const std::string& key,
+           const RouteActions& actions) {
+    for (const RouteAction& action : actions) {
+      if (std::holds_alternative<ForwardCall>(action))
+        Attempt(call, key);
+      if (const auto* finish = std::get_if<FinishCall>(&action))
+        Finish(call, key, finish->outcome);
+    }
+  }
+
+  void Finish(const CallPtr& call,
+              const std::string& key,
+              const Outcome& outcome) {
+    IdempotencyTable& table = call->home->table;
+    if (const MayHaveRun* unknown = outcome.may_have_run()) {
+      table.LoseTrack("customer", call->key, unknown->reason);
+      Tell(key, Told::kUnknown);
+    } else if (outcome.refused()) {
+      table.Withdraw("customer", call->key);
+      Tell(key, Told::kNotRun);
+    } else {
+      table.Complete("customer", call->key, {200, "", "done"}, now_);
+      Tell(key, Told::kAnswered);
+    }
+  }
+
+  void Tell(const std::string& key, Told told) {
+    const int runs = runs_[key];
+    answered_ += told == Told::kAnswered ? 1 : 0;
+    false_refusals_ += told == Told::kNotRun && runs > 0 ? 1 : 0;
+    false_answers_ += told == Told::kAnswered && runs == 0 ? 1 : 0;
+  }
+
+  std::mt19937_64 random_;
+  Design design_;
+  Timestamp now_ = At(seconds(0));
+  uint64_t last_incarnation_ = 0;
+  std::array<HomePtr, kNodes> homes_;
+  std::multimap<Timestamp, std::function<void()>> events_;
+  std::map<std::string, int> runs_;
+  int answered_ = 0;
+  int false_refusals_ = 0;
+  int false_answers_ = 0;
+};
+
+BOOST_AUTO_TEST_SUITE(orders_under_any_schedule)
+
+BOOST_AUTO_TEST_CASE(run_at_most_once_and_are_never_falsely_refused) {
+  int answered = 0;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    World world(seed, Design::kHomePerKey);
+    world.Run();
+    BOOST_REQUIRE_MESSAGE(world.most_runs() <= 1, "ran twice, seed " << seed);
+    BOOST_REQUIRE_MESSAGE(world.false_refusals() == 0,
+                          "not run was false, seed " << seed);
+    BOOST_REQUIRE_MESSAGE(world.false_answers() == 0,
+                          "answered without a run, seed " << seed);
+    answered += world.answered();
+  }
+  // The schedules must exercise more than failures.
+  BOOST_TEST(answered > static_cast<int>(kSeeds));
+}
+
+BOOST_AUTO_TEST_CASE(run_twice_in_the_naive_version) {
+  int worlds_with_a_second_run = 0;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    World world(seed, Design::kNaive);
+    world.Run();
+    worlds_with_a_second_run += world.most_runs() > 1 ? 1 : 0;
+  }
+  BOOST_TEST_MESSAGE("naive version: a key ran twice in "
+                     << worlds_with_a_second_run << " of " << kSeeds);
+  BOOST_TEST(worlds_with_a_second_run > static_cast<int>(kSeeds) / 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace teaselthread
