An owner index, and a bench of what decisions and processes cost

Cause, by the new bench at 410 nodes and 3,200 endpoints: after each change of a member one node computed the owners of all endpoints in 66 ms, because each endpoint collected and compared all members again; that is longer than the 58 ms allowed between two tokens, on the thread that relays them. Placing one request took 78 us, mostly map look-ups for the mean load. Ruled out: recomputing in slices, which would leave two views in force. Change: OwnerIndex groups the serving members by zone once for each revision of the membership; the rendezvous seed of a key is hashed once; loads are in a hash table; a model's endpoints are not copied for the mean.

--- /dev/null
+++ b/bench/process_bench.py
@@ -0,0 +1,155 @@
+"""What node processes cost on this machine, as slopes over the number of
+nodes, requests and tokens. Prints one line per figure: name value unit."""
+
+import os
+import pathlib
+import sys
+import threading
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "tests/process"))
+from fleet import Caller, Fleet, run_threads, wait_until  # noqa: E402
+
+ZONES = ["a", "b", "c"]
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+IDLE_SECONDS = 12
+LOAD_SECONDS = 8
+CALLERS = 24
+
+
+def show(name, value, unit):
+    print(f"{name} {value:.4g} {unit}", flush=True)
+
+
+def cpu_seconds(fleet, names):
+    total = 0
+    for name in names:
+        stat = pathlib.Path(f"/proc/{fleet.processes[name].pid}/stat").read_text()
+        fields = stat.rsplit(")", 1)[1].split()
+        total += (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
+    return total
+
+
+def resident_mb(fleet, names):
+    """The largest resident set, and that part of it that belongs to it alone."""
+    total, alone = 0, 0
+    for name in names:
+        status = pathlib.Path(f"/proc/{fleet.processes[name].pid}/status").read_text()
+        values = {line.split(":")[0]: line.split()[1] for line in status.splitlines()
+                  if line.startswith("Rss")}
+        total = max(total, sum(int(v) for v in values.values()) / 1024)
+        alone = max(alone, int(values["RssAnon"]) / 1024)
+    return total, alone
+
+
+def loopback_bytes():
+    for line in pathlib.Path("/proc/net/dev").read_text().splitlines():
+        if line.strip().startswith("lo:"):
+            return int(line.split(":")[1].split()[0])
+    raise AssertionError("no loopback interface")
+
+
+def platform_calls(fleet):
+    from fleet import http_call
+    return int(http_call(fleet.platform, "GET", "/calls")[2])
+
+
+def slope(points):
+    """Least squares: (value per step, value at zero)."""
+    n = len(points)
+    mean_x = sum(x for x, _ in points) / n
+    mean_y = sum(y for _, y in points) / n
+    rise = sum((x - mean_x) * (y - mean_y) for x, y in points)
+    run = sum((x - mean_x) ** 2 for x, _ in points)
+    return rise / run, mean_y - rise / run * mean_x
+
+
+def measure_idle():
+    """Control cost of nodes that serve nothing."""
+    rows = {"cpu": [], "bytes": [], "resident": [], "alone": [], "calls": []}
+    for nodes in (4, 8, 16, 32):
+        # A settings file of every node names the same three seeds.
+        with Fleet(ZONES, engines=0, services=1, nodes=nodes, base_port=21000) as fleet:
+            names = list(fleet.nodes)
+            wait_until(lambda: all(fleet.metrics(n)["members_serving"] == nodes for n in names),
+                       "all nodes know each other", 60)
+            # News of the start must have died away, which takes heartbeats.
+            time.sleep(8)
+            cpu, sent, calls = cpu_seconds(fleet, names), loopback_bytes(), platform_calls(fleet)
+            started = time.monotonic()
+            time.sleep(IDLE_SECONDS)
+            taken = time.monotonic() - started
+            per_node = 1 / taken / nodes
+            cpu_share = (cpu_seconds(fleet, names) - cpu) * per_node * 100
+            bytes_rate = (loopback_bytes() - sent) * per_node
+            call_rate = (platform_calls(fleet) - calls) * per_node
+            resident, alone = resident_mb(fleet, names)
+        rows["cpu"].append((nodes, cpu_share))
+        rows["bytes"].append((nodes, bytes_rate))
+        rows["resident"].append((nodes, resident))
+        rows["alone"].append((nodes, alone))
+        rows["calls"].append((nodes, call_rate))
+        show(f"idle_{nodes}_nodes_cpu", cpu_share, "%_of_a_core_per_node")
+        show(f"idle_{nodes}_nodes_control_sent", bytes_rate, "bytes_per_s_per_node")
+        show(f"idle_{nodes}_nodes_resident", resident, "MB")
+        show(f"idle_{nodes}_nodes_private", alone, "MB")
+        show(f"idle_{nodes}_nodes_platform_calls", call_rate, "calls_per_s_per_node")
+    for name, unit in (("cpu", "%_per_node"), ("bytes", "bytes_per_s_per_node"),
+                       ("resident", "MB_per_node"), ("alone", "MB_per_node")):
+        per_node, base = slope(rows[name])
+        show(f"idle_{name}_slope", per_node, f"{unit}_of_the_fleet")
+        show(f"idle_{name}_base", base, unit.removesuffix("_per_node"))
+
+
+def measure_load(events):
+    """Processor time of the nodes for streamed chats of some length."""
+    with Fleet(ZONES, engines=6, services=1, nodes=3, base_port=22000, token_ms=5,
+               events=events) as fleet:
+        names = list(fleet.nodes)
+        counts = []
+        stop = threading.Event()
+        def chatter(number):
+            caller = Caller(fleet, f"office-{number}", f"entry-{number % 3 + 1}")
+            turn = 0
+            while not stop.is_set():
+                status, _, _ = caller.chat(f"chat-{number}-{turn // 5}")
+                turn += 1
+                if status == 200:
+                    counts.append(1)
+        def timer():
+            time.sleep(LOAD_SECONDS)
+            stop.set()
+        cpu = cpu_seconds(fleet, names)
+        run_threads([lambda n=n: chatter(n) for n in range(CALLERS)] + [timer])
+        used = cpu_seconds(fleet, names) - cpu
+        resident, _ = resident_mb(fleet, names)
+    per_request = used / len(counts) * 1e3
+    show(f"chats_of_{events}_events_answered", len(counts) / LOAD_SECONDS, "per_s")
+    show(f"chats_of_{events}_events_node_cpu", per_request, "ms_per_request")
+    show(f"chats_of_{events}_events_node_resident", resident, "MB")
+    return events, per_request
+
+
+def measure_takeover():
+    """From the death of an owner to the admission of its endpoints elsewhere."""
+    with Fleet(ZONES, engines=3, services=1, nodes=6, base_port=23000) as fleet:
+        for victim in ("entry-1", "entry-2"):
+            survivors = [n for n in fleet.nodes if fleet.is_running(n) and n != victim]
+            fleet.kill(victim)
+            started = time.monotonic()
+            wait_until(lambda: sum(fleet.metrics(n)["endpoints_admitting"]
+                                   for n in survivors) == 4, "taken over", 60)
+            show(f"takeover_after_kill_of_{victim}", time.monotonic() - started, "s")
+
+
+def main():
+    measure_idle()
+    points = [measure_load(events) for events in (12, 50, 200)]
+    per_event, base = slope(points)
+    show("node_cpu_per_event_all_hops", per_event * 1e3, "us")
+    show("node_cpu_per_request_all_hops", base, "ms")
+    measure_takeover()
+
+
+if __name__ == "__main__":
+    main()
--- a/src/libteaselthread/admission_controller.cc
+++ b/src/libteaselthread/admission_controller.cc
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "libteaselthread/ownership.h"
-
 namespace teaselthread {
 namespace {
 
@@ -28,6 +26,7 @@
                                          AdmissionTiming timing,
                                          uint64_t sequence_origin)
     : fleet_(fleet),
+      owners_(fleet.membership),
       loads_(loads),
       timing_(timing),
       sequence_origin_(sequence_origin) {}
@@ -216,7 +215,7 @@
   });
   const Member& self = fleet_.membership->self();
   for (const auto& [name, endpoint] : fleet_.directory->all()) {
-    const Member* owner = OwnerOf(endpoint, *fleet_.membership);
+    const Member* owner = owners_.OwnerOf(endpoint);
     const bool is_owner = owner && owner->name == self.name;
     auto found = sites_.find(name);
     if (is_owner && (found == sites_.end() || !found->second.owned))
--- a/src/libteaselthread/admission_controller.h
+++ b/src/libteaselthread/admission_controller.h
@@ -9,6 +9,7 @@
 
 #include "libteaselthread/endpoint_queue.h"
 #include "libteaselthread/fleet_view.h"
+#include "libteaselthread/owner_index.h"
 #include "libteaselthread/reasons.h"
 #include "libteaselthread/slow_start.h"
 
@@ -128,6 +129,7 @@
                   std::vector<QueueResult>* results);
 
   FleetView fleet_;
+  OwnerIndex owners_;
   LoadBoard* loads_;
   AdmissionTiming timing_;
   uint64_t sequence_origin_;
--- a/src/libteaselthread/endpoint_directory.cc
+++ b/src/libteaselthread/endpoint_directory.cc
@@ -25,12 +25,12 @@
   return found == by_name_.end() ? nullptr : &found->second;
 }
 
-std::vector<const Endpoint*> EndpointDirectory::Serving(
+const std::vector<const Endpoint*>& EndpointDirectory::Serving(
     EndpointKind kind,
     const std::string& target) const {
   auto found = by_target_.find({kind, target});
   if (found == by_target_.end())
-    return {};
+    return none_;
   return found->second;
 }
 
--- a/src/libteaselthread/endpoint_directory.h
+++ b/src/libteaselthread/endpoint_directory.h
@@ -23,8 +23,8 @@
   const std::map<std::string, Endpoint>& all() const { return by_name_; }
   const Endpoint* Find(const std::string& name) const;
   // Every endpoint that serves the model or service, usable or not.
-  std::vector<const Endpoint*> Serving(EndpointKind kind,
-                                       const std::string& target) const;
+  const std::vector<const Endpoint*>& Serving(EndpointKind kind,
+                                              const std::string& target) const;
 
   // Whether the endpoint may be given new work.
   static bool TakesNewWork(const Endpoint& endpoint,
@@ -40,6 +40,7 @@
   uint64_t version_ = 0;
   std::map<std::string, Endpoint> by_name_;
   std::map<Target, std::vector<const Endpoint*>> by_target_;
+  std::vector<const Endpoint*> none_;
 };
 
 }  // namespace teaselthread
--- a/src/libteaselthread/fleet_view.cc
+++ b/src/libteaselthread/fleet_view.cc
@@ -26,14 +26,20 @@
                            const EndpointPolicy& policy) const {
   if (endpoint.kind == EndpointKind::kService)
     return std::numeric_limits<int>::max();
-  std::vector<const Endpoint*> usable =
-      directory->Serving(endpoint.kind, endpoint.serves.front());
-  std::erase_if(usable, [this](const Endpoint* other) {
-    return !EndpointDirectory::TakesNewWork(*other, *configuration->current());
-  });
+  const Configuration& document = *configuration->current();
+  double total = 0;
+  size_t count = 0;
+  for (const Endpoint* other :
+       directory->Serving(endpoint.kind, endpoint.serves.front())) {
+    if (!EndpointDirectory::TakesNewWork(*other, document))
+      continue;
+    total += loads->LoadOf(other->name);
+    ++count;
+  }
+  const double mean = count == 0 ? 0 : total / static_cast<double>(count);
   const double multiple =
       std::max(1.0, policy.load_multiple * (1 - kStaleMeanReserve));
-  const double bound = std::ceil(multiple * loads->MeanOver(usable));
+  const double bound = std::ceil(multiple * mean);
   return std::max(1, static_cast<int>(bound));
 }
 
--- a/src/libteaselthread/load_board.cc
+++ b/src/libteaselthread/load_board.cc
@@ -39,16 +39,6 @@
   return report ? report->load : 0;
 }
 
-double LoadBoard::MeanOver(
-    const std::vector<const Endpoint*>& endpoints) const {
-  if (endpoints.empty())
-    return 0;
-  double sum = 0;
-  for (const Endpoint* endpoint : endpoints)
-    sum += LoadOf(endpoint->name);
-  return sum / static_cast<double>(endpoints.size());
-}
-
 std::vector<EndpointLoad> LoadBoard::PickForPeer(size_t most) {
   std::vector<EndpointLoad> picked;
   const size_t count = std::min(most, unsent_.size());
--- a/src/libteaselthread/load_board.h
+++ b/src/libteaselthread/load_board.h
@@ -4,8 +4,8 @@
 #include <compare>
 #include <cstdint>
 #include <deque>
-#include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "libteaselthread/endpoint.h"
@@ -32,9 +32,8 @@
   bool Merge(const EndpointLoad& report);
 
   const EndpointLoad* Find(const std::string& endpoint) const;
+  // 0 without a report.
   uint32_t LoadOf(const std::string& endpoint) const;
-  // Mean over the given endpoints; one without a report counts as idle.
-  double MeanOver(const std::vector<const Endpoint*>& endpoints) const;
 
   // Up to `most` of the reports that were merged last and have been sent to
   // peers the fewest times. Each call counts as one sending.
@@ -48,7 +47,7 @@
     uint32_t times_sent = 0;
   };
 
-  std::map<std::string, Entry> entries_;
+  std::unordered_map<std::string, Entry> entries_;
   std::deque<std::string> unsent_;  // endpoints with news for peers
 };
 
--- a/src/libteaselthread/membership.cc
+++ b/src/libteaselthread/membership.cc
@@ -250,10 +250,10 @@
   for (const auto& [name, peer] : peers_)
     names.push_back(name);
   const size_t count = std::min(names.size(), kWitnessCount);
+  const RendezvousKey key(self_.name);
   std::partial_sort(names.begin(), names.begin() + count, names.end(),
-                    [this](const std::string& a, const std::string& b) {
-                      return RendezvousWeight(self_.name, a) >
-                             RendezvousWeight(self_.name, b);
+                    [&key](const std::string& a, const std::string& b) {
+                      return key.WeightOf(a) > key.WeightOf(b);
                     });
   names.resize(count);
   return names;
--- /dev/null
+++ b/src/libteaselthread/owner_index.h
@@ -0,0 +1,39 @@
+#ifndef TEASELTHREAD_OWNER_INDEX_H_
+#define TEASELTHREAD_OWNER_INDEX_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "libteaselthread/endpoint.h"
+#include "libteaselthread/membership.h"
+
+namespace teaselthread {
+
+// Tells which node admits all work to an endpoint in this view of the members:
+// by rendezvous hash among the serving nodes of the endpoint's zone, or among
+// all serving nodes if the zone has none.
+class OwnerIndex {
+ public:
+  explicit OwnerIndex(const Membership* membership) : membership_(membership) {}
+
+  // Null if there is no serving node.
+  const Member* OwnerOf(const Endpoint& endpoint) const;
+
+ private:
+  using Members = std::vector<const Member*>;
+
+  // Groups the members anew if they have changed.
+  void Refresh() const;
+
+  const Membership* membership_;
+  mutable bool is_built_ = false;
+  mutable uint64_t built_for_ = 0;
+  mutable Members serving_;
+  mutable std::map<std::string, Members> by_zone_;
+};
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_OWNER_INDEX_H_
--- a/src/libteaselthread/rendezvous_hash.cc
+++ b/src/libteaselthread/rendezvous_hash.cc
@@ -5,9 +5,11 @@
 
 namespace teaselthread {
 
-uint64_t RendezvousWeight(std::string_view key, std::string_view node) {
-  const XXH64_hash_t seed = XXH3_64bits(key.data(), key.size());
-  return XXH3_64bits_withSeed(node.data(), node.size(), seed);
+RendezvousKey::RendezvousKey(std::string_view key)
+    : seed_(XXH3_64bits(key.data(), key.size())) {}
+
+uint64_t RendezvousKey::WeightOf(std::string_view node) const {
+  return XXH3_64bits_withSeed(node.data(), node.size(), seed_);
 }
 
 }  // namespace teaselthread
--- a/src/libteaselthread/rendezvous_hash.h
+++ b/src/libteaselthread/rendezvous_hash.h
@@ -9,7 +9,15 @@
 // Highest random weight hashing (Thaler and Ravishankar 1998): a key belongs
 // to the node with the highest weight for it, so that a node that comes or
 // goes moves only its own keys.
-uint64_t RendezvousWeight(std::string_view key, std::string_view node);
+class RendezvousKey {
+ public:
+  explicit RendezvousKey(std::string_view key);
+
+  uint64_t WeightOf(std::string_view node) const;
+
+ private:
+  uint64_t seed_;
+};
 
 }  // namespace teaselthread
 
--- a/src/libteaselthread/router.cc
+++ b/src/libteaselthread/router.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include "libteaselthread/ownership.h"
 #include "libteaselthread/rendezvous_hash.h"
 
 namespace teaselthread {
@@ -44,11 +43,12 @@
     const Endpoint* endpoint;
     auto operator<=>(const Ranked&) const = default;
   };
+  const RendezvousKey key(query.affinity);
   std::vector<Ranked> ranked;
+  ranked.reserve(usable.size());
   for (const Endpoint* endpoint : usable) {
-    ranked.push_back({endpoint->name == query.hint,
-                      RendezvousWeight(query.affinity, endpoint->name),
-                      endpoint});
+    ranked.push_back(
+        {endpoint->name == query.hint, key.WeightOf(endpoint->name), endpoint});
   }
   std::sort(ranked.begin(), ranked.end(), std::greater<>());
   std::transform(ranked.begin(), ranked.end(), usable.begin(),
@@ -73,7 +73,7 @@
 
 std::variant<Placement, RefusedNotRun> Router::PlaceAt(const Endpoint& endpoint,
                                                        bool may_queue) const {
-  const Member* owner = OwnerOf(endpoint, *fleet_.membership);
+  const Member* owner = owners_.OwnerOf(endpoint);
   if (!owner)
     return RefusedNotRun{RefusalReason::kNoEndpoint, kRetryAfter};
   return Placement{endpoint.name, owner->name, may_queue};
--- a/src/libteaselthread/router.h
+++ b/src/libteaselthread/router.h
@@ -8,6 +8,7 @@
 
 #include "libteaselthread/fleet_view.h"
 #include "libteaselthread/outcome.h"
+#include "libteaselthread/owner_index.h"
 
 namespace teaselthread {
 
@@ -38,7 +39,7 @@
 // 2016). Where all are at their bound, the least loaded queues the request.
 class Router {
  public:
-  explicit Router(FleetView fleet) : fleet_(fleet) {}
+  explicit Router(FleetView fleet) : fleet_(fleet), owners_(fleet.membership) {}
 
   std::variant<Placement, RefusedNotRun> Place(
       const PlacementQuery& query) const;
@@ -51,6 +52,7 @@
                                                  bool may_queue) const;
 
   FleetView fleet_;
+  OwnerIndex owners_;
 };
 
 }  // namespace teaselthread
--- a/standins/engine_standin.cc
+++ b/standins/engine_standin.cc
@@ -18,13 +18,12 @@
 
 namespace json = boost::json;
 
-constexpr uint32_t kEvents = 12;
 constexpr int kHttp11 = 11;
 
 class Engine {
  public:
-  explicit Engine(uint32_t token_interval_ms)
-      : token_interval_(token_interval_ms) {}
+  Engine(uint32_t token_interval_ms, uint32_t event_count)
+      : token_interval_(token_interval_ms), event_count_(event_count) {}
 
   asio::awaitable<void> Handle(Exchange exchange) {
     const std::string path = exchange.Path();
@@ -72,8 +71,8 @@
     hits_ += is_known ? 1 : 0;
   }
 
-  static std::string EventOf(const std::string& request_id, uint32_t index) {
-    if (index + 1 == kEvents)
+  std::string EventOf(const std::string& request_id, uint32_t index) const {
+    if (index + 1 == event_count_)
       return "data: [DONE]\n\n";
     const std::string word = request_id + ":" + std::to_string(index) + " ";
     return "data: " +
@@ -98,7 +97,7 @@
   }
 
   asio::awaitable<void> AnswerWhole(Exchange exchange) {
-    co_await Sleep(kEvents * token_interval_);
+    co_await Sleep(event_count_ * token_interval_);
     ++finished_;
     co_await exchange.Reply(200, WholeAnswer(exchange.Header("X-Request-Id")));
   }
@@ -126,7 +125,7 @@
     http::response_serializer<http::empty_body> serializer(head);
     co_await Sleep(token_interval_);
     co_await http::async_write_header(exchange.socket, serializer, kAsTuple);
-    for (uint32_t index = first; index < kEvents; ++index) {
+    for (uint32_t index = first; index < event_count_; ++index) {
       if (cut_after > 0 && index - first >= cut_after) {
         exchange.Drop();
         co_return;
@@ -150,6 +149,7 @@
   }
 
   std::chrono::milliseconds token_interval_;
+  uint32_t event_count_;  // the end mark included
   uint64_t started_ = 0;
   uint64_t finished_ = 0;
   uint64_t running_ = 0;
@@ -165,9 +165,9 @@
 
 }  // namespace
 
-int RunEngine(uint16_t port, uint32_t token_interval_ms) {
+int RunEngine(uint16_t port, uint32_t token_interval_ms, uint32_t event_count) {
   asio::io_context io(1);
-  Engine engine(token_interval_ms);
+  Engine engine(token_interval_ms, event_count);
   return Serve(io, port,
                [&](Exchange exchange) { return engine.Handle(exchange); });
 }
--- a/standins/main.cc
+++ b/standins/main.cc
@@ -4,22 +4,24 @@
 
 #include "standin_main.h"
 
-// Usage: teaselthread-standin platform|engine|service PORT [TOKEN_MS]
+// Usage: teaselthread-standin platform|engine|service PORT [TOKEN_MS [EVENTS]]
 int main(int argc, char** argv) {
   using namespace teaselthread::standins;
   if (argc < 3) {
     std::cerr << "usage: teaselthread-standin platform|engine|service PORT "
-                 "[TOKEN_MS]\n";
+                 "[TOKEN_MS [EVENTS]]\n";
     return 1;
   }
   const std::string_view role = argv[1];
   const auto port = static_cast<uint16_t>(std::atoi(argv[2]));
   const auto token_ms =
       static_cast<uint32_t>(argc > 3 ? std::atoi(argv[3]) : 5);
+  const auto event_count =
+      static_cast<uint32_t>(argc > 4 ? std::atoi(argv[4]) : 12);
   if (role == "platform")
     return RunPlatform(port);
   if (role == "engine")
-    return RunEngine(port, token_ms);
+    return RunEngine(port, token_ms, event_count);
   if (role == "service")
     return RunService(port);
   std::cerr << "no such role: " << role << "\n";
--- a/tests/fleet/admission_test.cc
+++ b/tests/fleet/admission_test.cc
@@ -2,7 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include "libteaselthread/ownership.h"
+#include "libteaselthread/owner_index.h"
 #include "support/fake_fleet.h"
 
 namespace teaselthread {
@@ -186,7 +186,7 @@
     for (const Endpoint& engine : Engines()) {
       FakeNode probe(test::MakeMember(1, "a"), {});
       FakeNode::Introduce({&probe, &second}, At(seconds(0)));
-      if (OwnerOf(engine, probe.membership)->name == "entry-2")
+      if (OwnerIndex(&probe.membership).OwnerOf(engine)->name == "entry-2")
         moving = engine.name;
     }
     BOOST_REQUIRE(!moving.empty());
--- a/tests/fleet/membership_test.cc
+++ b/tests/fleet/membership_test.cc
@@ -5,7 +5,7 @@
 #include <deque>
 #include <set>
 
-#include "libteaselthread/ownership.h"
+#include "libteaselthread/owner_index.h"
 #include "support/fake_fleet.h"
 
 namespace teaselthread {
@@ -184,10 +184,12 @@
   for (int i = 0; i < 40; ++i) {
     const Endpoint near = test::MakeEngine("engine-" + std::to_string(i), "a");
     const Endpoint far = test::MakeEngine("engine-" + std::to_string(i), "c");
-    BOOST_TEST(OwnerOf(near, net[1])->zone == "a");
+    BOOST_TEST(OwnerIndex(&net[1]).OwnerOf(near)->zone == "a");
     for (int node = 2; node <= 8; ++node) {
-      BOOST_TEST(OwnerOf(near, net[node])->name == OwnerOf(near, net[1])->name);
-      BOOST_TEST(OwnerOf(far, net[node])->name == OwnerOf(far, net[1])->name);
+      BOOST_TEST(OwnerIndex(&net[node]).OwnerOf(near)->name ==
+                 OwnerIndex(&net[1]).OwnerOf(near)->name);
+      BOOST_TEST(OwnerIndex(&net[node]).OwnerOf(far)->name ==
+                 OwnerIndex(&net[1]).OwnerOf(far)->name);
     }
   }
 }
--- a/tests/process/fleet.py
+++ b/tests/process/fleet.py
@@ -43,7 +43,8 @@
     """The processes of one deployment, each ended by its own id."""
 
     def __init__(self, zones, engines, services, nodes, base_port, model="dossier",
-                 service="desk", token_ms=5, configuration=None, node_settings="", cut_off=()):
+                 service="desk", token_ms=5, configuration=None, node_settings="", cut_off=(),
+                 events=12):
         self.zones = zones
         self.model = model
         self.service = service
@@ -56,6 +57,7 @@
         self.configuration = configuration or (
             ROOT / "examples/trinacria/configuration.ini")
         self.token_ms = token_ms
+        self.events = events  # of one answer, the end mark included
         self.engines = {f"engine-{i}": f"127.0.0.1:{base_port + 100 + i}"
                         for i in range(1, engines + 1)}
         self.services = {f"{service}-{i}": f"127.0.0.1:{base_port + 200 + i}"
@@ -84,7 +86,8 @@
         port_of = lambda address: address.rsplit(":", 1)[1]
         self._spawn("platform", STANDIN, "platform", port_of(self.platform))
         for name, address in self.engines.items():
-            self._spawn(name, STANDIN, "engine", port_of(address), self.token_ms)
+            self._spawn(name, STANDIN, "engine", port_of(address), self.token_ms,
+                        self.events)
         for name, address in self.services.items():
             self._spawn(name, STANDIN, "service", port_of(address))
         for address in [self.platform, *self.engines.values(), *self.services.values()]:
