--- a/bench/core_bench.cc
+++ b/bench/core_bench.cc
@@ -100,7 +100,8 @@
     directory.Replace(1, MakeEndpoints());
     for (const auto& [name, endpoint] : directory.all()) {
       loads.Merge({name, "entry-1", 70, EndpointTemperature::kWarm,
-                   1'796'000'000'000'000});
+                   1'796'000'000'000'000},
+                  now);
     }
   }
   FleetView fleet() const {
@@ -146,7 +147,8 @@
                                    "customer/chat-" + std::to_string(i),
                                    "",
                                    {},
-                                   {}});
+                                   {}},
+                                  world.now);
                             }),
         "us");
   AdmissionController admission(
--- a/src/libteaselthread/admission_controller.cc
+++ b/src/libteaselthread/admission_controller.cc
@@ -73,8 +73,7 @@
   if (found == sites_.end())
     return results;
   found->second.queue.Remove(id, now);
-  if (found->second.owned)
-    Publish(name, found->second, now);
+  Publish(name, found->second, now);
   FillPlaces(name, found->second, now, &results);
   return results;
 }
@@ -87,8 +86,9 @@
       results.push_back(
           {id, Refuse(RefusalReason::kDeadlinePassed, kRetryAfterBusy)});
     }
-    if (site.guarded)
-      LiftGuard(name, site, now);
+    if (site.owned && site.guarded)
+      FindPredecessor(name, site);
+    Publish(name, site, now);
     FillPlaces(name, site, now, &results);
   }
   return results;
@@ -107,34 +107,47 @@
 }
 
 void AdmissionController::OnHandedOver(const std::string& name,
-                                       uint32_t remaining_load,
+                                       const std::string& previous_owner,
+                                       const HandOverAnswer& answer,
                                        Timestamp now) {
   auto found = sites_.find(name);
   if (found == sites_.end() || !found->second.owned)
     return;
   Site& site = found->second;
-  site.guarded = false;
-  site.foreign_load = remaining_load;
+  if (!answer.was_owner) {
+    site.not_predecessor = previous_owner;
+    if (site.previous_owner == previous_owner)
+      site.previous_owner.clear();
+    return;
+  }
+  site.foreign_load = site.guarded ? std::max(site.foreign_load, answer.load)
+                                   : std::min(site.foreign_load, answer.load);
+  LiftGuard(site);
   Publish(name, site, now);
 }
 
-uint32_t AdmissionController::HandOver(const std::string& name,
-                                       const std::string& new_owner,
-                                       Timestamp now) {
+HandOverAnswer AdmissionController::HandOver(const std::string& name,
+                                             const std::string& new_owner,
+                                             Timestamp now) {
   auto found = sites_.find(name);
   if (found == sites_.end())
-    return 0;
+    return {};
   Site& site = found->second;
-  const uint32_t remaining = site.queue.running() + site.foreign_load;
+  HandOverAnswer answer;
+  answer.load = site.queue.running() + site.foreign_load;
+  answer.was_owner = site.holds || site.handed_to == new_owner;
+  if (!answer.was_owner)
+    return answer;
+  site.holds = false;
+  site.handed_to = new_owner;
   if (!site.owned)
-    return remaining;
+    return answer;
   // If this node's own view still makes it the owner, it has to ask for the
   // endpoint back before it admits anything.
   site.guarded = true;
   site.guarded_until = now + timing_.guard_time;
   site.previous_owner = new_owner;
-  site.foreign_load = 0;
-  return remaining;
+  return answer;
 }
 
 void AdmissionController::OnEndpointReport(const std::string& name,
@@ -147,11 +160,17 @@
   site.unreachable_until.reset();
   site.slow_start.OnReport(report.temperature, timing_.report_lag, now);
   // Once the previous owner can have started nothing new for a while, the
-  // endpoint's own count shows what is left of that owner's work.
-  if (site.foreign_load > 0 && !site.guarded && now >= site.guarded_until) {
-    const uint32_t own = site.queue.running();
-    const uint32_t others = report.running > own ? report.running - own : 0;
+  // endpoint's own count shows what is left of that owner's work. Calls that
+  // this node has started since the report was made are not in it.
+  if (now < site.guarded_until)
+    return Publish(name, site, now);
+  const uint32_t own = site.queue.RunningSince(now - timing_.report_lag);
+  const uint32_t others = report.running > own ? report.running - own : 0;
+  if (!site.guarded) {
     site.foreign_load = std::min(site.foreign_load, others);
+  } else if (!PredecessorMayAdmit(site)) {
+    site.foreign_load = others;
+    LiftGuard(site);
   }
   Publish(name, site, now);
 }
@@ -202,6 +221,7 @@
 }
 
 void AdmissionController::FollowOwnership(Timestamp now) {
+  GuardWhileOutOfStanding(now);
   const uint64_t members = fleet_.membership->revision() + 1;
   const uint64_t endpoints = fleet_.directory->version() + 1;
   if (members == followed_members_ && endpoints == followed_endpoints_)
@@ -225,6 +245,26 @@
   }
 }
 
+void AdmissionController::GuardWhileOutOfStanding(Timestamp now) {
+  if (fleet_.membership->InGoodStanding(now))
+    return;
+  for (auto& [name, site] : sites_) {
+    site.holds = false;
+    site.guarded = true;
+    site.guarded_until = now + timing_.guard_time;
+  }
+}
+
+void AdmissionController::FindPredecessor(const std::string& name,
+                                          Site& site) const {
+  const EndpointLoad* known = loads_->Find(name);
+  const bool is_other = known &&
+                        known->owner != fleet_.membership->self().name &&
+                        known->owner != site.not_predecessor;
+  if (is_other)
+    site.previous_owner = known->owner;
+}
+
 void AdmissionController::BecomeOwner(const Endpoint& endpoint,
                                       Site& site,
                                       Timestamp now) {
@@ -233,27 +273,27 @@
   site.guarded_until = now + timing_.guard_time;
   site.foreign_load = 0;
   site.previous_owner.clear();
+  site.not_predecessor.clear();
   const EndpointLoad* known = loads_->Find(endpoint.name);
   if (!known)
     return;
-  site.previous_owner = known->owner;
+  FindPredecessor(endpoint.name, site);
   const uint32_t own = site.queue.running();
   site.foreign_load = known->load > own ? known->load - own : 0;
   if (known->temperature == EndpointTemperature::kWarm)
     site.slow_start = SlowStart::AlreadyWarm();
 }
 
-void AdmissionController::LiftGuard(const std::string& name,
-                                    Site& site,
-                                    Timestamp now) {
-  const Member& self = fleet_.membership->self();
-  const Member* previous = fleet_.membership->Find(site.previous_owner);
-  const bool may_still_admit = previous && previous->name != self.name &&
-                               previous->status != MemberStatus::kDead;
-  if (may_still_admit || now < site.guarded_until)
-    return;
+void AdmissionController::LiftGuard(Site& site) {
   site.guarded = false;
-  Publish(name, site, now);
+  site.holds = true;
+  site.handed_to.clear();
+}
+
+bool AdmissionController::PredecessorMayAdmit(const Site& site) const {
+  const Member* previous = fleet_.membership->Find(site.previous_owner);
+  return previous && previous->name != fleet_.membership->self().name &&
+         previous->status != MemberStatus::kDead;
 }
 
 int AdmissionController::Limit(const Endpoint& endpoint,
@@ -263,7 +303,7 @@
   if (!policy)
     return 0;
   return std::min(site.slow_start.Limit(*policy, now),
-                  fleet_.LoadBoundOf(endpoint, *policy));
+                  fleet_.LoadBoundOf(endpoint, *policy, now));
 }
 
 std::optional<AdmissionDecision> AdmissionController::RefuseAtOnce(
@@ -285,6 +325,9 @@
 void AdmissionController::Publish(const std::string& name,
                                   const Site& site,
                                   Timestamp now) {
+  // Until the hand-over the previous owner's report is the better one.
+  if (!site.owned || site.guarded)
+    return;
   const EndpointLoad* known = loads_->Find(name);
   const uint64_t clock =
       sequence_origin_ + static_cast<uint64_t>(now.time_since_epoch().count());
@@ -292,7 +335,8 @@
       known ? std::max(clock, known->sequence + 1) : clock;
   loads_->Merge({name, fleet_.membership->self().name,
                  site.queue.running() + site.foreign_load,
-                 site.slow_start.temperature(), sequence});
+                 site.slow_start.temperature(), sequence},
+                now);
 }
 
 void AdmissionController::FillPlaces(const std::string& name,
--- a/src/libteaselthread/admission_controller.h
+++ b/src/libteaselthread/admission_controller.h
@@ -44,6 +44,17 @@
                           const RequestHandOver&) = default;
 };
 
+// What a node answers that is asked to hand an endpoint over.
+struct HandOverAnswer {
+  // Whether it was the owner until now, or has handed over to the asking node
+  // before. If not, it cannot speak for what others have admitted.
+  bool was_owner = false;
+  uint32_t load = 0;  // of its work that still runs
+
+  friend auto operator<=>(const HandOverAnswer&,
+                          const HandOverAnswer&) = default;
+};
+
 // What an endpoint says of itself when asked.
 struct EndpointReport {
   uint32_t running = 0;
@@ -60,8 +71,9 @@
 
 // Admits all work to the endpoints that this node owns, within the load bound
 // and the cold limit, and keeps what waits for them. A node that becomes an
-// endpoint's owner admits nothing until the previous owner has handed over or
-// is dead and must have fenced itself.
+// endpoint's owner admits nothing until the previous owner has handed over, or
+// is dead, must have fenced itself, and the endpoint has then reported what is
+// left of its work.
 class AdmissionController {
  public:
   // `sequence_origin` is the wall clock, in microseconds, at Timestamp zero.
@@ -83,12 +95,13 @@
   // Hand-overs to ask for now.
   std::vector<RequestHandOver> PendingHandOvers() const;
   void OnHandedOver(const std::string& endpoint,
-                    uint32_t remaining_load,
-                    Timestamp now);
-  // Another node has become the owner. Returns the load that still runs here.
-  uint32_t HandOver(const std::string& endpoint,
-                    const std::string& new_owner,
+                    const std::string& previous_owner,
+                    const HandOverAnswer& answer,
                     Timestamp now);
+  // Another node has become the owner.
+  HandOverAnswer HandOver(const std::string& endpoint,
+                          const std::string& new_owner,
+                          Timestamp now);
 
   void OnEndpointReport(const std::string& endpoint,
                         const EndpointReport& report,
@@ -111,13 +124,22 @@
     bool guarded = false;
     Timestamp guarded_until{};
     std::string previous_owner;
-    uint32_t foreign_load = 0;  // admitted by a previous owner, still running
+    // Whether nobody else can have admitted anything since this node did.
+    bool holds = false;
+    std::string handed_to;        // the node that took over from this one
+    std::string not_predecessor;  // it has said that it was not the owner
+    uint32_t foreign_load = 0;    // admitted by a previous owner, still running
     std::optional<Timestamp> unreachable_until;
   };
 
   void FollowOwnership(Timestamp now);
+  // Others may have taken over what this node owns, so it has to acquire it
+  // anew once it is back in contact.
+  void GuardWhileOutOfStanding(Timestamp now);
+  void FindPredecessor(const std::string& name, Site& site) const;
   void BecomeOwner(const Endpoint& endpoint, Site& site, Timestamp now);
-  void LiftGuard(const std::string& name, Site& site, Timestamp now);
+  bool PredecessorMayAdmit(const Site& site) const;
+  static void LiftGuard(Site& site);
   int Limit(const Endpoint& endpoint, const Site& site, Timestamp now) const;
   std::optional<AdmissionDecision> RefuseAtOnce(const Endpoint& endpoint,
                                                 const Site& site,
--- a/src/libteaselthread/endpoint_queue.cc
+++ b/src/libteaselthread/endpoint_queue.cc
@@ -15,6 +15,12 @@
   running_.emplace(request.id, RunningCall{request.customer, now});
 }
 
+uint32_t EndpointQueue::RunningSince(Timestamp cutoff) const {
+  return static_cast<uint32_t>(std::count_if(
+      running_.begin(), running_.end(),
+      [&](const auto& item) { return item.second.started <= cutoff; }));
+}
+
 void EndpointQueue::Enqueue(const AdmissionRequest& request) {
   waiting_.push_back(request);
 }
--- a/src/libteaselthread/endpoint_queue.h
+++ b/src/libteaselthread/endpoint_queue.h
@@ -34,6 +34,8 @@
   static constexpr size_t kMaxWaiting = 64;
 
   uint32_t running() const { return static_cast<uint32_t>(running_.size()); }
+  // Running calls that were started at `cutoff` or before.
+  uint32_t RunningSince(Timestamp cutoff) const;
   size_t waiting() const { return waiting_.size(); }
   bool full() const { return waiting_.size() >= kMaxWaiting; }
 
--- a/src/libteaselthread/fleet_view.cc
+++ b/src/libteaselthread/fleet_view.cc
@@ -9,7 +9,7 @@
 
 // Part of the multiple that is held back, because the mean is known late and
 // may have fallen meanwhile.
-constexpr double kStaleMeanReserve = 0.1;
+constexpr double kStaleMeanReserve = 0.20;
 
 }  // namespace
 
@@ -23,7 +23,8 @@
 }
 
 int FleetView::LoadBoundOf(const Endpoint& endpoint,
-                           const EndpointPolicy& policy) const {
+                           const EndpointPolicy& policy,
+                           Timestamp now) const {
   if (endpoint.kind == EndpointKind::kService)
     return std::numeric_limits<int>::max();
   const Configuration& document = *configuration->current();
@@ -33,14 +34,15 @@
        directory->Serving(endpoint.kind, endpoint.serves.front())) {
     if (!EndpointDirectory::TakesNewWork(*other, document))
       continue;
-    total += loads->LoadOf(other->name);
+    total += loads->RecentLoadOf(other->name, now);
     ++count;
   }
   const double mean = count == 0 ? 0 : total / static_cast<double>(count);
-  const double multiple =
-      std::max(1.0, policy.load_multiple * (1 - kStaleMeanReserve));
-  const double bound = std::ceil(multiple * mean);
-  return std::max(1, static_cast<int>(bound));
+  const double reserved = policy.load_multiple * (1 - kStaleMeanReserve) * mean;
+  // An endpoint at or below the mean may always be given one more, without
+  // which a fleet at low load would stand still.
+  const int at_least = static_cast<int>(mean) + 1;
+  return std::max(at_least, static_cast<int>(reserved));
 }
 
 }  // namespace teaselthread
--- a/src/libteaselthread/fleet_view.h
+++ b/src/libteaselthread/fleet_view.h
@@ -21,9 +21,11 @@
 
   // Null if the document does not name what the endpoint serves.
   const EndpointPolicy* PolicyOf(const Endpoint& endpoint) const;
-  // The load bound of an endpoint at this moment: ceil(multiple x mean), and
-  // at least one. Unlimited for services.
-  int LoadBoundOf(const Endpoint& endpoint, const EndpointPolicy& policy) const;
+  // What an endpoint may be loaded to at this moment, so that its load stays
+  // within max(1, ceil(multiple x mean)). Unlimited for services.
+  int LoadBoundOf(const Endpoint& endpoint,
+                  const EndpointPolicy& policy,
+                  Timestamp now) const;
 };
 
 }  // namespace teaselthread
--- a/src/libteaselthread/load_board.cc
+++ b/src/libteaselthread/load_board.cc
@@ -10,7 +10,7 @@
 
 }  // namespace
 
-bool LoadBoard::Merge(const EndpointLoad& report) {
+bool LoadBoard::Merge(const EndpointLoad& report, Timestamp now) {
   Entry& entry = entries_[report.endpoint];
   const bool is_known = !entry.report.endpoint.empty();
   if (is_known && report.sequence <= entry.report.sequence)
@@ -19,6 +19,7 @@
                        entry.report.owner != report.owner ||
                        entry.report.temperature != report.temperature;
   entry.report = report;
+  entry.heard_at = now;
   if (!is_news)
     return true;
   if (entry.times_sent == 0 || entry.times_sent >= kSendingsPerReport) {
@@ -39,6 +40,14 @@
   return report ? report->load : 0;
 }
 
+uint32_t LoadBoard::RecentLoadOf(const std::string& endpoint,
+                                 Timestamp now) const {
+  auto found = entries_.find(endpoint);
+  const bool is_recent =
+      found != entries_.end() && now - found->second.heard_at <= kMaxReportAge;
+  return is_recent ? found->second.report.load : 0;
+}
+
 std::vector<EndpointLoad> LoadBoard::PickForPeer(size_t most) {
   std::vector<EndpointLoad> picked;
   const size_t count = std::min(most, unsent_.size());
--- a/src/libteaselthread/load_board.h
+++ b/src/libteaselthread/load_board.h
@@ -10,6 +10,7 @@
 
 #include "libteaselthread/endpoint.h"
 #include "libteaselthread/endpoint_directory.h"
+#include "libteaselthread/timestamp.h"
 
 namespace teaselthread {
 
@@ -28,13 +29,18 @@
 // that peers have passed on.
 class LoadBoard {
  public:
+  static constexpr Duration kMaxReportAge = std::chrono::seconds(2);
+
   // Returns whether the report was newer than the one known.
-  bool Merge(const EndpointLoad& report);
+  bool Merge(const EndpointLoad& report, Timestamp now);
 
   const EndpointLoad* Find(const std::string& endpoint) const;
   // 0 without a report.
   uint32_t LoadOf(const std::string& endpoint) const;
 
+  // The load, or 0 if nothing newer than kMaxReportAge has been heard.
+  uint32_t RecentLoadOf(const std::string& endpoint, Timestamp now) const;
+
   // Up to `most` of the reports that were merged last and have been sent to
   // peers the fewest times. Each call counts as one sending.
   std::vector<EndpointLoad> PickForPeer(size_t most);
@@ -45,6 +51,7 @@
   struct Entry {
     EndpointLoad report;
     uint32_t times_sent = 0;
+    Timestamp heard_at{};
   };
 
   std::unordered_map<std::string, Entry> entries_;
--- a/src/libteaselthread/membership.cc
+++ b/src/libteaselthread/membership.cc
@@ -8,7 +8,9 @@
 namespace teaselthread {
 namespace {
 
-constexpr size_t kWitnessCount = 6;
+constexpr size_t kWitnessCount = 4;
+// Every so many ticks a heartbeat goes to a member outside the witnesses too.
+constexpr uint64_t kTicksPerCycleStep = 4;
 constexpr size_t kIndirectProbes = 2;
 constexpr size_t kUpdatesPerHeartbeat = 6;
 // Each update is sent this many times log2 of the fleet's size.
@@ -34,12 +36,11 @@
 std::vector<SendHeartbeat> Membership::Tick(Timestamp now) {
   ExpireSuspicions(now);
   std::vector<SendHeartbeat> heartbeats;
-  const Peer* witness = NextWitness();
-  const Peer* other = NextInCycle();
-  for (const Peer* peer : {witness, other}) {
-    if (!peer || (peer == other && other == witness && !heartbeats.empty()))
-      continue;
-    heartbeats.push_back({peer->member.name, peer->member.peer_address});
+  if (const Peer* witness = NextWitness())
+    heartbeats.push_back({witness->member.name, witness->member.peer_address});
+  if (++ticks_ % kTicksPerCycleStep == 0) {
+    if (const Peer* other = NextInCycle())
+      heartbeats.push_back({other->member.name, other->member.peer_address});
   }
   if (heartbeats.empty()) {
     for (const std::string& address : seed_addresses_)
--- a/src/libteaselthread/membership.h
+++ b/src/libteaselthread/membership.h
@@ -110,6 +110,7 @@
   std::vector<std::string> cycle_;
   std::vector<std::string> witnesses_;
   size_t next_witness_ = 0;
+  uint64_t ticks_ = 0;
   uint64_t revision_ = 0;
   bool knows_fleet_ = false;
 };
--- a/src/libteaselthread/reasons.cc
+++ b/src/libteaselthread/reasons.cc
@@ -44,7 +44,6 @@
     {"queue-full", kServiceUnavailable},
     {"deadline-too-short", kServiceUnavailable},
     {"deadline-passed", kServiceUnavailable},
-    {"retry-budget", kServiceUnavailable},
     {"owner-guarded", kServiceUnavailable},
     {"key-reused", kUnprocessableContent},
 }};
--- a/src/libteaselthread/reasons.h
+++ b/src/libteaselthread/reasons.h
@@ -31,11 +31,10 @@
   kQueueFull,
   kDeadlineTooShort,
   kDeadlinePassed,
-  kRetryBudget,
   kOwnerGuarded,
   kKeyReused,
 };
-inline constexpr size_t kRefusalReasonCount = 25;
+inline constexpr size_t kRefusalReasonCount = 24;
 
 // Why nobody can say whether a request ran.
 enum class UnknownReason : uint8_t {
--- a/src/libteaselthread/routed_request.cc
+++ b/src/libteaselthread/routed_request.cc
@@ -34,17 +34,19 @@
       query_(std::move(query)),
       repeatable_(repeatable) {}
 
-RouteActions RoutedRequest::Start() {
+RouteActions RoutedRequest::Start(Timestamp now) {
   budget_->OnRequest();
-  return TryPlace(std::nullopt, std::nullopt);
+  return TryPlace(std::nullopt, std::nullopt, now);
 }
 
-RouteActions RoutedRequest::OnHead(int status, std::string_view content_type) {
+RouteActions RoutedRequest::OnHead(int status,
+                                   std::string_view content_type,
+                                   Timestamp now) {
   if (finished_)
     return {};
   const bool may_rerun = repeatable_ && reruns_ < kMaxReruns;
   if (status >= kFirstServerError && may_rerun && !head_relayed_)
-    return Rerun(UnknownReason::kConnectionLost);
+    return Rerun(UnknownReason::kConnectionLost, now);
   if (head_relayed_)
     return {};
   status_ = status;
@@ -76,11 +78,11 @@
   return actions;
 }
 
-RouteActions RoutedRequest::OnEnd(uint64_t body_bytes) {
+RouteActions RoutedRequest::OnEnd(uint64_t body_bytes, Timestamp now) {
   if (finished_)
     return {};
   if (!AnswerIsWhole(body_bytes))
-    return OnLost(UnknownReason::kTruncatedAnswer);
+    return OnLost(UnknownReason::kTruncatedAnswer, now);
   RouteActions actions = {HeadToRelay(), RelayData{std::move(body_)}};
   head_relayed_ = true;
   for (RouteAction& action : FinishAnswered())
@@ -88,7 +90,8 @@
   return actions;
 }
 
-RouteActions RoutedRequest::OnNotRun(const RefusedNotRun& statement) {
+RouteActions RoutedRequest::OnNotRun(const RefusedNotRun& statement,
+                                     Timestamp now) {
   if (finished_)
     return {};
   if (!earlier_loss_) {
@@ -101,13 +104,13 @@
   if (waited_for || placements_ >= kMaxPlacements)
     return GiveUp(statement);
   // The owner's reason tells more than that nothing is left to try.
-  return TryPlace(RetryReasonFor(statement.reason), statement);
+  return TryPlace(RetryReasonFor(statement.reason), statement, now);
 }
 
-RouteActions RoutedRequest::OnLost(UnknownReason reason) {
+RouteActions RoutedRequest::OnLost(UnknownReason reason, Timestamp now) {
   if (finished_)
     return {};
-  return Rerun(reason);
+  return Rerun(reason, now);
 }
 
 RouteActions RoutedRequest::OnDeadline() {
@@ -132,8 +135,9 @@
 
 RouteActions RoutedRequest::TryPlace(
     std::optional<RetryReason> retry_of,
-    const std::optional<RefusedNotRun>& last_refusal) {
-  auto placed = router_->Place(query_);
+    const std::optional<RefusedNotRun>& last_refusal,
+    Timestamp now) {
+  auto placed = router_->Place(query_, now);
   if (const auto* refusal = std::get_if<RefusedNotRun>(&placed))
     return GiveUp(last_refusal.value_or(*refusal));
   placement_ = std::get<Placement>(placed);
@@ -146,7 +150,7 @@
   return {ForwardCall{placement_, events_.event_count(), retry_of}};
 }
 
-RouteActions RoutedRequest::Rerun(UnknownReason reason) {
+RouteActions RoutedRequest::Rerun(UnknownReason reason, Timestamp now) {
   earlier_loss_ = reason;
   const bool may_rerun =
       repeatable_ && reruns_ < kMaxReruns && budget_->TryTake();
@@ -156,11 +160,11 @@
   ++reruns_;
   query_.excluded.insert(placement_.endpoint);
   // The endpoint may be well and only its connection lost.
-  if (std::holds_alternative<RefusedNotRun>(router_->Place(query_)))
+  if (std::holds_alternative<RefusedNotRun>(router_->Place(query_, now)))
     query_.excluded.erase(placement_.endpoint);
   return TryPlace(
       head_relayed_ ? RetryReason::kStreamCut : RetryReason::kOwnerLost,
-      std::nullopt);
+      std::nullopt, now);
 }
 
 RouteActions RoutedRequest::Finish(Outcome outcome) {
--- a/src/libteaselthread/routed_request.h
+++ b/src/libteaselthread/routed_request.h
@@ -54,15 +54,15 @@
                 PlacementQuery query,
                 bool repeatable);
 
-  RouteActions Start();
-  RouteActions OnHead(int status, std::string_view content_type);
+  RouteActions Start(Timestamp now);
+  RouteActions OnHead(int status, std::string_view content_type, Timestamp now);
   RouteActions OnData(std::string_view bytes);
   // The peer or endpoint says that the body had this many bytes.
-  RouteActions OnEnd(uint64_t body_bytes);
+  RouteActions OnEnd(uint64_t body_bytes, Timestamp now);
   // The owner states that no byte of the call has been sent.
-  RouteActions OnNotRun(const RefusedNotRun& statement);
+  RouteActions OnNotRun(const RefusedNotRun& statement, Timestamp now);
   // The attempt has broken off; it may have run.
-  RouteActions OnLost(UnknownReason reason);
+  RouteActions OnLost(UnknownReason reason, Timestamp now);
   RouteActions OnDeadline();
   // Nobody waits for the answer any more.
   RouteActions OnCallerGone();
@@ -72,8 +72,9 @@
 
  private:
   RouteActions TryPlace(std::optional<RetryReason> retry_of,
-                        const std::optional<RefusedNotRun>& last_refusal);
-  RouteActions Rerun(UnknownReason reason);
+                        const std::optional<RefusedNotRun>& last_refusal,
+                        Timestamp now);
+  RouteActions Rerun(UnknownReason reason, Timestamp now);
   RouteActions Finish(Outcome outcome);
   RouteActions FinishAnswered();
   RouteActions GiveUp(const RefusedNotRun& refusal);
--- a/src/libteaselthread/router.cc
+++ b/src/libteaselthread/router.cc
@@ -12,14 +12,15 @@
 }  // namespace
 
 std::variant<Placement, RefusedNotRun> Router::Place(
-    const PlacementQuery& query) const {
+    const PlacementQuery& query,
+    Timestamp now) const {
   if (!fleet_.configuration->current())
     return RefusedNotRun{RefusalReason::kNotReady, kRetryAfter};
   const std::vector<const Endpoint*> usable = Usable(query);
   if (usable.empty())
     return RefusedNotRun{RefusalReason::kNoEndpoint, kRetryAfter};
   for (const Endpoint* endpoint : usable) {
-    if (!query.busy.contains(endpoint->name) && HasRoom(*endpoint))
+    if (!query.busy.contains(endpoint->name) && HasRoom(*endpoint, now))
       return PlaceAt(*endpoint, /*may_queue=*/false);
   }
   const auto least_loaded = std::min_element(
@@ -56,7 +57,7 @@
   return usable;
 }
 
-bool Router::HasRoom(const Endpoint& endpoint) const {
+bool Router::HasRoom(const Endpoint& endpoint, Timestamp now) const {
   const EndpointPolicy* policy = fleet_.PolicyOf(endpoint);
   if (!policy)
     return false;
@@ -67,7 +68,7 @@
                                  ? policy->cold_concurrency
                                  : policy->slots;
   const int limit =
-      std::min(by_temperature, fleet_.LoadBoundOf(endpoint, *policy));
+      std::min(by_temperature, fleet_.LoadBoundOf(endpoint, *policy, now));
   return static_cast<int>(report->load) < limit;
 }
 
--- a/src/libteaselthread/router.h
+++ b/src/libteaselthread/router.h
@@ -41,13 +41,13 @@
  public:
   explicit Router(FleetView fleet) : fleet_(fleet), owners_(fleet.membership) {}
 
-  std::variant<Placement, RefusedNotRun> Place(
-      const PlacementQuery& query) const;
+  std::variant<Placement, RefusedNotRun> Place(const PlacementQuery& query,
+                                               Timestamp now) const;
 
  private:
   // The endpoints that may be tried, in the order of preference.
   std::vector<const Endpoint*> Usable(const PlacementQuery& query) const;
-  bool HasRoom(const Endpoint& endpoint) const;
+  bool HasRoom(const Endpoint& endpoint, Timestamp now) const;
   std::variant<Placement, RefusedNotRun> PlaceAt(const Endpoint& endpoint,
                                                  bool may_queue) const;
 
--- a/src/teaselthread/endpoint_controller.cc
+++ b/src/teaselthread/endpoint_controller.cc
@@ -43,9 +43,11 @@
 
 wire::HandOverReply EndpointController::OnHandOver(
     const wire::HandOverRequest& request) {
+  const HandOverAnswer answer = state_->admission().HandOver(
+      request.endpoint(), request.new_owner(), state_->Now());
   wire::HandOverReply reply;
-  reply.set_load(state_->admission().HandOver(
-      request.endpoint(), request.new_owner(), state_->Now()));
+  reply.set_load(answer.load);
+  reply.set_was_owner(answer.was_owner);
   return reply;
 }
 
@@ -95,14 +97,15 @@
     wire::HandOverRequest request;
     request.set_endpoint(pending.endpoint);
     request.set_new_owner(state_->membership().self().name);
-    peers_->HandOver(previous->peer_address, request, kHandOverTimeout,
-                     [this, endpoint = pending.endpoint](
-                         const std::optional<wire::HandOverReply>& reply) {
-                       if (reply) {
-                         state_->admission().OnHandedOver(
-                             endpoint, reply->load(), state_->Now());
-                       }
-                     });
+    peers_->HandOver(
+        previous->peer_address, request, kHandOverTimeout,
+        [this, pending](const std::optional<wire::HandOverReply>& reply) {
+          if (!reply)
+            return;
+          state_->admission().OnHandedOver(
+              pending.endpoint, pending.previous_owner,
+              {reply->was_owner(), reply->load()}, state_->Now());
+        });
   }
 }
 
--- a/src/teaselthread/entry_service.cc
+++ b/src/teaselthread/entry_service.cc
@@ -172,7 +172,7 @@
   RoutedRequest routed(&state_->router(), &state_->retry_budget(),
                        MakeQuery(context.request), context.profile->repeatable);
   Attempt attempt;
-  RouteActions actions = routed.Start();
+  RouteActions actions = routed.Start(state_->Now());
   for (;;) {
     bool caller_listens = true;
     for (const RouteAction& action : actions) {
@@ -354,13 +354,13 @@
   const FrameQueue::Event event =
       co_await attempt.frames->Next(NodeState::ToSteady(until), &frame);
   if (event == FrameQueue::Event::kClosed)
-    co_return routed.OnLost(UnknownReason::kOwnerLost);
+    co_return routed.OnLost(UnknownReason::kOwnerLost, state_->Now());
   if (event == FrameQueue::Event::kTimedOut)
     co_return OnSilence(context, routed, attempt);
   attempt.last_progress = state_->Now();
   attempt.accepted = true;
   for (const wire::EndpointLoad& load : frame.loads())
-    state_->loads().Merge(FromWire(load));
+    state_->loads().Merge(FromWire(load), state_->Now());
   co_return OnFrame(frame, routed, attempt);
 }
 
@@ -371,15 +371,15 @@
     case wire::ForwardFrame::kHead:
       attempt.streaming = true;
       return routed.OnHead(static_cast<int>(frame.head().status()),
-                           frame.head().content_type());
+                           frame.head().content_type(), state_->Now());
     case wire::ForwardFrame::kData:
       return routed.OnData(frame.data());
     case wire::ForwardFrame::kEnd:
-      return routed.OnEnd(frame.end().body_bytes());
+      return routed.OnEnd(frame.end().body_bytes(), state_->Now());
     case wire::ForwardFrame::kNotRun:
-      return routed.OnNotRun(FromWire(frame.not_run()));
+      return routed.OnNotRun(FromWire(frame.not_run()), state_->Now());
     case wire::ForwardFrame::kMaybeRun:
-      return routed.OnLost(FromWire(frame.maybe_run()));
+      return routed.OnLost(FromWire(frame.maybe_run()), state_->Now());
     default:
       return {};
   }
@@ -395,16 +395,16 @@
   const bool owner_is_gone = !owner || owner->status == MemberStatus::kDead ||
                              owner->incarnation != attempt.owner_incarnation;
   if (owner_is_gone)
-    return routed.OnLost(UnknownReason::kOwnerLost);
+    return routed.OnLost(UnknownReason::kOwnerLost, state_->Now());
   const Duration silence = now - attempt.last_progress;
   const bool repeatable = context.profile->repeatable;
   if (repeatable && !attempt.accepted && silence >= kAcceptTimeout)
-    return routed.OnLost(UnknownReason::kOwnerLost);
+    return routed.OnLost(UnknownReason::kOwnerLost, state_->Now());
   const bool stream_stalls =
       context.request.streamed && attempt.streaming &&
       silence >= state_->settings().timing().progress_timeout;
   if (stream_stalls)
-    return routed.OnLost(UnknownReason::kConnectionLost);
+    return routed.OnLost(UnknownReason::kConnectionLost, state_->Now());
   return {};
 }
 
--- a/src/teaselthread/membership_controller.cc
+++ b/src/teaselthread/membership_controller.cc
@@ -5,7 +5,8 @@
 namespace teaselthread {
 namespace {
 
-constexpr size_t kLoadsPerHeartbeat = 24;
+constexpr size_t kOwnLoadsPerHeartbeat = 8;
+constexpr size_t kLoadsPerHeartbeat = 4;
 
 }  // namespace
 
@@ -89,6 +90,13 @@
   *message.mutable_sender() = ToWire(state_->membership().self());
   for (const Member& member : state_->membership().PickUpdates())
     *message.add_updates() = ToWire(member);
+  // What this node owns goes to every peer that it talks to; news of others'
+  // endpoints is passed on as far as there is room.
+  for (const std::string& name : state_->admission().OwnedEndpoints()) {
+    const EndpointLoad* load = state_->loads().Find(name);
+    if (load && message.loads_size() < static_cast<int>(kOwnLoadsPerHeartbeat))
+      *message.add_loads() = ToWire(*load);
+  }
   for (const EndpointLoad& load :
        state_->loads().PickForPeer(kLoadsPerHeartbeat)) {
     *message.add_loads() = ToWire(load);
@@ -105,7 +113,7 @@
   state_->membership().OnContact(FromWire(message.sender()), updates,
                                  state_->Now());
   for (const wire::EndpointLoad& load : message.loads())
-    state_->loads().Merge(FromWire(load));
+    state_->loads().Merge(FromWire(load), state_->Now());
   fetcher_->OnPeerVersions(message);
 }
 
--- a/src/teaselthread/owner_service.cc
+++ b/src/teaselthread/owner_service.cc
@@ -14,7 +14,7 @@
                                         std::shared_ptr<FrameSink> sink) {
   ++state_->requests_in_progress;
   for (const wire::EndpointLoad& load : request.loads())
-    state_->loads().Merge(FromWire(load));
+    state_->loads().Merge(FromWire(load), state_->Now());
   const Timestamp received_at = state_->Now();
   AdmissionRequest admission;
   admission.id = ++last_call_id_;
--- a/tests/fleet/admission_test.cc
+++ b/tests/fleet/admission_test.cc
@@ -13,6 +13,8 @@
 using test::At;
 using test::FakeNode;
 
+// Loads that a test sets stay recent.
+constexpr Timestamp kLater(seconds(1'000'000));
 constexpr char kEngine[] = "engine-1";
 constexpr EndpointReport kWarmReport{0, EndpointTemperature::kWarm};
 constexpr EndpointReport kColdReport{0, EndpointTemperature::kCold};
@@ -49,7 +51,8 @@
   // Raises the mean load, so that only other limits count.
   void LoadTheOther(uint32_t load) {
     node.loads.Merge({"engine-2", "entry-9", load, EndpointTemperature::kWarm,
-                      1'000'000'000'000});
+                      1'000'000'000'000},
+                     kLater);
   }
 
   FakeNode node;
@@ -66,8 +69,9 @@
   BOOST_TEST((second.reason == RefusalReason::kEndpointBusy));
   BOOST_TEST((second.retry_after > Duration::zero()));
   LoadTheOther(3);
-  node.loads.Merge({"engine-2", "entry-9", 3, EndpointTemperature::kWarm,
-                    1'000'000'000'001});
+  node.loads.Merge(
+      {"engine-2", "entry-9", 3, EndpointTemperature::kWarm, 1'000'000'000'001},
+      kLater);
   BOOST_TEST((Verdict(Ask(2)) == AdmissionVerdict::kAdmitted));
 }
 
@@ -129,8 +133,9 @@
   BOOST_TEST(next(1) == 6u);
   BOOST_TEST(next(6) == 2u);
   LoadTheOther(2);
-  node.loads.Merge({"engine-2", "entry-9", 2, EndpointTemperature::kWarm,
-                    2'000'000'000'000});
+  node.loads.Merge(
+      {"engine-2", "entry-9", 2, EndpointTemperature::kWarm, 2'000'000'000'000},
+      kLater);
   BOOST_TEST(next(0) == 5u);  // a second place: the shop has none yet
 }
 
@@ -193,10 +198,11 @@
     first.admission.OnEndpointReport(moving, kWarmReport, At(seconds(3)));
     for (const Endpoint& engine : Engines()) {
       first.loads.Merge({engine.name, "entry-1", 4, EndpointTemperature::kWarm,
-                         1'000'000'000'000});
+                         1'000'000'000'000},
+                        kLater);
     }
     first.admission.Submit(moving, Ask(1), At(seconds(4)));
-    second.loads.Merge(*first.loads.Find(moving));
+    second.loads.Merge(*first.loads.Find(moving), kLater);
   }
   static std::vector<Endpoint> Engines() {
     std::vector<Endpoint> engines;
@@ -224,10 +230,11 @@
   const auto pending = second.admission.PendingHandOvers();
   BOOST_TEST(std::count(pending.begin(), pending.end(),
                         RequestHandOver{moving, "entry-1"}) == 1);
-  const uint32_t left =
+  const HandOverAnswer answer =
       first.admission.HandOver(moving, "entry-2", At(seconds(5)));
-  BOOST_TEST(left == 1u);
-  second.admission.OnHandedOver(moving, left, At(seconds(5)));
+  BOOST_TEST(answer.was_owner);
+  BOOST_TEST(answer.load == 1u);
+  second.admission.OnHandedOver(moving, "entry-1", answer, At(seconds(5)));
   BOOST_TEST(second.loads.LoadOf(moving) == 1u);
   const auto again = first.admission.Submit(moving, Ask(3), At(seconds(5)));
   BOOST_TEST((again.reason == RefusalReason::kNotOwner));
--- a/tests/fleet/membership_test.cc
+++ b/tests/fleet/membership_test.cc
@@ -2,86 +2,25 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
-#include <deque>
-#include <set>
 
 #include "libteaselthread/owner_index.h"
-#include "support/fake_fleet.h"
+#include "support/fake_net.h"
 
 namespace teaselthread {
 namespace {
 
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 using test::At;
 
-constexpr Duration kInterval = milliseconds(500);
+constexpr Duration kInterval = test::FakeNet::kInterval;
 
-// Members that exchange heartbeats in virtual time, except over cut links.
-class HeartbeatNet {
+// Members in two zones that know one seed.
+class HeartbeatNet : public test::FakeNet {
  public:
-  explicit HeartbeatNet(int size) {
-    for (int i = 1; i <= size; ++i) {
-      const std::vector<std::string> seeds = {
-          test::MakeMember(1, "a").peer_address};
-      members_.emplace_back(test::MakeMember(i, i % 2 ? "a" : "b"), seeds,
-                            MembershipTiming{seconds(3), milliseconds(2'500)},
-                            static_cast<uint64_t>(i));
-    }
-  }
-
-  Membership& operator[](int number) { return members_[number - 1]; }
-  void Cut(int number) { cut_.insert(number); }
-  void Heal(int number) { cut_.erase(number); }
-  Timestamp now() const { return now_; }
-
-  void RunFor(Duration duration) {
-    for (const Timestamp end = now_ + duration; now_ < end; now_ += kInterval) {
-      for (int i = 1; i <= static_cast<int>(members_.size()); ++i)
-        Tick(i);
-    }
-  }
-
- private:
-  bool CanTalk(int a, int b) const {
-    return a == b || (!cut_.contains(a) && !cut_.contains(b));
+  explicit HeartbeatNet(int size) : FakeNet(size, {"a", "b"}, {}) {}
+  Membership& operator[](int number) {
+    return FakeNet::operator[](number).membership;
   }
-  int NumberOf(const std::string& address) const {
-    for (size_t i = 0; i < members_.size(); ++i) {
-      if (members_[i].self().peer_address == address)
-        return static_cast<int>(i) + 1;
-    }
-    return 0;
-  }
-  bool Exchange(int from, int to) {
-    if (!CanTalk(from, to))
-      return false;
-    Membership& a = (*this)[from];
-    Membership& b = (*this)[to];
-    const Member sender = a.self();
-    b.OnContact(sender, a.PickUpdates(), now_);
-    a.OnContact(b.self(), b.PickUpdates(), now_);
-    return true;
-  }
-  void Tick(int number) {
-    Membership& self = (*this)[number];
-    for (const SendHeartbeat& heartbeat : self.Tick(now_)) {
-      const int target = NumberOf(heartbeat.address);
-      if (Exchange(number, target) || heartbeat.name.empty())
-        continue;
-      for (const SendProbe& probe :
-           self.OnHeartbeatFailed(heartbeat.name, now_)) {
-        const int helper = NumberOf(probe.via_address);
-        const bool reached =
-            CanTalk(number, helper) && Exchange(helper, target);
-        self.OnProbeResult(probe.target, reached, now_);
-      }
-    }
-  }
-
-  std::deque<Membership> members_;
-  std::set<int> cut_;
-  Timestamp now_ = At(seconds(0));
 };
 
 BOOST_AUTO_TEST_SUITE(nodes_learn_of_each_other)
--- a/tests/fleet/router_test.cc
+++ b/tests/fleet/router_test.cc
@@ -10,6 +10,8 @@
 
 using test::FakeNode;
 
+constexpr Timestamp kNow(std::chrono::seconds(1'000));
+
 std::vector<Endpoint> MakeEngines(int count) {
   std::vector<Endpoint> engines;
   for (int i = 0; i < count; ++i) {
@@ -22,13 +24,14 @@
 struct RouterFixture {
   std::string PlaceChat(const std::string& chat, const std::string& hint = "") {
     const auto placed = node.router.Place(
-        {EndpointKind::kModelEngine, "dossier", chat, hint, {}, {}});
+        {EndpointKind::kModelEngine, "dossier", chat, hint, {}, {}}, kNow);
     const auto* placement = std::get_if<Placement>(&placed);
     return placement ? placement->endpoint : "refused";
   }
   void SetLoad(const std::string& endpoint, uint32_t load) {
     node.loads.Merge(
-        {endpoint, "entry-1", load, EndpointTemperature::kWarm, ++sequence});
+        {endpoint, "entry-1", load, EndpointTemperature::kWarm, ++sequence},
+        kNow);
   }
 
   FakeNode node{test::MakeMember(1, "a"), MakeEngines(8)};
--- a/tests/requests/at_most_once_test.cc
+++ b/tests/requests/at_most_once_test.cc
@@ -160,7 +160,7 @@
     After(kCallDeadline, [=, this] {
       AtNode(home, [=, this] { Act(call, key, call->routed.OnDeadline()); });
     });
-    Act(call, key, call->routed.Start());
+    Act(call, key, call->routed.Start(now_));
   }
 
   // What may happen to an attempt on its way to the service and back.
@@ -169,8 +169,9 @@
       AtNode(call->home, [=, this] { Act(call, key, event(call->routed)); });
     };
     if (Chance(20)) {
-      return back([](RoutedRequest& routed) {
-        return routed.OnNotRun({RefusalReason::kEndpointBusy, seconds(1)});
+      return back([this](RoutedRequest& routed) {
+        return routed.OnNotRun({RefusalReason::kEndpointBusy, seconds(1)},
+                               now_);
       });
     }
     // A frozen owner may send the call long after its home has given it up.
@@ -178,16 +179,16 @@
     After(delay, [=, this] {
       ++runs_[key];
       if (Chance(20)) {
-        return back([](RoutedRequest& routed) {
-          return routed.OnLost(UnknownReason::kConnectionLost);
+        return back([this](RoutedRequest& routed) {
+          return routed.OnLost(UnknownReason::kConnectionLost, now_);
         });
       }
       if (Chance(10))
         return;  // the reply never comes
-      back([](RoutedRequest& routed) {
-        routed.OnHead(200, "text/plain");
+      back([this](RoutedRequest& routed) {
+        routed.OnHead(200, "text/plain", now_);
         routed.OnData("done");
-        return routed.OnEnd(4);
+        return routed.OnEnd(4, now_);
       });
     });
   }
--- a/tests/requests/routed_request_test.cc
+++ b/tests/requests/routed_request_test.cc
@@ -8,9 +8,9 @@
 namespace {
 
 using std::chrono::seconds;
-using test::At;
 using test::FakeNode;
 
+constexpr Timestamp kNow(seconds(1'000));
 constexpr RefusedNotRun kBusy{RefusalReason::kEndpointBusy, seconds(1)};
 constexpr char kEvents[] = "text/event-stream";
 
@@ -55,26 +55,26 @@
 
 BOOST_AUTO_TEST_CASE(is_relayed_in_whole_events_up_to_its_end_mark) {
   RoutedRequest chat = MakeChat();
-  Forwarded(chat.Start());
-  BOOST_TEST(chat.OnHead(200, kEvents).size() == 1u);
+  Forwarded(chat.Start(kNow));
+  BOOST_TEST(chat.OnHead(200, kEvents, kNow).size() == 1u);
   BOOST_TEST(chat.OnData("data: on").empty());
   const RouteActions data = chat.OnData("e\n\ndata: t");
   BOOST_TEST(std::get<RelayData>(data.front()).bytes == "data: one\n\n");
   BOOST_TEST(EndOf(chat.OnData("wo\n\ndata: [DONE]\n\n")) == "answered");
-  BOOST_TEST(chat.OnLost(UnknownReason::kOwnerLost).empty());
+  BOOST_TEST(chat.OnLost(UnknownReason::kOwnerLost, kNow).empty());
 }
 
 BOOST_AUTO_TEST_CASE(that_is_cut_resumes_elsewhere_after_the_last_whole_event) {
   RoutedRequest chat = MakeChat();
-  const std::string first = Forwarded(chat.Start()).placement.endpoint;
-  chat.OnHead(200, kEvents);
+  const std::string first = Forwarded(chat.Start(kNow)).placement.endpoint;
+  chat.OnHead(200, kEvents, kNow);
   chat.OnData("data: one\n\ndata: tw");
-  const RouteActions lost = chat.OnLost(UnknownReason::kConnectionLost);
+  const RouteActions lost = chat.OnLost(UnknownReason::kConnectionLost, kNow);
   const ForwardCall& again = Forwarded(lost);
   BOOST_TEST(again.resume_from == 1u);
   BOOST_TEST(again.placement.endpoint != first);
   BOOST_TEST((again.retry_of == RetryReason::kStreamCut));
-  BOOST_TEST(chat.OnHead(200, kEvents).empty());
+  BOOST_TEST(chat.OnHead(200, kEvents, kNow).empty());
   const RouteActions data = chat.OnData("data: two\n\ndata: [DONE]\n\n");
   BOOST_TEST(std::get<RelayData>(data.front()).bytes ==
              "data: two\n\ndata: [DONE]\n\n");
@@ -83,26 +83,27 @@
 
 BOOST_AUTO_TEST_CASE(that_ends_without_its_mark_does_not_pass_as_whole) {
   RoutedRequest chat = MakeChat();
-  chat.Start();
-  chat.OnHead(200, kEvents);
+  chat.Start(kNow);
+  chat.OnHead(200, kEvents, kNow);
   chat.OnData("data: one\n\n");
-  Forwarded(chat.OnEnd(11));
+  Forwarded(chat.OnEnd(11, kNow));
 }
 
 BOOST_AUTO_TEST_CASE(that_may_have_run_is_never_said_not_to_have_run) {
   RoutedRequest chat = MakeChat();
-  chat.Start();
-  Forwarded(chat.OnLost(UnknownReason::kOwnerLost));
-  BOOST_TEST(EndOf(chat.OnNotRun({RefusalReason::kEndpointUnreachable,
-                                  seconds(1)})) == "may have run: owner-lost");
+  chat.Start(kNow);
+  Forwarded(chat.OnLost(UnknownReason::kOwnerLost, kNow));
+  BOOST_TEST(EndOf(chat.OnNotRun(
+                 {RefusalReason::kEndpointUnreachable, seconds(1)}, kNow)) ==
+             "may have run: owner-lost");
 }
 
 BOOST_AUTO_TEST_CASE(is_not_rerun_for_ever) {
   RoutedRequest chat = MakeChat();
-  RouteActions actions = chat.Start();
+  RouteActions actions = chat.Start(kNow);
   int attempts = 0;
   for (; !chat.finished() && attempts < 100; ++attempts)
-    actions = chat.OnLost(UnknownReason::kOwnerLost);
+    actions = chat.OnLost(UnknownReason::kOwnerLost, kNow);
   BOOST_TEST(attempts == 4);
   BOOST_TEST(EndOf(actions) == "may have run: owner-lost");
 }
@@ -113,38 +114,38 @@
 
 BOOST_AUTO_TEST_CASE(goes_to_another_endpoint_when_it_was_surely_not_sent) {
   RoutedRequest order = MakeOrder();
-  const std::string first = Forwarded(order.Start()).placement.endpoint;
-  const RouteActions refused = order.OnNotRun(kBusy);
+  const std::string first = Forwarded(order.Start(kNow)).placement.endpoint;
+  const RouteActions refused = order.OnNotRun(kBusy, kNow);
   BOOST_TEST(Forwarded(refused).placement.endpoint != first);
 }
 
 BOOST_AUTO_TEST_CASE(is_unknown_at_once_when_its_attempt_is_lost) {
   RoutedRequest order = MakeOrder();
-  order.Start();
-  BOOST_TEST(EndOf(order.OnLost(UnknownReason::kConnectionLost)) ==
+  order.Start(kNow);
+  BOOST_TEST(EndOf(order.OnLost(UnknownReason::kConnectionLost, kNow)) ==
              "may have run: connection-lost");
 }
 
 BOOST_AUTO_TEST_CASE(is_unknown_when_its_deadline_comes_while_it_is_out) {
   RoutedRequest order = MakeOrder();
-  order.Start();
+  order.Start(kNow);
   BOOST_TEST(EndOf(order.OnDeadline()) == "may have run: timed-out");
 }
 
 BOOST_AUTO_TEST_CASE(with_a_short_body_is_not_whole) {
   RoutedRequest order = MakeOrder();
-  order.Start();
-  order.OnHead(200, "application/json");
+  order.Start(kNow);
+  order.OnHead(200, "application/json", kNow);
   order.OnData("{}");
-  BOOST_TEST(EndOf(order.OnEnd(3)) == "may have run: truncated-answer");
+  BOOST_TEST(EndOf(order.OnEnd(3, kNow)) == "may have run: truncated-answer");
 }
 
 BOOST_AUTO_TEST_CASE(keeps_the_answer_of_the_service_even_if_it_is_an_error) {
   RoutedRequest order = MakeOrder();
-  order.Start();
-  order.OnHead(503, "text/plain");
+  order.Start(kNow);
+  order.OnHead(503, "text/plain", kNow);
   order.OnData("no");
-  const RouteActions actions = order.OnEnd(2);
+  const RouteActions actions = order.OnEnd(2, kNow);
   BOOST_TEST(std::get<RelayHead>(actions.front()).status == 503);
   BOOST_TEST(EndOf(actions) == "answered");
 }
@@ -155,10 +156,10 @@
 
 BOOST_AUTO_TEST_CASE(with_the_owners_reason_and_a_time_to_come_back) {
   RoutedRequest chat = MakeChat();
-  RouteActions actions = chat.Start();
+  RouteActions actions = chat.Start(kNow);
   int attempts = 0;
   for (; !chat.finished() && attempts < 100; ++attempts)
-    actions = chat.OnNotRun({RefusalReason::kQueueFull, seconds(2)});
+    actions = chat.OnNotRun({RefusalReason::kQueueFull, seconds(2)}, kNow);
   BOOST_TEST(EndOf(actions) == "not run: queue-full");
   const auto& finish = std::get<FinishCall>(actions.back());
   BOOST_TEST((finish.outcome.refused()->retry_after == seconds(2)));
@@ -167,14 +168,14 @@
 
 BOOST_AUTO_TEST_CASE(where_everything_is_busy_one_endpoint_is_waited_for) {
   RoutedRequest chat = MakeChat();
-  BOOST_TEST(!Forwarded(chat.Start()).placement.may_queue);
-  chat.OnNotRun(kBusy);
-  BOOST_TEST(Forwarded(chat.OnNotRun(kBusy)).placement.may_queue);
+  BOOST_TEST(!Forwarded(chat.Start(kNow)).placement.may_queue);
+  chat.OnNotRun(kBusy, kNow);
+  BOOST_TEST(Forwarded(chat.OnNotRun(kBusy, kNow)).placement.may_queue);
 }
 
 BOOST_AUTO_TEST_CASE(where_no_endpoint_is_left) {
   node.Configure(test::DocumentWithModel("") + "[fleet]\nzones_out = a\n");
-  BOOST_TEST(EndOf(MakeChat().Start()) == "not run: no-endpoint");
+  BOOST_TEST(EndOf(MakeChat().Start(kNow)) == "not run: no-endpoint");
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/fake_fleet.cc
+++ b/tests/support/fake_fleet.cc
@@ -39,8 +39,13 @@
          model_policy;
 }
 
-FakeNode::FakeNode(const Member& self, std::vector<Endpoint> endpoints)
-    : membership(self, {}, kMembershipTiming, self.incarnation.value()),
+FakeNode::FakeNode(const Member& self,
+                   std::vector<Endpoint> endpoints,
+                   std::vector<std::string> seeds)
+    : membership(self,
+                 std::move(seeds),
+                 kMembershipTiming,
+                 self.incarnation.value()),
       admission(fleet(), &loads, kAdmissionTiming, 0),
       router(fleet()) {
   directory.Replace(1, std::move(endpoints));
--- a/tests/support/fake_fleet.h
+++ b/tests/support/fake_fleet.h
@@ -24,7 +24,9 @@
 
 // The state that one node decides from, without any I/O.
 struct FakeNode {
-  FakeNode(const Member& self, std::vector<Endpoint> endpoints);
+  FakeNode(const Member& self,
+           std::vector<Endpoint> endpoints,
+           std::vector<std::string> seeds = {});
 
   FleetView fleet() const {
     return {&membership, &configuration, &directory, &loads};
