Callers can go straight to the owner; takeover polls sooner; bench waits longer

Cause: at 5 ms between events the two hops of a stream cost 143 us of node time per event, one hop 30 us (at 1 ms: 75 and 23 us); most of it is gRPC's thread changes for single events. At 6.2 million tokens a second two hops would need two cores of each of 410 nodes. Ruled out as the cause: the optimiser level (-O1 to -O2: 137 to 127 us). Data frames that wait behind a write are joined. A guarded endpoint is polled every 0.5 s.

--- a/bench/process_bench.py
+++ b/bench/process_bench.py
@@ -12,7 +12,7 @@
 
 ZONES = ["a", "b", "c"]
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
-IDLE_SECONDS = 12
+IDLE_SECONDS = 25
 LOAD_SECONDS = 8
 CALLERS = 24
 
@@ -74,7 +74,7 @@
             wait_until(lambda: all(fleet.metrics(n)["members_serving"] == nodes for n in names),
                        "all nodes know each other", 60)
             # News of the start must have died away, which takes heartbeats.
-            time.sleep(8)
+            time.sleep(4 + 0.6 * nodes)
             cpu, sent, calls = cpu_seconds(fleet, names), loopback_bytes(), platform_calls(fleet)
             started = time.monotonic()
             time.sleep(IDLE_SECONDS)
@@ -101,8 +101,10 @@
         show(f"idle_{name}_base", base, unit.removesuffix("_per_node"))
 
 
-def measure_load(events):
-    """Processor time of the nodes for streamed chats of some length."""
+def measure_load(events, direct=False):
+    """Processor time of the nodes for streamed chats of some length; `direct`
+    callers go to the owner of their chat's endpoint after the first turn."""
+    label = f"chats_of_{events}_events" + ("_direct" if direct else "")
     with Fleet(ZONES, engines=6, services=1, nodes=3, base_port=22000, token_ms=5,
                events=events) as fleet:
         names = list(fleet.nodes)
@@ -112,10 +114,12 @@
             caller = Caller(fleet, f"office-{number}", f"entry-{number % 3 + 1}")
             turn = 0
             while not stop.is_set():
-                status, _, _ = caller.chat(f"chat-{number}-{turn // 5}")
+                status, headers, _ = caller.chat(f"chat-{number}-{turn // 5}")
                 turn += 1
                 if status == 200:
                     counts.append(1)
+                    if direct:
+                        caller.follow(headers)
         def timer():
             time.sleep(LOAD_SECONDS)
             stop.set()
@@ -124,9 +128,9 @@
         used = cpu_seconds(fleet, names) - cpu
         resident, _ = resident_mb(fleet, names)
     per_request = used / len(counts) * 1e3
-    show(f"chats_of_{events}_events_answered", len(counts) / LOAD_SECONDS, "per_s")
-    show(f"chats_of_{events}_events_node_cpu", per_request, "ms_per_request")
-    show(f"chats_of_{events}_events_node_resident", resident, "MB")
+    show(f"{label}_answered", len(counts) / LOAD_SECONDS, "per_s")
+    show(f"{label}_node_cpu", per_request, "ms_per_request")
+    show(f"{label}_node_resident", resident, "MB")
     return events, per_request
 
 
@@ -144,10 +148,11 @@
 
 def main():
     measure_idle()
-    points = [measure_load(events) for events in (12, 50, 200)]
-    per_event, base = slope(points)
-    show("node_cpu_per_event_all_hops", per_event * 1e3, "us")
-    show("node_cpu_per_request_all_hops", base, "ms")
+    for direct in (False, True):
+        per_event, base = slope([measure_load(events, direct) for events in (12, 50, 200)])
+        way = "direct" if direct else "two_hops"
+        show(f"node_cpu_per_event_{way}", per_event * 1e3, "us")
+        show(f"node_cpu_per_request_{way}", base, "ms")
     measure_takeover()
 
 
--- a/scripts/demo_driver.py
+++ b/scripts/demo_driver.py
@@ -64,6 +64,7 @@
                 report.count(returning_turns=1,
                              turns_with_context=int(endpoint == hint))
             hint = endpoint
+            caller.follow(answer[0])
             report.count(answered=1)
 
 
--- a/src/libteaselthread/admission_controller.cc
+++ b/src/libteaselthread/admission_controller.cc
@@ -206,6 +206,11 @@
   return names;
 }
 
+bool AdmissionController::IsGuarded(const std::string& endpoint) const {
+  auto found = sites_.find(endpoint);
+  return found != sites_.end() && found->second.guarded;
+}
+
 size_t AdmissionController::AdmittingCount() const {
   return static_cast<size_t>(
       std::count_if(sites_.begin(), sites_.end(), [](const auto& item) {
--- a/src/libteaselthread/admission_controller.h
+++ b/src/libteaselthread/admission_controller.h
@@ -112,6 +112,7 @@
                    Timestamp now);
 
   std::vector<std::string> OwnedEndpoints() const;
+  bool IsGuarded(const std::string& endpoint) const;
   // Owned endpoints whose guard has been lifted.
   size_t AdmittingCount() const;
   uint32_t RunningTotal() const;
--- a/src/libteaselthread/metrics.cc
+++ b/src/libteaselthread/metrics.cc
@@ -25,14 +25,14 @@
 void Summary(std::ostream& out,
              const std::string& name,
              const std::string& labels,
-             const LatencyStatistic& latency) {
+             const Distribution& values) {
   const std::string separator = labels.empty() ? "" : ",";
   out << "teaselthread_" << name << "{" << labels << separator
-      << "quantile=\"0.95\"} " << latency.p95_s() << "\n";
+      << "quantile=\"0.95\"} " << values.p95() << "\n";
   const std::string braces = labels.empty() ? "" : "{" + labels + "}";
-  out << "teaselthread_" << name << "_sum" << braces << " " << latency.sum_s()
+  out << "teaselthread_" << name << "_sum" << braces << " " << values.sum()
       << "\n";
-  out << "teaselthread_" << name << "_count" << braces << " " << latency.count()
+  out << "teaselthread_" << name << "_count" << braces << " " << values.count()
       << "\n";
 }
 
@@ -42,26 +42,30 @@
 
 }  // namespace
 
-LatencyStatistic::LatencyStatistic()
+Distribution::Distribution()
     : accumulator_(acc::quantile_probability = kReportedQuantile) {}
 
-void LatencyStatistic::Add(Duration latency) {
-  accumulator_(std::chrono::duration<double>(latency).count());
+void Distribution::Add(double value) {
+  accumulator_(value);
 }
 
-uint64_t LatencyStatistic::count() const {
+void Distribution::Add(Duration latency) {
+  Add(std::chrono::duration<double>(latency).count());
+}
+
+uint64_t Distribution::count() const {
   return acc::count(accumulator_);
 }
 
-double LatencyStatistic::sum_s() const {
+double Distribution::sum() const {
   return acc::sum(accumulator_);
 }
 
-double LatencyStatistic::max_s() const {
+double Distribution::max() const {
   return count() == 0 ? 0 : acc::max(accumulator_);
 }
 
-double LatencyStatistic::p95_s() const {
+double Distribution::p95() const {
   return count() == 0 ? 0 : acc::p_square_quantile(accumulator_);
 }
 
@@ -93,6 +97,10 @@
   first_byte_.Add(latency);
 }
 
+void Metrics::OnAdmission(uint32_t load) {
+  admitted_load_.Add(static_cast<double>(load));
+}
+
 void Metrics::OnHeartbeatSent(uint64_t bytes) {
   ++heartbeats_sent_;
   heartbeat_bytes_ += bytes;
@@ -135,6 +143,9 @@
     Summary(out, "request_seconds", "profile=\"" + name + "\"", counts.latency);
   Type(out, "first_byte_seconds", "summary");
   Summary(out, "first_byte_seconds", "", first_byte_);
+  Type(out, "admitted_load", "summary");
+  Summary(out, "admitted_load", "", admitted_load_);
+  Line(out, "admitted_load_max", admitted_load_.max());
   Line(out, "heartbeats_sent_total", heartbeats_sent_);
   Line(out, "heartbeat_bytes_total", heartbeat_bytes_);
   Line(out, "heartbeats_failed_total", heartbeats_failed_);
--- a/src/libteaselthread/metrics.h
+++ b/src/libteaselthread/metrics.h
@@ -16,17 +16,19 @@
 
 namespace teaselthread {
 
-// A distribution of durations in seconds: count, sum, maximum and the 95th
-// percentile since the process started.
-class LatencyStatistic {
+// A distribution of values: count, sum, maximum and 95th percentile since the
+// process started.
+class Distribution {
  public:
-  LatencyStatistic();
+  Distribution();
+  void Add(double value);
+  // In seconds.
   void Add(Duration latency);
 
   uint64_t count() const;
-  double sum_s() const;
-  double max_s() const;
-  double p95_s() const;
+  double sum() const;
+  double max() const;
+  double p95() const;
 
  private:
   using Accumulator = boost::accumulators::accumulator_set<
@@ -61,6 +63,8 @@
   void OnRefusal(RefusalReason reason);
   void OnRetry(RetryReason reason);
   void OnFirstByte(Duration latency);
+  // The endpoint's load, the admitted call included.
+  void OnAdmission(uint32_t load);
   void OnHeartbeatSent(uint64_t bytes);
   void OnHeartbeatFailed() { ++heartbeats_failed_; }
   void OnPlatformCall(bool succeeded);
@@ -72,14 +76,15 @@
     uint64_t answered = 0;
     uint64_t not_run = 0;
     uint64_t unknown = 0;
-    LatencyStatistic latency;
+    Distribution latency;
   };
 
   std::array<uint64_t, kRefusalReasonCount> refusals_{};
   std::array<uint64_t, kUnknownReasonCount> unknowns_{};
   std::array<uint64_t, kRetryReasonCount> retries_{};
   std::map<std::string, ProfileCounts> profiles_;
-  LatencyStatistic first_byte_;
+  Distribution first_byte_;
+  Distribution admitted_load_;
   uint64_t heartbeats_sent_ = 0;
   uint64_t heartbeat_bytes_ = 0;
   uint64_t heartbeats_failed_ = 0;
--- a/src/libteaselthread/routed_request.cc
+++ b/src/libteaselthread/routed_request.cc
@@ -187,7 +187,7 @@
 }
 
 RelayHead RoutedRequest::HeadToRelay() const {
-  return {status_, content_type_, placement_.endpoint};
+  return {status_, content_type_, placement_.endpoint, placement_.owner};
 }
 
 bool RoutedRequest::AnswerIsWhole(uint64_t body_bytes) const {
--- a/src/libteaselthread/routed_request.h
+++ b/src/libteaselthread/routed_request.h
@@ -27,6 +27,7 @@
   int status = 0;
   std::string content_type;
   std::string endpoint;
+  std::string owner;  // the node that admitted the call; empty for kept answers
   friend auto operator<=>(const RelayHead&, const RelayHead&) = default;
 };
 
--- a/src/teaselthread/answer_sink.h
+++ b/src/teaselthread/answer_sink.h
@@ -11,10 +11,13 @@
 
 // Receives the answer to one request: OnHead, any number of OnData, OnFinish;
 // or OnFinish alone. OnHead and OnData return false once nobody listens.
+// `next_address` is where the caller's next turn takes the shortest way, or
+// empty.
 class AnswerSink {
  public:
   virtual ~AnswerSink() = default;
-  virtual asio::awaitable<bool> OnHead(const RelayHead& head) = 0;
+  virtual asio::awaitable<bool> OnHead(const RelayHead& head,
+                                       const std::string& next_address) = 0;
   virtual asio::awaitable<bool> OnData(std::string bytes) = 0;
   virtual asio::awaitable<void> OnFinish(const Outcome& outcome) = 0;
 };
--- a/src/teaselthread/endpoint_controller.cc
+++ b/src/teaselthread/endpoint_controller.cc
@@ -11,6 +11,7 @@
 using std::chrono::milliseconds;
 
 constexpr Duration kTickInterval = milliseconds(100);
+constexpr Duration kGuardedPollInterval = milliseconds(500);
 constexpr Duration kHandOverInterval = milliseconds(300);
 constexpr Duration kHandOverTimeout = milliseconds(500);
 constexpr int kOk = 200;
@@ -66,7 +67,10 @@
     Timestamp due = known == next_poll_.end() ? now : known->second;
     if (due <= now) {
       asio::co_spawn(state_->io(), Poll(*endpoint), asio::detached);
-      due = now + state_->settings().timing().endpoint_poll;
+      // A guarded endpoint waits for a report.
+      due = now + (state_->admission().IsGuarded(name)
+                       ? kGuardedPollInterval
+                       : state_->settings().timing().endpoint_poll);
     }
     next_poll.emplace(name, due);
   }
--- a/src/teaselthread/entry_service.cc
+++ b/src/teaselthread/entry_service.cc
@@ -16,6 +16,7 @@
 constexpr Duration kChannelTimeout = milliseconds(500);
 constexpr Duration kChannelPoll = milliseconds(5);
 constexpr Duration kRetryAfterPause = milliseconds(500);
+const std::string kNoAddress;
 // Until a key's home has found the profile's own deadline.
 constexpr Duration kDefaultDeadline = std::chrono::seconds(60);
 
@@ -43,7 +44,8 @@
 // Keeps a whole answer instead of relaying it.
 class EntryService::CapturingSink : public AnswerSink {
  public:
-  asio::awaitable<bool> OnHead(const RelayHead& head) override {
+  asio::awaitable<bool> OnHead(const RelayHead& head,
+                               const std::string& /*next_address*/) override {
     head_ = head;
     co_return true;
   }
@@ -146,6 +148,16 @@
   return is_known ? request.profile : "none";
 }
 
+std::string EntryService::CallerAddressOf(const std::string& node) const {
+  const auto configuration = state_->configuration().current();
+  const Member* member = state_->membership().Find(node);
+  const bool takes_callers = member && configuration &&
+                             member->status == MemberStatus::kAlive &&
+                             !configuration->ZoneIsOut(member->zone) &&
+                             !configuration->VmIsOut(member->name);
+  return takes_callers ? member->caller_address : kNoAddress;
+}
+
 asio::awaitable<Outcome> EntryService::ServeFiltered(RequestContext& context,
                                                      AnswerSink& sink) {
   if (const auto refusal = state_->filters().Apply(context, state_->Now()))
@@ -180,7 +192,8 @@
         attempt.Stop();
         co_await StartAttempt(context, *forward, &attempt);
       } else if (const auto* head = std::get_if<RelayHead>(&action)) {
-        caller_listens = co_await sink.OnHead(*head);
+        const std::string next_address = CallerAddressOf(head->owner);
+        caller_listens = co_await sink.OnHead(*head, next_address);
       } else if (const auto* data = std::get_if<RelayData>(&action)) {
         std::string bytes = data->bytes;
         caller_listens = co_await sink.OnData(std::move(bytes));
@@ -213,8 +226,8 @@
         co_return Unknown(*decision.unknown);
       case KeyVerdict::kReplay: {
         const RelayHead head{decision.answer->status,
-                             decision.answer->content_type, ""};
-        co_await sink.OnHead(head);
+                             decision.answer->content_type, "", ""};
+        co_await sink.OnHead(head, kNoAddress);
         std::string body = decision.answer->body;
         co_await sink.OnData(std::move(body));
         co_return UnsentCall().Expose().Answer();
@@ -246,7 +259,7 @@
   }
   WakeJoiners(context);
   if (outcome.answered()) {
-    co_await sink.OnHead(captured.head());
+    co_await sink.OnHead(captured.head(), kNoAddress);
     std::string body = captured.body();
     co_await sink.OnData(std::move(body));
   }
@@ -302,7 +315,7 @@
     } else if (frame.has_end()) {
       if (frame.end().body_bytes() != body.size())
         co_return Unknown(UnknownReason::kTruncatedAnswer);
-      co_await sink.OnHead(head);
+      co_await sink.OnHead(head, kNoAddress);
       co_await sink.OnData(std::move(body));
       co_return UnsentCall().Expose().Answer();
     }
--- a/src/teaselthread/entry_service.h
+++ b/src/teaselthread/entry_service.h
@@ -37,6 +37,8 @@
   // can say whether the key has run, so no other node refuses such a call.
   std::optional<Ticket> KeyedTicket(const CallerRequest& request) const;
   std::string ProfileLabel(const CallerRequest& request) const;
+  // Empty if the node takes no new callers.
+  std::string CallerAddressOf(const std::string& node) const;
   asio::awaitable<Outcome> ServeFiltered(RequestContext& context,
                                          AnswerSink& sink);
   asio::awaitable<Outcome> ServeKeyed(const RequestContext& context,
--- a/src/teaselthread/http_answer_sink.cc
+++ b/src/teaselthread/http_answer_sink.cc
@@ -20,8 +20,10 @@
       request_id_(std::move(request_id)),
       keep_alive_(keep_alive) {}
 
-asio::awaitable<bool> HttpAnswerSink::OnHead(const RelayHead& head) {
+asio::awaitable<bool> HttpAnswerSink::OnHead(const RelayHead& head,
+                                             const std::string& next_address) {
   head_ = head;
+  next_address_ = next_address;
   streaming_ = head.content_type.substr(0, kEventStream.size()) == kEventStream;
   if (!streaming_)
     co_return true;
@@ -87,6 +89,8 @@
     response.set(http::field::content_type, head_.content_type);
   if (!head_.endpoint.empty())
     response.set("X-Context-Hint", head_.endpoint);
+  if (!next_address_.empty())
+    response.set("X-Next-Address", next_address_);
   response.set("X-Request-Id", request_id_);
   response.keep_alive(keep_alive_);
   return response;
--- a/src/teaselthread/http_answer_sink.h
+++ b/src/teaselthread/http_answer_sink.h
@@ -13,7 +13,8 @@
  public:
   HttpAnswerSink(tcp::socket* socket, std::string request_id, bool keep_alive);
 
-  asio::awaitable<bool> OnHead(const RelayHead& head) override;
+  asio::awaitable<bool> OnHead(const RelayHead& head,
+                               const std::string& next_address) override;
   asio::awaitable<bool> OnData(std::string bytes) override;
   asio::awaitable<void> OnFinish(const Outcome& outcome) override;
 
@@ -28,6 +29,7 @@
   std::string request_id_;
   bool keep_alive_;
   RelayHead head_;
+  std::string next_address_;
   std::string body_;
   bool streaming_ = false;
   bool connection_is_usable_ = true;
--- a/src/teaselthread/owner_service.cc
+++ b/src/teaselthread/owner_service.cc
@@ -25,6 +25,7 @@
   admission.may_queue = request.may_queue();
   const AdmissionDecision decision = co_await Admit(request, admission, *sink);
   if (decision.verdict == AdmissionVerdict::kAdmitted) {
+    state_->metrics().OnAdmission(state_->loads().LoadOf(request.endpoint()));
     co_await CallEndpoint(request, state_->Now(), admission.deadline, *sink);
     Resolve(state_->admission().End(request.endpoint(), admission.id,
                                     state_->Now()));
--- a/src/teaselthread/peer_server.cc
+++ b/src/teaselthread/peer_server.cc
@@ -23,6 +23,11 @@
     const std::lock_guard lock(mutex_);
     if (finished_)
       return;
+    // The first frame is being written; what waits behind it can be joined.
+    if (frames_.size() > 1 && frames_.back().has_data() && frame.has_data()) {
+      frames_.back().mutable_data()->append(frame.data());
+      return;
+    }
     frames_.push_back(std::move(frame));
     if (frames_.size() == 1)
       StartWrite(&frames_.front());
--- a/tests/process/chats_test.py
+++ b/tests/process/chats_test.py
@@ -26,6 +26,7 @@
             continue
         if status == 200:
             assert is_whole_answer(headers, body), f"not whole: {body[-200:]}"
+            caller.follow(headers)
             return time.monotonic() - started, headers["X-Context-Hint"]
         assert "X-Retry-After-Ms" in headers, (status, body)
         time.sleep(int(headers["X-Retry-After-Ms"]) / 1000)
--- a/tests/process/fleet.py
+++ b/tests/process/fleet.py
@@ -256,6 +256,12 @@
             self.look_up()
         return self.address
 
+    def follow(self, headers):
+        """Goes where the previous answer says the next turn is served best."""
+        if "X-Next-Address" in headers:
+            self.address = headers["X-Next-Address"]
+            self.keep_until = time.monotonic() + 10
+
     def new_key(self):
         self.current()
         self.keys += 1
