A returning chat waits a little for the endpoint that holds its context

Ruled out: a smoothed mean (errs high when load falls) and a wider bound (breaks the promise). Change: a call with a hint may wait at the hinted endpoint for context_wait_ms (200 unless configured), if the expected wait is no longer than that; then it goes on as before. The bound itself is unchanged.

--- a/bench/core_bench.cc
+++ b/bench/core_bench.cc
@@ -167,7 +167,7 @@
         MicrosecondsPerCall(2'000,
                             [&](int i) {
                               admission.Submit(
-                                  owned, {CallId(i + 1), "c", 0, later, false},
+                                  owned, {CallId(i + 1), "c", 0, later, {}},
                                   world.now);
                               admission.End(owned, CallId(i + 1), world.now);
                             }),
--- a/src/libteaselthread/admission_controller.cc
+++ b/src/libteaselthread/admission_controller.cc
@@ -54,14 +54,15 @@
     return Admit();
   }
   const Duration wait = site.queue.ExpectedWait(limit);
-  if (!request.may_queue)
+  if (wait > request.max_wait || request.max_wait == Duration::zero()) {
     return Refuse(RefusalReason::kEndpointBusy,
                   std::max(wait, kRetryAfterBusy));
+  }
   if (site.queue.full())
     return Refuse(RefusalReason::kQueueFull, std::max(wait, kRetryAfterBusy));
   if (now + wait >= request.deadline)
     return Refuse(RefusalReason::kDeadlineTooShort, wait);
-  site.queue.Enqueue(request);
+  site.queue.Enqueue(request, now);
   return {AdmissionVerdict::kQueued, {}, {}};
 }
 
@@ -82,9 +83,11 @@
   FollowOwnership(now);
   std::vector<QueueResult> results;
   for (auto& [name, site] : sites_) {
-    for (CallId id : site.queue.TakeExpired(now)) {
-      results.push_back(
-          {id, Refuse(RefusalReason::kDeadlinePassed, kRetryAfterBusy)});
+    for (const AdmissionRequest& expired : site.queue.TakeExpired(now)) {
+      const RefusalReason reason = expired.deadline <= now
+                                       ? RefusalReason::kDeadlinePassed
+                                       : RefusalReason::kEndpointBusy;
+      results.push_back({expired.id, Refuse(reason, kRetryAfterBusy)});
     }
     if (site.owned && site.guarded)
       FindPredecessor(name, site);
--- a/src/libteaselthread/configuration.cc
+++ b/src/libteaselthread/configuration.cc
@@ -11,6 +11,7 @@
 constexpr IntegerRange kDeadlineRangeMs{100, 3'600'000};
 constexpr IntegerRange kSlotsRange{1, 100'000};
 constexpr IntegerRange kRampRangeMs{0, 3'600'000};
+constexpr IntegerRange kContextWaitRangeMs{0, 60'000};
 constexpr IntegerRange kFirstByteRangeMs{1, 600'000};
 constexpr IntegerRange kConcurrencyRange{1, 1'000'000};
 constexpr double kMaxRequestsPerSecond = 1e6;
@@ -36,6 +37,8 @@
   policy.cold_concurrency =
       static_cast<int>(reader.Integer("cold_concurrency", 1, kSlotsRange));
   policy.ramp = reader.Milliseconds("ramp_ms", 10'000, kRampRangeMs);
+  policy.context_wait =
+      reader.Milliseconds("context_wait_ms", 200, kContextWaitRangeMs);
   policy.cold_first_byte =
       reader.Milliseconds("cold_first_byte_ms", 30'000, kFirstByteRangeMs);
   return policy;
--- a/src/libteaselthread/configuration.h
+++ b/src/libteaselthread/configuration.h
@@ -42,6 +42,9 @@
   int slots = 0;             // requests at a time at one endpoint
   int cold_concurrency = 0;  // the same during a cold start
   Duration ramp{};           // from the cold limit to `slots`
+  // How long a returning chat may wait for a place at the endpoint that holds
+  // its context before it goes to another one.
+  Duration context_wait{};
   // An answer whose first byte took longer marks the endpoint cold.
   Duration cold_first_byte{};
 
--- a/src/libteaselthread/endpoint_queue.cc
+++ b/src/libteaselthread/endpoint_queue.cc
@@ -21,12 +21,14 @@
       [&](const auto& item) { return item.second.started <= cutoff; }));
 }
 
-void EndpointQueue::Enqueue(const AdmissionRequest& request) {
-  waiting_.push_back(request);
+void EndpointQueue::Enqueue(const AdmissionRequest& request, Timestamp now) {
+  const Duration left = request.deadline - now;
+  waiting_.push_back({request, now + std::min(left, request.max_wait)});
 }
 
 void EndpointQueue::Remove(CallId id, Timestamp now) {
-  std::erase_if(waiting_, [id](const auto& call) { return call.id == id; });
+  std::erase_if(waiting_,
+                [id](const auto& call) { return call.request.id == id; });
   auto found = running_.find(id);
   if (found == running_.end())
     return;
@@ -42,24 +44,25 @@
 std::optional<AdmissionRequest> EndpointQueue::TakeNext() {
   if (waiting_.empty())
     return std::nullopt;
-  const auto rank = [this](const AdmissionRequest& call) {
-    return std::tuple(call.priority, RunningOf(call.customer), call.deadline,
-                      call.id);
+  const auto rank = [this](const WaitingCall& call) {
+    const AdmissionRequest& request = call.request;
+    return std::tuple(request.priority, RunningOf(request.customer),
+                      request.deadline, request.id);
   };
   auto next = std::min_element(
       waiting_.begin(), waiting_.end(),
       [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
-  AdmissionRequest taken = *next;
+  AdmissionRequest taken = next->request;
   waiting_.erase(next);
   return taken;
 }
 
-std::vector<CallId> EndpointQueue::TakeExpired(Timestamp now) {
-  std::vector<CallId> expired;
-  std::erase_if(waiting_, [&](const AdmissionRequest& call) {
-    if (call.deadline > now)
+std::vector<AdmissionRequest> EndpointQueue::TakeExpired(Timestamp now) {
+  std::vector<AdmissionRequest> expired;
+  std::erase_if(waiting_, [&](const WaitingCall& call) {
+    if (call.wait_until > now)
       return false;
-    expired.push_back(call.id);
+    expired.push_back(call.request);
     return true;
   });
   return expired;
@@ -67,8 +70,8 @@
 
 std::vector<CallId> EndpointQueue::TakeAllWaiting() {
   std::vector<CallId> ids;
-  for (const AdmissionRequest& call : waiting_)
-    ids.push_back(call.id);
+  for (const WaitingCall& call : waiting_)
+    ids.push_back(call.request.id);
   waiting_.clear();
   return ids;
 }
--- a/src/libteaselthread/endpoint_queue.h
+++ b/src/libteaselthread/endpoint_queue.h
@@ -20,7 +20,9 @@
   std::string customer;
   int priority = 0;
   Timestamp deadline{};
-  bool may_queue = false;
+  // How long the call may wait for a place; zero: not at all. The deadline
+  // ends a wait too.
+  Duration max_wait{};
 
   friend auto operator<=>(const AdmissionRequest&,
                           const AdmissionRequest&) = default;
@@ -40,18 +42,22 @@
   bool full() const { return waiting_.size() >= kMaxWaiting; }
 
   void Start(const AdmissionRequest& request, Timestamp now);
-  void Enqueue(const AdmissionRequest& request);
+  void Enqueue(const AdmissionRequest& request, Timestamp now);
   // Ends a running call or drops a waiting one.
   void Remove(CallId id, Timestamp now);
   std::optional<AdmissionRequest> TakeNext();
-  // Takes out the waiting calls whose deadline has come.
-  std::vector<CallId> TakeExpired(Timestamp now);
+  // Takes out the waiting calls whose time to wait has passed.
+  std::vector<AdmissionRequest> TakeExpired(Timestamp now);
   std::vector<CallId> TakeAllWaiting();
 
   // Expected wait of a call that joins the queue now, at `limit` places.
   Duration ExpectedWait(int limit) const;
 
  private:
+  struct WaitingCall {
+    AdmissionRequest request;
+    Timestamp wait_until;
+  };
   struct RunningCall {
     std::string customer;
     Timestamp started;
@@ -60,7 +66,7 @@
   uint32_t RunningOf(const std::string& customer) const;
 
   std::map<CallId, RunningCall> running_;
-  std::vector<AdmissionRequest> waiting_;
+  std::vector<WaitingCall> waiting_;
   Duration typical_service_{};
 };
 
--- a/src/libteaselthread/routed_request.cc
+++ b/src/libteaselthread/routed_request.cc
@@ -97,7 +97,7 @@
   if (!earlier_loss_) {
     call_ = std::move(std::get<ExposedCall>(call_)).ConfirmUnsent(statement);
   }
-  const bool waited_for = placement_.may_queue;
+  const bool waited_for = placement_.max_wait == Placement::kUntilDeadline;
   const bool is_busy = statement.reason == RefusalReason::kEndpointBusy;
   (is_busy && !waited_for ? query_.busy : query_.excluded)
       .insert(placement_.endpoint);
--- a/src/libteaselthread/router.cc
+++ b/src/libteaselthread/router.cc
@@ -20,14 +20,18 @@
   if (usable.empty())
     return RefusedNotRun{RefusalReason::kNoEndpoint, kRetryAfter};
   for (const Endpoint* endpoint : usable) {
-    if (!query.busy.contains(endpoint->name) && HasRoom(*endpoint, now))
-      return PlaceAt(*endpoint, /*may_queue=*/false);
+    if (query.busy.contains(endpoint->name))
+      continue;
+    if (endpoint->name == query.hint)
+      return PlaceAt(*endpoint, ContextWait(*endpoint));
+    if (HasRoom(*endpoint, now))
+      return PlaceAt(*endpoint, Duration::zero());
   }
   const auto least_loaded = std::min_element(
       usable.begin(), usable.end(), [this](const auto* a, const auto* b) {
         return fleet_.loads->LoadOf(a->name) < fleet_.loads->LoadOf(b->name);
       });
-  return PlaceAt(**least_loaded, /*may_queue=*/true);
+  return PlaceAt(**least_loaded, Placement::kUntilDeadline);
 }
 
 std::vector<const Endpoint*> Router::Usable(const PlacementQuery& query) const {
@@ -57,6 +61,11 @@
   return usable;
 }
 
+Duration Router::ContextWait(const Endpoint& endpoint) const {
+  const EndpointPolicy* policy = fleet_.PolicyOf(endpoint);
+  return policy ? policy->context_wait : Duration::zero();
+}
+
 bool Router::HasRoom(const Endpoint& endpoint, Timestamp now) const {
   const EndpointPolicy* policy = fleet_.PolicyOf(endpoint);
   if (!policy)
@@ -72,12 +81,13 @@
   return static_cast<int>(report->load) < limit;
 }
 
-std::variant<Placement, RefusedNotRun> Router::PlaceAt(const Endpoint& endpoint,
-                                                       bool may_queue) const {
+std::variant<Placement, RefusedNotRun> Router::PlaceAt(
+    const Endpoint& endpoint,
+    Duration max_wait) const {
   const Member* owner = owners_.OwnerOf(endpoint);
   if (!owner)
     return RefusedNotRun{RefusalReason::kNoEndpoint, kRetryAfter};
-  return Placement{endpoint.name, owner->name, may_queue};
+  return Placement{endpoint.name, owner->name, max_wait};
 }
 
 }  // namespace teaselthread
--- a/src/libteaselthread/router.h
+++ b/src/libteaselthread/router.h
@@ -26,9 +26,13 @@
 };
 
 struct Placement {
+  // The wait of a call for which there is no other endpoint to try: until its
+  // deadline.
+  static constexpr Duration kUntilDeadline = std::chrono::hours(24);
+
   std::string endpoint;
-  std::string owner;  // the node that admits work to it
-  bool may_queue = false;
+  std::string owner;    // the node that admits work to it
+  Duration max_wait{};  // how long the call may wait for a place there
 
   friend auto operator<=>(const Placement&, const Placement&) = default;
 };
@@ -36,7 +40,8 @@
 // Chooses an endpoint for a request: the hinted endpoint, then the order of
 // rendezvous hashing over the chat, skipping endpoints at their bound
 // (consistent hashing with bounded loads: Mirrokni, Thorup and Zadimoghaddam
-// 2016). Where all are at their bound, the least loaded queues the request.
+// 2016). A returning chat may wait a little for the endpoint that holds its
+// context. Where all are at their bound, the least loaded queues the request.
 class Router {
  public:
   explicit Router(FleetView fleet) : fleet_(fleet), owners_(fleet.membership) {}
@@ -47,9 +52,10 @@
  private:
   // The endpoints that may be tried, in the order of preference.
   std::vector<const Endpoint*> Usable(const PlacementQuery& query) const;
+  Duration ContextWait(const Endpoint& endpoint) const;
   bool HasRoom(const Endpoint& endpoint, Timestamp now) const;
   std::variant<Placement, RefusedNotRun> PlaceAt(const Endpoint& endpoint,
-                                                 bool may_queue) const;
+                                                 Duration max_wait) const;
 
   FleetView fleet_;
   OwnerIndex owners_;
--- a/src/teaselthread/entry_service.cc
+++ b/src/teaselthread/entry_service.cc
@@ -332,7 +332,9 @@
   wire::ForwardRequest message = ToWire(context, state_->Now());
   message.set_stage(wire::FORWARD_STAGE_OWNER);
   message.set_endpoint(forward.placement.endpoint);
-  message.set_may_queue(forward.placement.may_queue);
+  message.set_max_wait_ms(static_cast<uint32_t>(
+      std::chrono::duration_cast<milliseconds>(forward.placement.max_wait)
+          .count()));
   message.set_resume_from(forward.resume_from);
   const EndpointLoad* load = state_->loads().Find(forward.placement.endpoint);
   if (load)
--- a/src/teaselthread/owner_service.cc
+++ b/src/teaselthread/owner_service.cc
@@ -22,7 +22,7 @@
   admission.priority = static_cast<int>(request.priority());
   admission.deadline =
       received_at + std::chrono::milliseconds(request.remaining_ms());
-  admission.may_queue = request.may_queue();
+  admission.max_wait = std::chrono::milliseconds(request.max_wait_ms());
   const AdmissionDecision decision = co_await Admit(request, admission, *sink);
   if (decision.verdict == AdmissionVerdict::kAdmitted) {
     state_->metrics().OnAdmission(state_->loads().LoadOf(request.endpoint()));
--- a/tests/fleet/admission_test.cc
+++ b/tests/fleet/admission_test.cc
@@ -23,7 +23,8 @@
                      bool may_queue = false,
                      const std::string& customer = "c",
                      int priority = 5) {
-  return {id, customer, priority, At(seconds(60)), may_queue};
+  return {id, customer, priority, At(seconds(60)),
+          may_queue ? Placement::kUntilDeadline : Duration::zero()};
 }
 
 // One node that owns two engines, warm and past its guard.
@@ -157,6 +158,23 @@
   BOOST_TEST((refused.retry_after == seconds(10)));
 }
 
+BOOST_AUTO_TEST_CASE(or_for_its_context_only_as_long_as_it_is_worth) {
+  LoadTheOther(0);
+  Verdict(Ask(1));
+  AdmissionRequest returning = Ask(2);
+  returning.max_wait = milliseconds(200);
+  BOOST_TEST((Verdict(returning) == AdmissionVerdict::kQueued));
+  BOOST_TEST(node.admission.Tick(At(milliseconds(4'199))).empty());
+  const auto expired = node.admission.Tick(At(milliseconds(4'200)));
+  BOOST_REQUIRE(expired.size() == 1u);
+  BOOST_TEST((expired[0].decision.reason == RefusalReason::kEndpointBusy));
+  node.admission.End(kEngine, 1, At(seconds(14)));  // took 10 s
+  Verdict(Ask(3), seconds(14));
+  // The expected wait is longer than the context is worth.
+  BOOST_TEST(
+      (Submit(returning, seconds(14)).reason == RefusalReason::kEndpointBusy));
+}
+
 BOOST_AUTO_TEST_CASE(in_a_queue_of_limited_length) {
   LoadTheOther(0);
   Verdict(Ask(1));
--- a/tests/fleet/load_bound_test.cc
+++ b/tests/fleet/load_bound_test.cc
@@ -120,7 +120,7 @@
     for (int attempt = 0; attempt < kEngines; ++attempt) {
       const auto placed = net_[entry].router.Place(query, net_.now());
       const auto* placement = std::get_if<Placement>(&placed);
-      if (!placement || placement->may_queue)
+      if (!placement || placement->max_wait > Duration::zero())
         return;
       const int owner =
           design_ == Design::kOwner ? net_.NumberOf(placement->owner) : entry;
@@ -140,7 +140,7 @@
     const CallId id = ++last_id_;
     if (design_ == Design::kOwner) {
       const AdmissionDecision decision = net_[owner].admission.Submit(
-          endpoint, {id, "c", 5, net_.now() + seconds(60), false}, net_.now());
+          endpoint, {id, "c", 5, net_.now() + seconds(60), {}}, net_.now());
       if (decision.verdict != AdmissionVerdict::kAdmitted)
         return false;
     }
--- a/tests/golden/golden_test.cc
+++ b/tests/golden/golden_test.cc
@@ -125,7 +125,7 @@
     const std::string& endpoint = forward.placement.endpoint;
     const AdmissionDecision decision = node_.admission.Submit(
         endpoint,
-        {++last_call_, "c", 5, now_ + seconds(60), forward.placement.may_queue},
+        {++last_call_, "c", 5, now_ + seconds(60), forward.placement.max_wait},
         now_);
     const std::string how =
         decision.verdict == AdmissionVerdict::kAdmitted ? "admitted"
--- a/tests/requests/routed_request_test.cc
+++ b/tests/requests/routed_request_test.cc
@@ -168,9 +168,11 @@
 
 BOOST_AUTO_TEST_CASE(where_everything_is_busy_one_endpoint_is_waited_for) {
   RoutedRequest chat = MakeChat();
-  BOOST_TEST(!Forwarded(chat.Start(kNow)).placement.may_queue);
+  BOOST_TEST(
+      (Forwarded(chat.Start(kNow)).placement.max_wait == Duration::zero()));
   chat.OnNotRun(kBusy, kNow);
-  BOOST_TEST(Forwarded(chat.OnNotRun(kBusy, kNow)).placement.may_queue);
+  BOOST_TEST((Forwarded(chat.OnNotRun(kBusy, kNow)).placement.max_wait ==
+              Placement::kUntilDeadline));
 }
 
 BOOST_AUTO_TEST_CASE(where_no_endpoint_is_left) {
