--- a/bench/process_bench.py
+++ b/bench/process_bench.py
@@ -3,18 +3,21 @@
 
 import os
 import pathlib
+import socket
 import sys
 import threading
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "tests/process"))
-from fleet import Caller, Fleet, run_threads, wait_until  # noqa: E402
+from fleet import Caller, Fleet, is_whole_answer, run_threads, wait_until  # noqa: E402
 
 ZONES = ["a", "b", "c"]
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 IDLE_SECONDS = 25
 LOAD_SECONDS = 8
 CALLERS = 24
+IDLE_CONNECTIONS = 800
+STREAMS = 200
 
 
 def show(name, value, unit):
@@ -101,25 +104,30 @@
         show(f"idle_{name}_base", base, unit.removesuffix("_per_node"))
 
 
-def measure_load(events, direct=False):
-    """Processor time of the nodes for streamed chats of some length; `direct`
-    callers go to the owner of their chat's endpoint after the first turn."""
-    label = f"chats_of_{events}_events" + ("_direct" if direct else "")
-    with Fleet(ZONES, engines=6, services=1, nodes=3, base_port=22000, token_ms=5,
+def measure_load(way, nodes, direct, events):
+    """Processor time of the nodes for streamed chats of some length. With one
+    node every answer has one hop; with three, two in three have two hops, but
+    for `direct` callers, who go to the owner of their chat's endpoint."""
+    label = f"{way}_chats_of_{events}_events"
+    with Fleet(ZONES, engines=6, services=1, nodes=nodes, base_port=22000, token_ms=5,
                events=events) as fleet:
         names = list(fleet.nodes)
         counts = []
         stop = threading.Event()
         def chatter(number):
-            caller = Caller(fleet, f"office-{number}", f"entry-{number % 3 + 1}")
-            turn = 0
+            caller = Caller(fleet, f"office-{number}", f"entry-{number % nodes + 1}")
+            turn, hint = 0, ""
             while not stop.is_set():
-                status, headers, _ = caller.chat(f"chat-{number}-{turn // 5}")
+                if turn % 5 == 0:
+                    hint = ""
+                status, headers, _ = caller.chat(f"chat-{number}-{turn // 5}", hint)
                 turn += 1
-                if status == 200:
-                    counts.append(1)
-                    if direct:
-                        caller.follow(headers)
+                if status != 200:
+                    continue
+                counts.append(1)
+                hint = headers["X-Context-Hint"]
+                if direct:
+                    caller.follow(headers)
         def timer():
             time.sleep(LOAD_SECONDS)
             stop.set()
@@ -134,6 +142,77 @@
     return events, per_request
 
 
+def measure_connections():
+    """Memory of a node per idle caller connection and per running stream."""
+    with Fleet(ZONES, engines=2, services=1, nodes=1, base_port=25000, token_ms=200,
+               events=60) as fleet:
+        names = list(fleet.nodes)
+        host, port = fleet.nodes["entry-1"].rsplit(":", 1)
+        before, _ = resident_mb(fleet, names)
+        idle = [socket.create_connection((host, int(port))) for _ in range(IDLE_CONNECTIONS)]
+        for connection in idle:
+            connection.sendall(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+        for connection in idle:
+            connection.recv(4096)
+        after, _ = resident_mb(fleet, names)
+        show("node_memory_per_idle_connection", (after - before) / IDLE_CONNECTIONS * 1024, "KB")
+        request = (b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Customer: c%d\r\n"
+                   b"Content-Length: %d\r\n\r\n%s")
+        body = (b'{"model":"dossier","stream":true,"messages":[{"role":"user","content":"'
+                + b"x" * 4000 + b'"}]}')
+        for number, connection in enumerate(idle[:STREAMS]):
+            connection.sendall(request % (number % 20, len(body), body))
+            time.sleep(0.002)
+        wait_until(lambda: fleet.metrics("entry-1")["calls_running"] > 0, "streams run")
+        time.sleep(2)
+        streams, _ = resident_mb(fleet, names)
+        show("node_memory_per_request_of_4_KB", (streams - after) / STREAMS * 1024, "KB")
+        for connection in idle:
+            connection.close()
+
+
+def measure_zone_move(move):
+    """Service to returning chats, with and without a zone that leaves and
+    returns meanwhile."""
+    label = "zone_leaves_and_returns" if move else "no_zone_moves"
+    with Fleet(ZONES, engines=6, services=1, nodes=6, base_port=26000, token_ms=10) as fleet:
+        stop = threading.Event()
+        times, reused = [], []
+        def chatter(number):
+            caller = Caller(fleet, f"office-{number}", f"entry-{number % 6 + 1}")
+            hint, chat = "", f"chat-{number}"
+            while not stop.is_set():
+                started = time.monotonic()
+                status, headers, body = caller.chat(chat, hint)
+                while status != 200:
+                    time.sleep(int(headers["X-Retry-After-Ms"]) / 1000)
+                    status, headers, body = caller.chat(chat, hint)
+                assert is_whole_answer(headers, body)
+                times.append(time.monotonic() - started)
+                if hint:
+                    reused.append(headers["X-Context-Hint"] == hint)
+                hint = headers["X-Context-Hint"]
+        def operator():
+            time.sleep(5)
+            if move:
+                fleet.ctl("zone", "out", "b")
+            time.sleep(6)
+            if move:
+                fleet.ctl("zone", "in", "b")
+            time.sleep(5)
+            stop.set()
+        run_threads([lambda n=n: chatter(n) for n in range(CALLERS)] + [operator])
+        peaks = [fleet.stats(address)["max_running"] for address in fleet.engines.values()]
+    times.sort()
+    show(f"{label}_turns", len(times), "turns_in_16_s")
+    show(f"{label}_turn_p50", times[len(times) // 2], "s")
+    show(f"{label}_turn_p95", times[int(len(times) * 0.95)], "s")
+    show(f"{label}_turn_longest", times[-1], "s")
+    show(f"{label}_within_1.9_s", 100 * sum(t <= 1.9 for t in times) / len(times), "%")
+    show(f"{label}_reuse", 100 * sum(reused) / len(reused), "%_of_returning_turns")
+    show(f"{label}_peak_load_over_mean", max(peaks) / (CALLERS / len(peaks)), "ratio")
+
+
 def measure_takeover():
     """From the death of an owner to the admission of its endpoints elsewhere."""
     with Fleet(ZONES, engines=3, services=1, nodes=6, base_port=23000) as fleet:
@@ -148,11 +227,15 @@
 
 def main():
     measure_idle()
-    for direct in (False, True):
-        per_event, base = slope([measure_load(events, direct) for events in (12, 50, 200)])
-        way = "direct" if direct else "two_hops"
-        show(f"node_cpu_per_event_{way}", per_event * 1e3, "us")
-        show(f"node_cpu_per_request_{way}", base, "ms")
+    for way, nodes, direct in (("one_node", 1, False), ("three_nodes", 3, False),
+                               ("three_nodes_direct", 3, True)):
+        points = [measure_load(way, nodes, direct, events) for events in (12, 50, 200)]
+        per_event, base = slope(points)
+        show(f"{way}_cpu_per_event", per_event * 1e3, "us")
+        show(f"{way}_cpu_per_request", base, "ms")
+    measure_connections()
+    measure_zone_move(move=False)
+    measure_zone_move(move=True)
     measure_takeover()
 
 
--- a/src/libteaselthread/membership.cc
+++ b/src/libteaselthread/membership.cc
@@ -127,13 +127,13 @@
   knows_fleet_ = true;
   for (const Member& member : leased)
     Learn(member, now);
+}
+
+void Membership::OnLeaseGone(Incarnation incarnation) {
   const size_t erased = std::erase_if(peers_, [&](const auto& item) {
     const Member& known = item.second.member;
-    const bool is_listed =
-        std::any_of(leased.begin(), leased.end(), [&](const Member& member) {
-          return member.incarnation == known.incarnation;
-        });
-    return known.status == MemberStatus::kDead && !is_listed;
+    return known.incarnation == incarnation &&
+           known.status == MemberStatus::kDead;
   });
   if (erased > 0)
     OnPeersChanged();
--- a/src/libteaselthread/membership.h
+++ b/src/libteaselthread/membership.h
@@ -60,9 +60,11 @@
                                            Timestamp now);
   void OnProbeResult(const std::string& target, bool reachable, Timestamp now);
 
-  // The nodes whose lease in the platform has not lapsed. Adds those unknown
-  // here and forgets dead ones that are no longer listed.
+  // The nodes that have a lease in the platform; adds those unknown here.
   void OnPlatformList(const std::vector<Member>& leased, Timestamp now);
+  // The incarnation's lease has lapsed or been given back: forgets it if it is
+  // dead here too.
+  void OnLeaseGone(Incarnation incarnation);
 
   void BeginLeaving();
 
--- a/src/teaselthread/endpoint_controller.cc
+++ b/src/teaselthread/endpoint_controller.cc
@@ -2,8 +2,6 @@
 
 #include <boost/json.hpp>
 
-#include "teaselthread/http_client.h"
-
 namespace teaselthread {
 namespace {
 
@@ -58,38 +56,44 @@
 }
 
 void EndpointController::PollDue(Timestamp now) {
-  std::map<std::string, Timestamp> next_poll;
+  std::map<std::string, PollState> polls;
   for (const std::string& name : state_->admission().OwnedEndpoints()) {
     const Endpoint* endpoint = state_->directory().Find(name);
     if (!endpoint)
       continue;
-    auto known = next_poll_.find(name);
-    Timestamp due = known == next_poll_.end() ? now : known->second;
-    if (due <= now) {
-      asio::co_spawn(state_->io(), Poll(*endpoint), asio::detached);
+    auto known = polls_.find(name);
+    const bool is_known =
+        known != polls_.end() &&
+        known->second.connection->address() == endpoint->address;
+    PollState poll = is_known ? known->second
+                              : PollState{now, std::make_shared<HttpConnection>(
+                                                   endpoint->address)};
+    if (poll.due <= now && !poll.connection->busy()) {
+      asio::co_spawn(state_->io(), Poll(name, poll.connection), asio::detached);
       // A guarded endpoint waits for a report.
-      due = now + (state_->admission().IsGuarded(name)
-                       ? kGuardedPollInterval
-                       : state_->settings().timing().endpoint_poll);
+      poll.due = now + (state_->admission().IsGuarded(name)
+                            ? kGuardedPollInterval
+                            : state_->settings().timing().endpoint_poll);
     }
-    next_poll.emplace(name, due);
+    polls.emplace(name, std::move(poll));
   }
-  next_poll_ = std::move(next_poll);
+  polls_ = std::move(polls);
 }
 
-asio::awaitable<void> EndpointController::Poll(Endpoint endpoint) {
-  const Result<HttpReply> reply =
-      co_await HttpCall(endpoint.address, http::verb::get, "/load", "",
-                        state_->settings().timing().connect_timeout);
+asio::awaitable<void> EndpointController::Poll(
+    std::string name,
+    std::shared_ptr<HttpConnection> connection) {
+  const Result<HttpReply> reply = co_await connection->Get(
+      "/load", state_->settings().timing().connect_timeout);
   const Timestamp now = state_->Now();
   if (!reply) {
     if (reply.last_reason().code == ErrorCode::kUnavailable)
-      state_->admission().OnEndpointUnreachable(endpoint.name, now);
+      state_->admission().OnEndpointUnreachable(name, now);
     co_return;
   }
   const std::optional<EndpointReport> report = ReadReport(reply->body);
   if (reply->status == kOk && report)
-    state_->admission().OnEndpointReport(endpoint.name, *report, now);
+    state_->admission().OnEndpointReport(name, *report, now);
 }
 
 void EndpointController::AskForHandOvers() {
--- a/src/teaselthread/endpoint_controller.h
+++ b/src/teaselthread/endpoint_controller.h
@@ -2,8 +2,10 @@
 #define TEASELTHREAD_DAEMON_ENDPOINT_CONTROLLER_H_
 
 #include <map>
+#include <memory>
 #include <string>
 
+#include "teaselthread/http_connection.h"
 #include "teaselthread/node_state.h"
 #include "teaselthread/owner_service.h"
 #include "teaselthread/peer_client.h"
@@ -19,15 +21,21 @@
   wire::HandOverReply OnHandOver(const wire::HandOverRequest& request);
 
  private:
+  struct PollState {
+    Timestamp due;
+    std::shared_ptr<HttpConnection> connection;
+  };
+
   void Tick(Timestamp now);
   void PollDue(Timestamp now);
-  asio::awaitable<void> Poll(Endpoint endpoint);
+  asio::awaitable<void> Poll(std::string name,
+                             std::shared_ptr<HttpConnection> connection);
   void AskForHandOvers();
 
   NodeState* state_;
   OwnerService* owner_;
   PeerClient* peers_;
-  std::map<std::string, Timestamp> next_poll_;
+  std::map<std::string, PollState> polls_;
 };
 
 }  // namespace teaselthread
--- a/src/teaselthread/http_client.cc
+++ b/src/teaselthread/http_client.cc
@@ -28,19 +28,16 @@
   co_return Result<tcp::socket>(std::move(socket));
 }
 
-asio::awaitable<Result<HttpReply>> HttpCall(SocketAddress address,
-                                            http::verb method,
-                                            std::string target,
-                                            std::string body,
-                                            Duration timeout) {
-  Result<tcp::socket> connected = co_await Connect(address, timeout);
-  if (!connected)
-    co_return connected.last_reason();
-  tcp::socket socket = connected.TakeValue();
+asio::awaitable<Result<HttpExchange>> ExchangeOn(tcp::socket& socket,
+                                                 SocketAddress address,
+                                                 http::verb method,
+                                                 std::string target,
+                                                 std::string body,
+                                                 Duration timeout) {
   http::request<http::string_body> request(method, target, kHttp11);
   request.set(http::field::host, address.ToString());
-  request.set(http::field::connection, "close");
-  request.set(http::field::content_type, "application/json");
+  if (!body.empty())
+    request.set(http::field::content_type, "application/json");
   request.body() = std::move(body);
   request.prepare_payload();
   IoTimeout limit(socket);
@@ -61,8 +58,27 @@
       co_await http::async_read(socket, buffer, parser, kAsTuple);
   if (read_failure)
     co_return fail(read_failure);
-  co_return HttpReply{static_cast<int>(parser.get().result_int()),
-                      std::move(parser.get().body())};
+  HttpExchange exchange;
+  exchange.reply.status = static_cast<int>(parser.get().result_int());
+  exchange.reply.body = std::move(parser.get().body());
+  exchange.keep_alive = parser.get().keep_alive();
+  co_return exchange;
+}
+
+asio::awaitable<Result<HttpReply>> HttpCall(SocketAddress address,
+                                            http::verb method,
+                                            std::string target,
+                                            std::string body,
+                                            Duration timeout) {
+  Result<tcp::socket> connected = co_await Connect(address, timeout);
+  if (!connected)
+    co_return connected.last_reason();
+  tcp::socket socket = connected.TakeValue();
+  Result<HttpExchange> exchange = co_await ExchangeOn(
+      socket, address, method, std::move(target), std::move(body), timeout);
+  if (!exchange)
+    co_return exchange.last_reason();
+  co_return exchange->reply;
 }
 
 }  // namespace teaselthread
--- a/src/teaselthread/http_client.h
+++ b/src/teaselthread/http_client.h
@@ -18,6 +18,20 @@
 asio::awaitable<Result<tcp::socket>> Connect(SocketAddress address,
                                              Duration timeout);
 
+struct HttpExchange {
+  HttpReply reply;
+  bool keep_alive = false;  // whether the connection can take another call
+};
+
+// One call on an open connection. Fails with kTimeout or kConnectionLost, after
+// which the connection is of no use.
+asio::awaitable<Result<HttpExchange>> ExchangeOn(tcp::socket& socket,
+                                                 SocketAddress address,
+                                                 http::verb method,
+                                                 std::string target,
+                                                 std::string body,
+                                                 Duration timeout);
+
 // One call on a connection of its own. Fails with kUnavailable if no
 // connection could be made, with kTimeout or kConnectionLost after that.
 asio::awaitable<Result<HttpReply>> HttpCall(SocketAddress address,
--- /dev/null
+++ b/src/teaselthread/http_connection.h
@@ -0,0 +1,34 @@
+#ifndef TEASELTHREAD_DAEMON_HTTP_CONNECTION_H_
+#define TEASELTHREAD_DAEMON_HTTP_CONNECTION_H_
+
+#include <optional>
+#include <string>
+
+#include "teaselthread/http_client.h"
+
+namespace teaselthread {
+
+// A connection to one address that is kept between calls, and made anew after
+// a call has failed on it. One call at a time.
+class HttpConnection {
+ public:
+  explicit HttpConnection(SocketAddress address)
+      : address_(std::move(address)) {}
+
+  const SocketAddress& address() const { return address_; }
+  bool busy() const { return busy_; }
+  // Errors as for HttpCall.
+  asio::awaitable<Result<HttpReply>> Get(std::string target, Duration timeout);
+
+ private:
+  asio::awaitable<Result<HttpReply>> TryGet(std::string target,
+                                            Duration timeout);
+
+  SocketAddress address_;
+  std::optional<tcp::socket> socket_;
+  bool busy_ = false;
+};
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_DAEMON_HTTP_CONNECTION_H_
--- a/src/teaselthread/platform_controller.cc
+++ b/src/teaselthread/platform_controller.cc
@@ -15,7 +15,7 @@
 constexpr Duration kWatchWait = seconds(25);
 constexpr Duration kPauseAfterFailure = milliseconds(500);
 constexpr Duration kMaxJitter = milliseconds(500);
-constexpr Duration kReadLeasesInterval = seconds(120);
+constexpr Duration kReadLeasesInterval = seconds(1'800);
 // A lease that has not been renewed for this many intervals has lapsed.
 constexpr int kLeaseIntervals = 3;
 
@@ -64,14 +64,11 @@
 asio::awaitable<void> PlatformController::KeepLease() {
   for (;;) {
     co_await RenewLease();
-    const std::vector<const Member*> peers = state_->membership().peers();
-    const bool has_dead_peers = std::any_of(
-        peers.begin(), peers.end(),
-        [](const Member* peer) { return peer->status == MemberStatus::kDead; });
     const bool is_due = !leases_read_at_ ||
                         state_->Now() - *leases_read_at_ >= kReadLeasesInterval;
-    if (has_dead_peers || is_due)
+    if (is_due)
       co_await ReadLeases();
+    co_await CheckDeadPeers();
     // A node that has not seen the list yet hurries to see it.
     co_await Pause(leases_read_at_ ? state_->settings().timing().lease_interval
                                    : kPauseAfterFailure);
@@ -107,18 +104,32 @@
   const Timestamp now = state_->Now();
   leases_read_at_ = now;
   std::vector<Member> leased;
-  std::vector<PlatformObject> lapsed;
   for (const PlatformObject& object : list->objects) {
     const Result<Member> member = ReadLease(object);
-    if (HasLapsed(object, now))
-      lapsed.push_back(object);
-    else if (member)
+    if (member)
       leased.push_back(*member);
   }
   state_->membership().OnPlatformList(leased, now);
-  for (const PlatformObject& object : lapsed) {
-    seen_leases_.erase(object.name);
-    co_await client_.Remove(kNodesKind, object.name, object.version);
+}
+
+asio::awaitable<void> PlatformController::CheckDeadPeers() {
+  std::vector<Member> dead;
+  for (const Member* peer : state_->membership().peers()) {
+    if (peer->status == MemberStatus::kDead)
+      dead.push_back(*peer);
+  }
+  for (const Member& peer : dead) {
+    const Result<PlatformObject> lease =
+        co_await client_.Read(kNodesKind, peer.name);
+    const bool is_gone =
+        !lease && lease.last_reason().code == ErrorCode::kNotFound;
+    const bool has_lapsed = lease && HasLapsed(*lease, state_->Now());
+    if (has_lapsed) {
+      seen_leases_.erase(peer.name);
+      co_await client_.Remove(kNodesKind, peer.name, lease->version);
+    }
+    if (is_gone || has_lapsed)
+      state_->membership().OnLeaseGone(peer.incarnation);
   }
 }
 
@@ -129,11 +140,9 @@
     lease = {object.version, now};
     return false;
   }
-  const Member* member = state_->membership().Find(object.name);
-  const bool is_dead = member && member->status == MemberStatus::kDead;
   const Duration lifetime =
       kLeaseIntervals * state_->settings().timing().lease_interval;
-  return is_dead && now - lease.unchanged_since >= lifetime;
+  return now - lease.unchanged_since >= lifetime;
 }
 
 asio::awaitable<void> PlatformController::Pause(Duration duration) {
--- a/src/teaselthread/platform_controller.h
+++ b/src/teaselthread/platform_controller.h
@@ -38,6 +38,8 @@
   asio::awaitable<void> KeepLease();
   asio::awaitable<void> RenewLease();
   asio::awaitable<void> ReadLeases();
+  // Forgets dead peers whose leases have lapsed.
+  asio::awaitable<void> CheckDeadPeers();
   asio::awaitable<void> Pause(Duration duration);
   void TakeConfiguration(const PlatformList& list);
   void TakeVms(const PlatformList& list);
--- a/tests/fleet/membership_test.cc
+++ b/tests/fleet/membership_test.cc
@@ -97,8 +97,11 @@
   net.Cut(2);
   net.RunFor(seconds(20));
   net[1].OnPlatformList({net[2].self(), net[3].self()}, net.now());
+  net[1].OnLeaseGone(Incarnation(99));
   BOOST_TEST(net[1].Find("entry-2") != nullptr);
-  net[1].OnPlatformList({net[3].self()}, net.now());
+  net[1].OnLeaseGone(net[3].self().incarnation);  // but it is alive
+  BOOST_TEST(net[1].Find("entry-3") != nullptr);
+  net[1].OnLeaseGone(net[2].self().incarnation);
   BOOST_TEST(net[1].Find("entry-2") == nullptr);
 }
 
