--- a/standins/main.cc
+++ b/standins/main.cc
@@ -6,7 +6,7 @@
 
 // Usage: teaselthread-standin platform|engine|service PORT [TOKEN_MS [EVENTS]]
 int main(int argc, char** argv) {
-  using namespace teaselthread::standins;
+  namespace standins = teaselthread::standins;
   if (argc < 3) {
     std::cerr << "usage: teaselthread-standin platform|engine|service PORT "
                  "[TOKEN_MS [EVENTS]]\n";
@@ -19,11 +19,11 @@
   const auto event_count =
       static_cast<uint32_t>(argc > 4 ? std::atoi(argv[4]) : 12);
   if (role == "platform")
-    return RunPlatform(port);
+    return standins::RunPlatform(port);
   if (role == "engine")
-    return RunEngine(port, token_ms, event_count);
+    return standins::RunEngine(port, token_ms, event_count);
   if (role == "service")
-    return RunService(port);
+    return standins::RunService(port);
   std::cerr << "no such role: " << role << "\n";
   return 1;
 }
--- a/tests/config/settings_test.cc
+++ b/tests/config/settings_test.cc
@@ -36,6 +36,7 @@
   std::set<std::string> found;
   for (const Error& error : settings.reasons())
     found.insert(Describe(error));
+  // NOLINTBEGIN(bugprone-suspicious-missing-comma)
   const std::set<std::string> expected = {
       "node.ini: [node] zone: a value is required (missing-key)",
       "node.ini: [node] caller_listen: expected an IP number and a port, found "
@@ -52,6 +53,7 @@
       "'soon' (bad-value)",
       "node.ini: [extras]: no such section in a node's settings "
       "(unknown-section)"};
+  // NOLINTEND(bugprone-suspicious-missing-comma)
   BOOST_TEST(found == expected, boost::test_tools::per_element());
 }
 
