PeerClient: one template for all calls with one reply

Change: Call takes the method pointer and deduces request and reply. Callers that wait for a key are also kept apart by customer, as the table's records are; before, equal keys of two customers woke each other for nothing.

--- a/src/teaselthread/configuration_announcer.cc
+++ b/src/teaselthread/configuration_announcer.cc
@@ -43,14 +43,14 @@
   size_t open = peer_addresses.size();
   auto work = asio::make_work_guard(io);
   for (const std::string& address : peer_addresses) {
-    peers.OfferConfiguration(
-        address, message, kOfferTimeout,
-        [&](const std::optional<wire::OfferReply>& reply) {
-          if (reply && reply->version_in_force() >= document.version)
-            ++announcement.in_force;
-          if (--open == 0)
-            work.reset();
-        });
+    peers.Call(&PeerClient::Methods::OfferConfiguration, address, message,
+               kOfferTimeout,
+               [&](const std::optional<wire::OfferReply>& reply) {
+                 if (reply && reply->version_in_force() >= document.version)
+                   ++announcement.in_force;
+                 if (--open == 0)
+                   work.reset();
+               });
   }
   if (peer_addresses.empty())
     work.reset();
--- a/src/teaselthread/endpoint_controller.cc
+++ b/src/teaselthread/endpoint_controller.cc
@@ -105,8 +105,9 @@
     wire::HandOverRequest request;
     request.set_endpoint(pending.endpoint);
     request.set_new_owner(state_->membership().self().name);
-    peers_->HandOver(
-        previous->peer_address, request, kHandOverTimeout,
+    peers_->Call(
+        &PeerClient::Methods::HandOver, previous->peer_address, request,
+        kHandOverTimeout,
         [this, pending](const std::optional<wire::HandOverReply>& reply) {
           if (!reply)
             return;
--- a/src/teaselthread/entry_service.cc
+++ b/src/teaselthread/entry_service.cc
@@ -35,6 +35,10 @@
                                        request.body);
 }
 
+std::string JoinKey(const CallerRequest& request) {
+  return request.customer + "\n" + request.idempotency_key;
+}
+
 Outcome Unknown(UnknownReason reason) {
   return UnsentCall().Expose().LoseTrack(reason);
 }
@@ -438,12 +442,12 @@
 asio::awaitable<void> EntryService::WaitForKey(const RequestContext& context) {
   auto signal = std::make_shared<asio::steady_timer>(state_->io());
   signal->expires_at(NodeState::ToSteady(context.deadline));
-  joiners_[context.request.idempotency_key].push_back(signal);
+  joiners_[JoinKey(context.request)].push_back(signal);
   co_await signal->async_wait(kAsTuple);
 }
 
 void EntryService::WakeJoiners(const RequestContext& context) {
-  auto found = joiners_.find(context.request.idempotency_key);
+  auto found = joiners_.find(JoinKey(context.request));
   if (found == joiners_.end())
     return;
   const std::vector<JoinSignal> signals = std::move(found->second);
--- a/src/teaselthread/membership_controller.cc
+++ b/src/teaselthread/membership_controller.cc
@@ -28,8 +28,8 @@
 void MembershipController::OnProbe(
     const wire::ProbeRequest& request,
     PeerHandler::Respond<wire::ProbeReply> respond) {
-  peers_->Heartbeat(
-      request.target_address(), MakeMessage(),
+  peers_->Call(
+      &PeerClient::Methods::Heartbeat, request.target_address(), MakeMessage(),
       state_->settings().timing().heartbeat_timeout,
       [this, respond](const std::optional<wire::HeartbeatMessage>& reply) {
         if (reply)
@@ -48,8 +48,8 @@
 void MembershipController::Send(const SendHeartbeat& heartbeat) {
   wire::HeartbeatMessage message = MakeMessage();
   state_->metrics().OnHeartbeatSent(message.ByteSizeLong());
-  peers_->Heartbeat(
-      heartbeat.address, std::move(message),
+  peers_->Call(
+      &PeerClient::Methods::Heartbeat, heartbeat.address, std::move(message),
       state_->settings().timing().heartbeat_timeout,
       [this, heartbeat](const std::optional<wire::HeartbeatMessage>& reply) {
         if (reply)
@@ -72,8 +72,8 @@
   for (const SendProbe& probe : probes) {
     wire::ProbeRequest request;
     request.set_target_address(probe.target_address);
-    peers_->ProbePeer(
-        probe.via_address, std::move(request),
+    peers_->Call(
+        &PeerClient::Methods::ProbePeer, probe.via_address, std::move(request),
         2 * state_->settings().timing().heartbeat_timeout,
         [this, open, reached,
          target = probe.target](const std::optional<wire::ProbeReply>& reply) {
--- a/src/teaselthread/peer_client.cc
+++ b/src/teaselthread/peer_client.cc
@@ -9,16 +9,6 @@
 constexpr int kMaxReconnectMs = 1'000;
 constexpr int kMaxMessageBytes = 80 << 20;
 
-// One unary call; lives until its reply has arrived.
-template <typename Request, typename Reply>
-struct UnaryCall {
-  std::shared_ptr<grpc::Channel> channel;
-  std::unique_ptr<wire::NodePeer::Stub> stub;
-  grpc::ClientContext context;
-  Request request;
-  Reply reply;
-};
-
 // Reads the frames of one forwarded call into a queue. Owns itself until gRPC
 // is done with it.
 class ForwardReader : public grpc::ClientReadReactor<wire::ForwardFrame> {
@@ -76,95 +66,6 @@
 
 }  // namespace
 
-template <typename Request, typename Reply, typename Method>
-void PeerClient::CallUnary(const std::string& address,
-                           Request request,
-                           Duration timeout,
-                           OnReply<Reply> on_reply,
-                           Method method) {
-  auto call = std::make_shared<UnaryCall<Request, Reply>>();
-  call->channel = ChannelTo(address);
-  call->stub = wire::NodePeer::NewStub(call->channel);
-  call->request = std::move(request);
-  call->context.set_deadline(std::chrono::system_clock::now() + timeout);
-  auto on_done = [io = io_, call,
-                  on_reply = std::move(on_reply)](const grpc::Status& status) {
-    asio::post(*io, [call, on_reply, ok = status.ok()] {
-      on_reply(ok ? std::optional<Reply>(std::move(call->reply))
-                  : std::nullopt);
-    });
-  };
-  (call->stub->async()->*method)(&call->context, &call->request, &call->reply,
-                                 std::move(on_done));
-}
-
-namespace {
-
-using Async = wire::NodePeer::StubInterface::async_interface;
-using OnStatus = std::function<void(grpc::Status)>;
-
-template <typename Request, typename Reply>
-using UnaryMethod =
-    void (Async::*)(grpc::ClientContext*, const Request*, Reply*, OnStatus);
-
-}  // namespace
-
-void PeerClient::Heartbeat(const std::string& address,
-                           wire::HeartbeatMessage message,
-                           Duration timeout,
-                           OnReply<wire::HeartbeatMessage> on_reply) {
-  const UnaryMethod<wire::HeartbeatMessage, wire::HeartbeatMessage> method =
-      &Async::Heartbeat;
-  CallUnary(address, std::move(message), timeout, std::move(on_reply), method);
-}
-
-void PeerClient::ProbePeer(const std::string& address,
-                           wire::ProbeRequest request,
-                           Duration timeout,
-                           OnReply<wire::ProbeReply> on_reply) {
-  const UnaryMethod<wire::ProbeRequest, wire::ProbeReply> method =
-      &Async::ProbePeer;
-  CallUnary(address, std::move(request), timeout, std::move(on_reply), method);
-}
-
-void PeerClient::HandOver(const std::string& address,
-                          wire::HandOverRequest request,
-                          Duration timeout,
-                          OnReply<wire::HandOverReply> on_reply) {
-  const UnaryMethod<wire::HandOverRequest, wire::HandOverReply> method =
-      &Async::HandOver;
-  CallUnary(address, std::move(request), timeout, std::move(on_reply), method);
-}
-
-void PeerClient::FetchConfiguration(
-    const std::string& address,
-    wire::FetchConfigurationRequest request,
-    Duration timeout,
-    OnReply<wire::ConfigurationDocument> on_reply) {
-  const UnaryMethod<wire::FetchConfigurationRequest,
-                    wire::ConfigurationDocument>
-      method = &Async::FetchConfiguration;
-  CallUnary(address, std::move(request), timeout, std::move(on_reply), method);
-}
-
-void PeerClient::OfferConfiguration(const std::string& address,
-                                    wire::ConfigurationDocument document,
-                                    Duration timeout,
-                                    OnReply<wire::OfferReply> on_reply) {
-  const UnaryMethod<wire::ConfigurationDocument, wire::OfferReply> method =
-      &Async::OfferConfiguration;
-  CallUnary(address, std::move(document), timeout, std::move(on_reply), method);
-}
-
-void PeerClient::FetchEndpoints(const std::string& address,
-                                wire::FetchEndpointsRequest request,
-                                Duration timeout,
-                                OnReply<wire::EndpointList> on_reply) {
-  const UnaryMethod<wire::FetchEndpointsRequest, wire::EndpointList> method =
-      &Async::FetchEndpoints;
-  CallUnary(address, request, timeout, std::move(on_reply), method);
-}
-
 std::shared_ptr<FrameQueue> PeerClient::Forward(
     const std::string& address,
     const wire::ForwardRequest& request) {
--- a/src/teaselthread/peer_client.h
+++ b/src/teaselthread/peer_client.h
@@ -3,11 +3,14 @@
 
 #include <grpcpp/grpcpp.h>
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <type_traits>
+#include <utility>
 
 #include "libteaselthread/timestamp.h"
 #include "node.grpc.pb.h"
@@ -18,35 +21,26 @@
 // Calls to peers by gRPC. Replies arrive on the node's thread.
 class PeerClient {
  public:
+  // The methods of the peers' service, such as &Methods::Heartbeat.
+  using Methods = wire::NodePeer::StubInterface::async_interface;
+  template <typename Request, typename Reply>
+  using Method = void (Methods::*)(grpc::ClientContext*,
+                                   const Request*,
+                                   Reply*,
+                                   std::function<void(grpc::Status)>);
+  // Gets nothing if there was no reply within the timeout.
   template <typename Reply>
   using OnReply = std::function<void(const std::optional<Reply>&)>;
 
   explicit PeerClient(asio::io_context* io) : io_(io) {}
 
-  void Heartbeat(const std::string& address,
-                 wire::HeartbeatMessage message,
-                 Duration timeout,
-                 OnReply<wire::HeartbeatMessage> on_reply);
-  void ProbePeer(const std::string& address,
-                 wire::ProbeRequest request,
-                 Duration timeout,
-                 OnReply<wire::ProbeReply> on_reply);
-  void HandOver(const std::string& address,
-                wire::HandOverRequest request,
-                Duration timeout,
-                OnReply<wire::HandOverReply> on_reply);
-  void FetchConfiguration(const std::string& address,
-                          wire::FetchConfigurationRequest request,
-                          Duration timeout,
-                          OnReply<wire::ConfigurationDocument> on_reply);
-  void OfferConfiguration(const std::string& address,
-                          wire::ConfigurationDocument document,
-                          Duration timeout,
-                          OnReply<wire::OfferReply> on_reply);
-  void FetchEndpoints(const std::string& address,
-                      wire::FetchEndpointsRequest request,
-                      Duration timeout,
-                      OnReply<wire::EndpointList> on_reply);
+  // One call with one reply.
+  template <typename Request, typename Reply>
+  void Call(Method<Request, Reply> method,
+            const std::string& address,
+            Request request,
+            Duration timeout,
+            std::type_identity_t<OnReply<Reply>> on_reply);
   // Starts the call; its frames arrive in the queue.
   std::shared_ptr<FrameQueue> Forward(const std::string& address,
                                       const wire::ForwardRequest& request);
@@ -59,18 +53,42 @@
   void DropConnection(const std::string& address) { channels_.erase(address); }
 
  private:
+  // One call with one reply; lives until that has arrived.
+  template <typename Request, typename Reply>
+  struct UnaryCall {
+    std::unique_ptr<wire::NodePeer::Stub> stub;
+    grpc::ClientContext context;
+    Request request;
+    Reply reply;
+  };
+
   std::shared_ptr<grpc::Channel> ChannelTo(const std::string& address);
-  template <typename Request, typename Reply, typename Method>
-  void CallUnary(const std::string& address,
-                 Request request,
-                 Duration timeout,
-                 OnReply<Reply> on_reply,
-                 Method method);
 
   asio::io_context* io_;
   std::map<std::string, std::shared_ptr<grpc::Channel>> channels_;
 };
 
+template <typename Request, typename Reply>
+void PeerClient::Call(Method<Request, Reply> method,
+                      const std::string& address,
+                      Request request,
+                      Duration timeout,
+                      std::type_identity_t<OnReply<Reply>> on_reply) {
+  auto call = std::make_shared<UnaryCall<Request, Reply>>();
+  call->stub = wire::NodePeer::NewStub(ChannelTo(address));
+  call->request = std::move(request);
+  call->context.set_deadline(std::chrono::system_clock::now() + timeout);
+  auto on_done = [io = io_, call,
+                  on_reply = std::move(on_reply)](const grpc::Status& status) {
+    asio::post(*io, [call, on_reply, ok = status.ok()] {
+      on_reply(ok ? std::optional<Reply>(std::move(call->reply))
+                  : std::nullopt);
+    });
+  };
+  (call->stub->async()->*method)(&call->context, &call->request, &call->reply,
+                                 std::move(on_done));
+}
+
 }  // namespace teaselthread
 
 #endif  // TEASELTHREAD_DAEMON_PEER_CLIENT_H_
--- a/src/teaselthread/state_fetcher.cc
+++ b/src/teaselthread/state_fetcher.cc
@@ -56,8 +56,8 @@
   fetching_configuration_ = true;
   wire::FetchConfigurationRequest request;
   request.set_newer_than(state_->configuration().version());
-  peers_->FetchConfiguration(
-      address, request, kFetchTimeout,
+  peers_->Call(
+      &PeerClient::Methods::FetchConfiguration, address, request, kFetchTimeout,
       [this](const std::optional<wire::ConfigurationDocument>& document) {
         fetching_configuration_ = false;
         if (document)
@@ -71,12 +71,13 @@
   fetching_endpoints_ = true;
   wire::FetchEndpointsRequest request;
   request.set_newer_than(state_->directory().version());
-  peers_->FetchEndpoints(address, request, kFetchTimeout,
-                         [this](const std::optional<wire::EndpointList>& list) {
-                           fetching_endpoints_ = false;
-                           if (list)
-                             Take(*list);
-                         });
+  peers_->Call(&PeerClient::Methods::FetchEndpoints, address, request,
+               kFetchTimeout,
+               [this](const std::optional<wire::EndpointList>& list) {
+                 fetching_endpoints_ = false;
+                 if (list)
+                   Take(*list);
+               });
 }
 
 void StateFetcher::Take(const wire::ConfigurationDocument& document) {
