--- a/src/teaselthread/endpoint_call.cc
+++ b/src/teaselthread/endpoint_call.cc
@@ -13,7 +13,7 @@
 constexpr size_t kReadBytes = 16'384;
 constexpr uint64_t kMaxAnswerBytes = 64ull << 20;
 constexpr Duration kLeastSilence = std::chrono::milliseconds(1);
-constexpr Duration kRetryUnreachable = std::chrono::milliseconds(500);
+constexpr Duration kRetryUnsent = std::chrono::milliseconds(500);
 
 }  // namespace
 
@@ -33,12 +33,16 @@
   std::optional<tcp::socket> socket = co_await OpenSocket();
   if (!socket) {
     co_return std::move(unsent).Refuse(RefusalReason::kEndpointUnreachable,
-                                       kRetryUnreachable);
+                                       kRetryUnsent);
   }
   if (clock_() >= timing_.deadline) {
     co_return std::move(unsent).Refuse(RefusalReason::kDeadlinePassed,
                                        Duration::zero());
   }
+  if (clock_() >= timing_.send_by) {
+    co_return std::move(unsent).Refuse(RefusalReason::kOwnerGuarded,
+                                       kRetryUnsent);
+  }
   ExposedCall exposed = std::move(unsent).Expose();
   bool answer_begun = false;
   Attempt attempt = co_await Exchange(*socket, sink, &answer_begun);
--- a/src/teaselthread/endpoint_call.h
+++ b/src/teaselthread/endpoint_call.h
@@ -14,6 +14,9 @@
   Duration connect_timeout;
   Duration progress_timeout;  // silence on a streamed answer
   Timestamp deadline;
+  // An admission does not hold for longer than the owner may be out of contact
+  // unawares: after this nothing is sent, as when the process was paused.
+  Timestamp send_by;
 };
 
 // One HTTP call to one endpoint, whose answer goes out as frames.
--- a/src/teaselthread/entry_service.cc
+++ b/src/teaselthread/entry_service.cc
@@ -90,21 +90,36 @@
   const Timestamp begun_at = state_->Now();
   RequestContext context;
   context.request = std::move(request);
-  const std::optional<Ticket> ticket = KeyedTicket(context.request);
-  Outcome outcome = Unknown(UnknownReason::kHomeGone);
-  if (ticket) {
-    context.deadline =
-        begun_at + context.request.remaining.value_or(kDefaultDeadline);
-    outcome = co_await ServeKeyed(context, *ticket, sink);
-  } else {
-    outcome = co_await ServeFiltered(context, sink);
-  }
+  const Outcome outcome = co_await Decide(context, sink);
   state_->metrics().OnOutcome(ProfileLabel(context.request), outcome,
                               state_->Now() - begun_at);
   co_await sink.OnFinish(outcome);
   --state_->requests_in_progress;
 }
 
+asio::awaitable<Outcome> EntryService::Decide(RequestContext& context,
+                                              AnswerSink& sink) {
+  const std::optional<Ticket> ticket = KeyedTicket(context.request);
+  if (!ticket)
+    co_return co_await ServeFiltered(context, sink);
+  context.deadline =
+      state_->Now() + context.request.remaining.value_or(kDefaultDeadline);
+  co_return co_await ServeKeyed(context, *ticket, sink);
+}
+
+void EntryService::WriteAnswer(const CapturingSink& answer, FrameSink& sink) {
+  wire::ForwardFrame head;
+  head.mutable_head()->set_status(static_cast<uint32_t>(answer.head().status));
+  head.mutable_head()->set_content_type(answer.head().content_type);
+  sink.Write(std::move(head));
+  wire::ForwardFrame data;
+  data.set_data(answer.body());
+  sink.Write(std::move(data));
+  wire::ForwardFrame end;
+  end.mutable_end()->set_body_bytes(answer.body().size());
+  sink.Write(std::move(end));
+}
+
 asio::awaitable<void> EntryService::ServeForPeer(
     wire::ForwardRequest message,
     std::shared_ptr<FrameSink> sink) {
@@ -119,17 +134,7 @@
   } else if (const MayHaveRun* unknown = outcome.may_have_run()) {
     sink->Write(ToWire(*unknown));
   } else {
-    wire::ForwardFrame head;
-    head.mutable_head()->set_status(
-        static_cast<uint32_t>(captured.head().status));
-    head.mutable_head()->set_content_type(captured.head().content_type);
-    sink->Write(std::move(head));
-    wire::ForwardFrame data;
-    data.set_data(captured.body());
-    sink->Write(std::move(data));
-    wire::ForwardFrame end;
-    end.mutable_end()->set_body_bytes(captured.body().size());
-    sink->Write(std::move(end));
+    WriteAnswer(captured, *sink);
   }
   sink->Close();
   --state_->requests_in_progress;
--- a/src/teaselthread/entry_service.h
+++ b/src/teaselthread/entry_service.h
@@ -33,6 +33,9 @@
   struct Attempt;
   using JoinSignal = std::shared_ptr<asio::steady_timer>;
 
+  // Takes the request to its outcome; its answer goes to `sink`.
+  asio::awaitable<Outcome> Decide(RequestContext& context, AnswerSink& sink);
+  static void WriteAnswer(const CapturingSink& answer, FrameSink& sink);
   // The ticket of a call that may not be repeated. Only the home that it names
   // can say whether the key has run, so no other node refuses such a call.
   std::optional<Ticket> KeyedTicket(const CallerRequest& request) const;
--- a/src/teaselthread/owner_service.cc
+++ b/src/teaselthread/owner_service.cc
@@ -88,7 +88,8 @@
   }
   const TimingSettings& timing = state_->settings().timing();
   EndpointCall call(*endpoint, request,
-                    {timing.connect_timeout, timing.progress_timeout, deadline},
+                    {timing.connect_timeout, timing.progress_timeout, deadline,
+                     admitted_at + timing.fence_timeout},
                     &pool_, [this] { return state_->Now(); });
   const Outcome outcome = co_await call.Run(sink);
   const std::string& name = request.endpoint();
