Two nodes that are about to take an endpoint over: the one that asks goes first

A hand-over reply also counted as one when the endpoint had been handed over long before, and counted back what the asking node itself ran. Change: a node that was out of contact asks the node that would own the endpoint without it; a node that is asked and is not the owner waits twice the guard time; a hand-over counts only at the moment it happens; what a node gets back of its own work is not counted twice. Tried and reverted: asking a predecessor that is taken for dead too.

--- a/src/libteaselthread/admission_controller.cc
+++ b/src/libteaselthread/admission_controller.cc
@@ -117,14 +117,22 @@
   if (found == sites_.end() || !found->second.owned)
     return;
   Site& site = found->second;
-  if (!answer.was_owner) {
+  if (!site.guarded) {
+    if (answer.handed_over)
+      site.foreign_load = std::min(site.foreign_load, answer.load);
+    return Publish(name, site, now);
+  }
+  if (!answer.hands_over) {
     site.not_predecessor = previous_owner;
     if (site.previous_owner == previous_owner)
       site.previous_owner.clear();
     return;
   }
-  site.foreign_load = site.guarded ? std::max(site.foreign_load, answer.load)
-                                   : std::min(site.foreign_load, answer.load);
+  const uint32_t own = site.queue.running();
+  // What this node handed over to the other one comes back in its count.
+  const bool includes_own = site.handed_to == previous_owner;
+  site.foreign_load = includes_own ? answer.load - std::min(own, answer.load)
+                                   : std::max(site.foreign_load, answer.load);
   LiftGuard(site);
   Publish(name, site, now);
 }
@@ -138,9 +146,14 @@
   Site& site = found->second;
   HandOverAnswer answer;
   answer.load = site.queue.running() + site.foreign_load;
-  answer.was_owner = site.holds || site.handed_to == new_owner;
-  if (!answer.was_owner)
+  answer.hands_over = site.holds;
+  answer.handed_over = site.handed_to == new_owner;
+  if (!answer.hands_over) {
+    // Two nodes are about to take it over; the one that asks goes first.
+    site.guarded_until =
+        std::max(site.guarded_until, now + 2 * timing_.guard_time);
     return answer;
+  }
   site.holds = false;
   site.handed_to = new_owner;
   if (!site.owned)
@@ -256,10 +269,18 @@
 void AdmissionController::GuardWhileOutOfStanding(Timestamp now) {
   if (fleet_.membership->InGoodStanding(now))
     return;
+  const std::string& self = fleet_.membership->self().name;
   for (auto& [name, site] : sites_) {
     site.holds = false;
     site.guarded = true;
     site.guarded_until = now + timing_.guard_time;
+    site.not_predecessor.clear();
+    // Who would own it without this node may have taken it over.
+    const Endpoint* endpoint = fleet_.directory->Find(name);
+    const Member* successor =
+        endpoint ? owners_.OwnerWithout(self, *endpoint) : nullptr;
+    if (successor)
+      site.previous_owner = successor->name;
   }
 }
 
--- a/src/libteaselthread/admission_controller.h
+++ b/src/libteaselthread/admission_controller.h
@@ -46,9 +46,11 @@
 
 // What a node answers that is asked to hand an endpoint over.
 struct HandOverAnswer {
-  // Whether it was the owner until now, or has handed over to the asking node
-  // before. If not, it cannot speak for what others have admitted.
-  bool was_owner = false;
+  // Whether it was the owner until now, so that nobody else can have admitted
+  // anything. Only then does the asking node become the owner at once.
+  bool hands_over = false;
+  // Whether the asking node is the one that it has handed over to before.
+  bool handed_over = false;
   uint32_t load = 0;  // of its work that still runs
 
   friend auto operator<=>(const HandOverAnswer&,
--- a/src/libteaselthread/owner_index.cc
+++ b/src/libteaselthread/owner_index.cc
@@ -5,15 +5,27 @@
 namespace teaselthread {
 
 const Member* OwnerIndex::OwnerOf(const Endpoint& endpoint) const {
+  return OwnerWithout("", endpoint);
+}
+
+const Member* OwnerIndex::OwnerWithout(const std::string& without,
+                                       const Endpoint& endpoint) const {
   Refresh();
   auto zone = by_zone_.find(endpoint.zone);
-  const Members& candidates = zone == by_zone_.end() ? serving_ : zone->second;
+  const Member* near =
+      zone == by_zone_.end() ? nullptr : Best(zone->second, without, endpoint);
+  return near ? near : Best(serving_, without, endpoint);
+}
+
+const Member* OwnerIndex::Best(const Members& candidates,
+                               const std::string& without,
+                               const Endpoint& endpoint) {
   const RendezvousKey key(endpoint.name);
   const Member* best = nullptr;
   uint64_t best_weight = 0;
   for (const Member* member : candidates) {
     const uint64_t weight = key.WeightOf(member->name);
-    if (best && weight < best_weight)
+    if (member->name == without || (best && weight < best_weight))
       continue;
     best = member;
     best_weight = weight;
--- a/src/libteaselthread/owner_index.h
+++ b/src/libteaselthread/owner_index.h
@@ -20,10 +20,16 @@
 
   // Null if there is no serving node.
   const Member* OwnerOf(const Endpoint& endpoint) const;
+  // The owner if the node named `without` did not serve.
+  const Member* OwnerWithout(const std::string& without,
+                             const Endpoint& endpoint) const;
 
  private:
   using Members = std::vector<const Member*>;
 
+  static const Member* Best(const Members& candidates,
+                            const std::string& without,
+                            const Endpoint& endpoint);
   // Groups the members anew if they have changed.
   void Refresh() const;
 
--- a/src/teaselthread/endpoint_controller.cc
+++ b/src/teaselthread/endpoint_controller.cc
@@ -46,7 +46,8 @@
       request.endpoint(), request.new_owner(), state_->Now());
   wire::HandOverReply reply;
   reply.set_load(answer.load);
-  reply.set_was_owner(answer.was_owner);
+  reply.set_hands_over(answer.hands_over);
+  reply.set_handed_over(answer.handed_over);
   return reply;
 }
 
@@ -113,7 +114,8 @@
             return;
           state_->admission().OnHandedOver(
               pending.endpoint, pending.previous_owner,
-              {reply->was_owner(), reply->load()}, state_->Now());
+              {reply->hands_over(), reply->handed_over(), reply->load()},
+              state_->Now());
         });
   }
 }
--- a/tests/fleet/admission_test.cc
+++ b/tests/fleet/admission_test.cc
@@ -250,7 +250,7 @@
                         RequestHandOver{moving, "entry-1"}) == 1);
   const HandOverAnswer answer =
       first.admission.HandOver(moving, "entry-2", At(seconds(5)));
-  BOOST_TEST(answer.was_owner);
+  BOOST_TEST(answer.hands_over);
   BOOST_TEST(answer.load == 1u);
   second.admission.OnHandedOver(moving, "entry-1", answer, At(seconds(5)));
   BOOST_TEST(second.loads.LoadOf(moving) == 1u);
