Engine stand-in counts an answer as finished before it sends the end mark

Cause: scripts/demo ended once with 620 of 620 answered and "the stand-ins' counts do not agree with the callers'": the engine counted an answer one token interval after it had sent the end mark, and the demo asked in between, which became likely when callers got one hop. Ruled out: a lost answer (every one was compared as whole). Change: the count goes up just before the end mark is sent.

--- a/standins/engine_standin.cc
+++ b/standins/engine_standin.cc
@@ -135,6 +135,8 @@
         exchange.Drop();
         co_return;
       }
+      // A caller may ask for the counts as soon as it has the end mark.
+      finished_ += index + 1 == event_count_ ? 1 : 0;
       const std::string event = EventOf(id, index);
       const auto chunk = http::make_chunk(asio::buffer(event));
       auto [failure, count] =
@@ -143,7 +145,6 @@
         co_return;
       co_await Sleep(token_interval_);
     }
-    ++finished_;
     const auto last = http::make_chunk_last();
     co_await asio::async_write(exchange.socket, last, kAsTuple);
   }
