--- /dev/null
+++ b/src/libteaselthread/attempts/event_splitter.cc
@@ -0,0 +1,59 @@
+#include "libteaselthread/attempts/event_splitter.h"
+
+#include <charconv>
+
+namespace teaselthread {
+namespace {
+
+constexpr std::string_view kEventEnd = "\n\n";
+constexpr std::string_view kIdField = "id:";
+
+std::optional<uint64_t> IdOf(std::string_view event) {
+  while (!event.empty()) {
+    std::string_view line = event.substr(0, event.find('\n'));
+    event.remove_prefix(std::min(line.size() + 1, event.size()));
+    if (line.substr(0, kIdField.size()) != kIdField)
+      continue;
+    line.remove_prefix(kIdField.size());
+    if (!line.empty() && line.front() == ' ')
+      line.remove_prefix(1);
+    uint64_t id = 0;
+    const char* end = line.data() + line.size();
+    auto [stop, status] = std::from_chars(line.data(), end, id);
+    if (status == std::errc() && stop == end)
+      return id;
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::string EventSplitter::Feed(std::string_view bytes) {
+  std::string whole;
+  partial_.append(bytes);
+  size_t start = 0;
+  for (;;) {
+    const size_t end = partial_.find(kEventEnd, start);
+    if (end == std::string::npos)
+      break;
+    const std::string_view event(partial_.data() + start,
+                                 end + kEventEnd.size() - start);
+    if (Accept(event))
+      whole.append(event);
+    start = end + kEventEnd.size();
+  }
+  partial_.erase(0, start);
+  return whole;
+}
+
+bool EventSplitter::Accept(std::string_view event) {
+  const std::optional<uint64_t> id = IdOf(event);
+  if (id && last_id_ && *id <= *last_id_)
+    return false;
+  if (id)
+    last_id_ = id;
+  ++event_count_;
+  return true;
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/libteaselthread/endpoints/cold_start_quota.cc
@@ -0,0 +1,50 @@
+#include "libteaselthread/endpoints/cold_start_quota.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "libteaselthread/rendezvous_hash.h"
+
+namespace teaselthread {
+namespace {
+
+// The rest is for nodes that the others do not know of yet.
+constexpr double kUsableShare = 0.9;
+// One second, and the spread of delays on the way to the endpoint.
+constexpr Duration kWindow = std::chrono::milliseconds(1'150);
+
+}  // namespace
+
+uint32_t ColdStartShare(const ColdStartLimit& limit,
+                        const std::string& endpoint_id,
+                        const std::string& self,
+                        const std::vector<std::string>& nodes) {
+  const auto usable = static_cast<uint32_t>(
+      std::floor(limit.requests_per_second * kUsableShare));
+  const auto count =
+      static_cast<uint32_t>(std::max<size_t>(1, nodes.size()));
+  if (usable >= count)
+    return usable / count;
+  const RendezvousKey key(endpoint_id);
+  const uint64_t own_weight = key.WeightOf(self);
+  const auto ahead = std::count_if(
+      nodes.begin(), nodes.end(), [&](const std::string& node) {
+        return node != self && key.WeightOf(node) > own_weight;
+      });
+  return ahead < static_cast<int64_t>(usable) ? 1 : 0;
+}
+
+bool ColdStartQuota::Allows(uint32_t share, Timestamp now) const {
+  const auto recent =
+      std::count_if(sends_.begin(), sends_.end(),
+                    [&](Timestamp sent) { return sent + kWindow > now; });
+  return recent < static_cast<int64_t>(share);
+}
+
+void ColdStartQuota::OnSend(Timestamp now) {
+  while (!sends_.empty() && sends_.front() + kWindow <= now)
+    sends_.pop_front();
+  sends_.push_back(now);
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/libteaselthread/endpoints/endpoint_record.h
@@ -0,0 +1,38 @@
+#ifndef TEASELTHREAD_ENDPOINTS_ENDPOINT_RECORD_H_
+#define TEASELTHREAD_ENDPOINTS_ENDPOINT_RECORD_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+#include "libteaselthread/settings.h"
+#include "libteaselthread/timestamp.h"
+
+namespace teaselthread {
+
+// One endpoint as it registered itself in the platform's store.
+struct EndpointRecord {
+  std::string id;
+  uint64_t started_at_ms = 0;  // Unix time of its start; tells incarnations
+  std::string service;
+  SocketAddress address;
+  std::string zone;
+  uint32_t slots = 1;  // requests that it runs at once
+  bool draining = false;
+  Duration cold_left{};  // when it registered
+
+  friend auto operator<=>(const EndpointRecord&,
+                          const EndpointRecord&) = default;
+};
+
+// An endpoint's own count of its requests, as it sends it with its answers.
+struct LoadReport {
+  uint32_t running = 0;
+  uint32_t waiting = 0;
+
+  friend auto operator<=>(const LoadReport&, const LoadReport&) = default;
+};
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_ENDPOINTS_ENDPOINT_RECORD_H_
--- /dev/null
+++ b/src/libteaselthread/endpoints/endpoint_selector.cc
@@ -0,0 +1,209 @@
+#include "libteaselthread/endpoints/endpoint_selector.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+#include "libteaselthread/rendezvous_hash.h"
+
+namespace teaselthread {
+namespace {
+
+// A shared prompt of this size costs more to read again than to reach in
+// another availability zone: prefill of 1,000 tokens against 4 KB of traffic.
+constexpr uint32_t kRemoteContextTokens = 1'000;
+// A home passes requests on beyond this multiple of the mean load, plus
+// kLoadSlack. Both stay below the bound that the operators set (cap_x and 3).
+constexpr double kLoadMultiple = 1.5;
+constexpr double kLoadSlack = 2;
+// An endpoint of a plain service counts as busy beyond this share of slots.
+constexpr double kBusyShare = 0.7;
+// For this long an endpoint that is new to the node may lack the context that
+// the hash ascribes to it.
+constexpr Duration kNewcomerTime = std::chrono::seconds(15);
+
+uint32_t SharedTokens(const std::vector<PromptPart>& prompt) {
+  uint32_t tokens = 0;
+  for (size_t i = 0; i + 1 < prompt.size(); ++i)
+    tokens += prompt[i].tokens;
+  return tokens;
+}
+
+// The longest shared part; the last one if none is shared.
+const PromptPart& HomePart(const std::vector<PromptPart>& prompt) {
+  if (prompt.size() < 2)
+    return prompt.back();
+  return *std::max_element(prompt.begin(), prompt.end() - 1,
+                           [](const PromptPart& a, const PromptPart& b) {
+                             return a.tokens < b.tokens;
+                           });
+}
+
+std::vector<EndpointPtr> InZone(const std::vector<EndpointPtr>& endpoints,
+                                const std::string& zone) {
+  std::vector<EndpointPtr> local;
+  std::copy_if(endpoints.begin(), endpoints.end(), std::back_inserter(local),
+               [&](const EndpointPtr& endpoint) {
+                 return endpoint->record().zone == zone;
+               });
+  return local;
+}
+
+// Highest rank first.
+void RankFor(const std::string& part, std::vector<EndpointPtr>* endpoints) {
+  const RendezvousKey key(part);
+  std::vector<std::pair<uint64_t, EndpointPtr>> ranked;
+  ranked.reserve(endpoints->size());
+  for (const EndpointPtr& endpoint : *endpoints)
+    ranked.emplace_back(key.WeightOf(endpoint->record().id), endpoint);
+  std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) {
+    return a.first > b.first;
+  });
+  for (size_t i = 0; i < ranked.size(); ++i)
+    (*endpoints)[i] = std::move(ranked[i].second);
+}
+
+double LoadBound(const std::vector<EndpointPtr>& endpoints, Timestamp now) {
+  double total = 0;
+  for (const EndpointPtr& endpoint : endpoints)
+    total += endpoint->EstimatedLoad(now);
+  return kLoadMultiple * total / static_cast<double>(endpoints.size()) +
+         kLoadSlack;
+}
+
+const EndpointPtr& LeastLoaded(const std::vector<EndpointPtr>& endpoints,
+                               Timestamp now) {
+  return *std::min_element(endpoints.begin(), endpoints.end(),
+                           [&](const EndpointPtr& a, const EndpointPtr& b) {
+                             return a->EstimatedLoad(now) / a->record().slots <
+                                    b->EstimatedLoad(now) / b->record().slots;
+                           });
+}
+
+bool IsBusy(const KnownEndpoint& endpoint, Timestamp now) {
+  return endpoint.EstimatedLoad(now) >= kBusyShare * endpoint.record().slots;
+}
+
+}  // namespace
+
+std::string_view ToString(NoEndpointReason reason) {
+  switch (reason) {
+    case NoEndpointReason::kNoneAvailable:
+      return "none-available";
+    case NoEndpointReason::kAllCold:
+      return "all-cold";
+    case NoEndpointReason::kAllTried:
+      return "all-tried";
+  }
+  return "unknown";
+}
+
+namespace {
+
+// Chooses among engines that may all be sent to.
+EndpointPtr SelectEngine(const std::vector<EndpointPtr>& usable,
+                         const SelectionQuery& query,
+                         const std::string& zone,
+                         Timestamp now) {
+  std::vector<EndpointPtr> candidates = usable;
+  if (SharedTokens(query.prompt) < kRemoteContextTokens) {
+    std::vector<EndpointPtr> local = InZone(usable, zone);
+    if (!local.empty())
+      candidates = std::move(local);
+  }
+  RankFor(HomePart(query.prompt).id, &candidates);
+  const double bound = LoadBound(usable, now);
+  for (const EndpointPtr& endpoint : candidates) {
+    if (endpoint->EstimatedLoad(now) + 1 <= bound)
+      return endpoint;
+  }
+  return LeastLoaded(usable, now);
+}
+
+EndpointPtr SelectPlain(const std::vector<EndpointPtr>& usable,
+                        const std::string& zone,
+                        Timestamp now) {
+  const std::vector<EndpointPtr> local = InZone(usable, zone);
+  if (!local.empty()) {
+    const EndpointPtr& best = LeastLoaded(local, now);
+    if (!IsBusy(*best, now))
+      return best;
+  }
+  return LeastLoaded(usable, now);
+}
+
+// The highest-ranked engine but the target, which holds the context if the
+// target is not its settled home. Leaving engines still serve copies.
+std::optional<SocketAddress> KvSource(std::vector<EndpointPtr> running,
+                                      const SelectionQuery& query,
+                                      const KnownEndpoint& target,
+                                      Timestamp now) {
+  if (SharedTokens(query.prompt) < kRemoteContextTokens)
+    return std::nullopt;
+  const auto is_newcomer = [&](const KnownEndpoint& endpoint) {
+    return now - endpoint.seen_at() < kNewcomerTime;
+  };
+  std::erase_if(running, [&](const EndpointPtr& endpoint) {
+    return endpoint->health().ejected();
+  });
+  RankFor(HomePart(query.prompt).id, &running);
+  const bool is_settled_home = !running.empty() &&
+                               running.front().get() == &target &&
+                               !is_newcomer(target);
+  if (is_settled_home)
+    return std::nullopt;
+  const auto source = std::find_if(
+      running.begin(), running.end(), [&](const EndpointPtr& endpoint) {
+        return endpoint.get() != &target && !is_newcomer(*endpoint);
+      });
+  if (source == running.end())
+    return std::nullopt;
+  return (*source)->record().address;
+}
+
+}  // namespace
+
+SelectionResult EndpointSelector::Select(const SelectionQuery& query,
+                                         const SelectionView& view,
+                                         Timestamp now) const {
+  std::vector<EndpointPtr> usable = table_->Available(query.service->name);
+  if (usable.empty())
+    return NoEndpointReason::kNoneAvailable;
+  std::erase_if(usable, [&](const EndpointPtr& endpoint) {
+    return query.excluded.contains(endpoint->record().id);
+  });
+  if (usable.empty())
+    return NoEndpointReason::kAllTried;
+  const ColdStartLimit cold_limit{
+      query.service->cold_requests_per_second * view.cold_over +
+      view.cold_slack};
+  std::erase_if(usable, [&](const EndpointPtr& endpoint) {
+    if (!endpoint->IsCold(now))
+      return false;
+    const uint32_t share = ColdStartShare(
+        cold_limit, endpoint->record().id, view.node, view.nodes);
+    return !endpoint->cold_quota().Allows(share, now);
+  });
+  if (usable.empty())
+    return NoEndpointReason::kAllCold;
+  std::vector<EndpointPtr> healthy;
+  std::copy_if(usable.begin(), usable.end(), std::back_inserter(healthy),
+               [&](const EndpointPtr& endpoint) {
+                 return endpoint->health().Allows(now);
+               });
+  // With most of a service ejected, the judgement is wrong more likely than
+  // the service is gone.
+  if (healthy.size() * 2 >= usable.size())
+    usable = std::move(healthy);
+  Selection selection;
+  if (!query.prompt.empty()) {
+    selection.endpoint = SelectEngine(usable, query, view.zone, now);
+    selection.kv_source = KvSource(table_->Running(query.service->name), query,
+                                   *selection.endpoint, now);
+  } else {
+    selection.endpoint = SelectPlain(usable, view.zone, now);
+  }
+  return selection;
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/libteaselthread/endpoints/endpoint_table.cc
@@ -0,0 +1,144 @@
+#include "libteaselthread/endpoints/endpoint_table.h"
+
+#include <algorithm>
+
+namespace teaselthread {
+namespace {
+
+// Added to a cold start, as this node may learn of its beginning late.
+constexpr Duration kColdMargin = std::chrono::milliseconds(1'000);
+// An endpoint that fails less often than this is not ejected.
+constexpr double kMinToleratedFailureRate = 0.35;
+// Failures that peers have too are not held against an endpoint.
+constexpr double kPeerRateMultiple = 1.5;
+
+}  // namespace
+
+void EndpointTable::ReplaceAll(const std::vector<EndpointRecord>& records,
+                               Timestamp now) {
+  std::set<std::string> listed;
+  for (const EndpointRecord& record : records) {
+    Put(record, now);
+    listed.insert(record.id);
+  }
+  std::vector<std::string> missing;
+  for (const auto& [id, entry] : endpoints_) {
+    if (!listed.contains(id))
+      missing.push_back(id);
+  }
+  for (const std::string& id : missing)
+    Remove(id, now);
+}
+
+void EndpointTable::Put(const EndpointRecord& record, Timestamp now) {
+  const auto found = endpoints_.find(record.id);
+  if (found != endpoints_.end()) {
+    const EndpointRecord& known = found->second.endpoint->record();
+    if (record.started_at_ms == known.started_at_ms) {
+      found->second.endpoint->Update(record, now);
+      found->second.removal_pending = false;
+      return;
+    }
+    // An older incarnation's late entry says nothing about this one.
+    if (record.started_at_ms < known.started_at_ms)
+      return;
+  }
+  const Duration cold_start = ColdStartOf(record.service);
+  const Duration cold = std::max(
+      record.cold_left, cold_start > Duration::zero() ? cold_start + kColdMargin
+                                                      : Duration::zero());
+  endpoints_[record.id] = {
+      std::make_shared<KnownEndpoint>(record, now, now + cold), false};
+}
+
+void EndpointTable::Remove(const std::string& id, Timestamp now) {
+  const auto found = endpoints_.find(id);
+  if (found == endpoints_.end())
+    return;
+  if (now < defer_until_) {
+    found->second.removal_pending = true;
+    return;
+  }
+  endpoints_.erase(found);
+}
+
+void EndpointTable::SetEvacuatedZones(std::set<std::string> zones,
+                                      Timestamp now) {
+  for (auto& [id, entry] : endpoints_) {
+    const EndpointRecord& record = entry.endpoint->record();
+    const bool is_back = evacuated_zones_.contains(record.zone) &&
+                         !zones.contains(record.zone);
+    const Duration cold_start = ColdStartOf(record.service);
+    if (is_back && cold_start > Duration::zero())
+      entry.endpoint->ExtendCold(now + cold_start + kColdMargin);
+  }
+  evacuated_zones_ = std::move(zones);
+}
+
+void EndpointTable::SetServices(const RouteTable& routes) {
+  for (const ServiceSpec& service : routes.parts().services)
+    cold_starts_[service.name] = service.cold_start;
+}
+
+void EndpointTable::Sweep(Timestamp now) {
+  if (now < defer_until_)
+    return;
+  std::erase_if(endpoints_, [](const auto& item) {
+    return item.second.removal_pending;
+  });
+}
+
+std::vector<EndpointPtr> EndpointTable::Available(
+    const std::string& service) const {
+  std::vector<EndpointPtr> available;
+  for (const auto& [id, entry] : endpoints_) {
+    if (entry.endpoint->record().service == service &&
+        MayReceive(*entry.endpoint)) {
+      available.push_back(entry.endpoint);
+    }
+  }
+  return available;
+}
+
+std::vector<EndpointPtr> EndpointTable::Running(
+    const std::string& service) const {
+  std::vector<EndpointPtr> running;
+  for (const auto& [id, entry] : endpoints_) {
+    if (entry.endpoint->record().service == service)
+      running.push_back(entry.endpoint);
+  }
+  return running;
+}
+
+bool EndpointTable::MayReceive(const KnownEndpoint& endpoint) const {
+  const EndpointRecord& record = endpoint.record();
+  const auto found = endpoints_.find(record.id);
+  return found != endpoints_.end() &&
+         found->second.endpoint.get() == &endpoint && !record.draining &&
+         !evacuated_zones_.contains(record.zone);
+}
+
+double EndpointTable::ToleratedFailureRate(
+    const KnownEndpoint& endpoint) const {
+  double sum = 0;
+  int count = 0;
+  for (const auto& [id, entry] : endpoints_) {
+    const KnownEndpoint& other = *entry.endpoint;
+    if (&other == &endpoint ||
+        other.record().service != endpoint.record().service) {
+      continue;
+    }
+    sum += other.health().failure_rate();
+    ++count;
+  }
+  const double peers = count > 0 ? sum / count : 0;
+  return std::max(kMinToleratedFailureRate,
+                  kMinToleratedFailureRate + kPeerRateMultiple * peers);
+}
+
+Duration EndpointTable::ColdStartOf(const std::string& service) const {
+  const auto found = cold_starts_.find(service);
+  return found == cold_starts_.end() ? Duration::zero() : found->second;
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/libteaselthread/endpoints/endpoint_table.h
@@ -0,0 +1,64 @@
+#ifndef TEASELTHREAD_ENDPOINTS_ENDPOINT_TABLE_H_
+#define TEASELTHREAD_ENDPOINTS_ENDPOINT_TABLE_H_
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "libteaselthread/endpoints/known_endpoint.h"
+#include "libteaselthread/routes/route_table.h"
+
+namespace teaselthread {
+
+using EndpointPtr = std::shared_ptr<KnownEndpoint>;
+
+// Which endpoints exist, leave and may be sent to, by the platform's store.
+//
+// Load pattern: releases, scale-out and scale-in under traffic, evacuations,
+// and a store that was away: entries that lapsed meanwhile come back, so that
+// removals are put off for a while after its return.
+class EndpointTable {
+ public:
+  // A whole list. What it does not name is removed.
+  void ReplaceAll(const std::vector<EndpointRecord>& records, Timestamp now);
+  void Put(const EndpointRecord& record, Timestamp now);
+  void Remove(const std::string& id, Timestamp now);
+  void SetEvacuatedZones(std::set<std::string> zones, Timestamp now);
+  void SetServices(const RouteTable& routes);
+  // Removals before `until` take effect then, unless the entry is back.
+  void DeferRemovals(Timestamp until) { defer_until_ = until; }
+  // Carries out deferred removals.
+  void Sweep(Timestamp now);
+
+  // Endpoints of a service that may get new work.
+  std::vector<EndpointPtr> Available(const std::string& service) const;
+  // All endpoints of a service that are running, leaving ones included.
+  std::vector<EndpointPtr> Running(const std::string& service) const;
+  // Whether new work may go to it at this moment.
+  bool MayReceive(const KnownEndpoint& endpoint) const;
+  const std::set<std::string>& evacuated_zones() const {
+    return evacuated_zones_;
+  }
+  size_t size() const { return endpoints_.size(); }
+  // Mean failure rate of the service's other endpoints, as an excuse.
+  double ToleratedFailureRate(const KnownEndpoint& endpoint) const;
+
+ private:
+  struct Entry {
+    EndpointPtr endpoint;
+    bool removal_pending = false;
+  };
+
+  Duration ColdStartOf(const std::string& service) const;
+
+  std::map<std::string, Entry> endpoints_;  // by id
+  std::set<std::string> evacuated_zones_;
+  std::map<std::string, Duration> cold_starts_;  // by service
+  Timestamp defer_until_{};
+};
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_ENDPOINTS_ENDPOINT_TABLE_H_
--- /dev/null
+++ b/src/libteaselthread/endpoints/known_endpoint.h
@@ -0,0 +1,51 @@
+#ifndef TEASELTHREAD_ENDPOINTS_KNOWN_ENDPOINT_H_
+#define TEASELTHREAD_ENDPOINTS_KNOWN_ENDPOINT_H_
+
+#include <optional>
+
+#include "libteaselthread/endpoints/cold_start_quota.h"
+#include "libteaselthread/endpoints/endpoint_health.h"
+#include "libteaselthread/endpoints/endpoint_record.h"
+
+namespace teaselthread {
+
+// One incarnation of an endpoint, and what this node believes of it.
+class KnownEndpoint {
+ public:
+  KnownEndpoint(EndpointRecord record, Timestamp seen_at, Timestamp cold_until);
+
+  const EndpointRecord& record() const { return record_; }
+  Timestamp seen_at() const { return seen_at_; }
+  bool IsCold(Timestamp now) const { return now < cold_until_; }
+  uint32_t own_requests() const { return own_requests_; }
+  EndpointHealth& health() { return health_; }
+  const EndpointHealth& health() const { return health_; }
+  ColdStartQuota& cold_quota() { return cold_quota_; }
+  const ColdStartQuota& cold_quota() const { return cold_quota_; }
+
+  // Draining is never taken back within an incarnation.
+  void Update(const EndpointRecord& record, Timestamp now);
+  void ExtendCold(Timestamp until);
+
+  // Requests at the endpoint from all nodes: this node's own, and what the
+  // endpoint's last report counted beside them. The latter fades as it ages.
+  double EstimatedLoad(Timestamp now) const;
+
+  void OnSend(Timestamp now);
+  void OnEnd();
+  void OnReport(const LoadReport& report, Timestamp now);
+
+ private:
+  EndpointRecord record_;
+  Timestamp seen_at_;
+  Timestamp cold_until_;
+  uint32_t own_requests_ = 0;
+  double others_requests_ = 0;
+  std::optional<Timestamp> reported_at_;
+  EndpointHealth health_;
+  ColdStartQuota cold_quota_;
+};
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_ENDPOINTS_KNOWN_ENDPOINT_H_
--- a/src/libteaselthread/reasons.cc
+++ b/src/libteaselthread/reasons.cc
@@ -6,12 +6,14 @@
 namespace {
 
 constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kRequestTimeout = 408;
 constexpr int kPayloadTooLarge = 413;
 constexpr int kUnprocessableContent = 422;
 constexpr int kPreconditionRequired = 428;
 constexpr int kTooManyRequests = 429;
+constexpr int kHeaderFieldsTooLarge = 431;
 constexpr int kBadGateway = 502;
 constexpr int kServiceUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
@@ -46,6 +48,12 @@
     {"deadline-passed", kServiceUnavailable},
     {"owner-guarded", kServiceUnavailable},
     {"key-reused", kUnprocessableContent},
+    {"unknown-route", kNotFound},
+    {"unknown-key", kUnauthorized},
+    {"stale-configuration", kServiceUnavailable},
+    {"header-oversized", kHeaderFieldsTooLarge},
+    {"endpoints-cold", kServiceUnavailable},
+    {"retry-limit", kServiceUnavailable},
 }};
 
 constexpr std::array<ReasonRow, kUnknownReasonCount> kUnknowns = {{
--- a/src/libteaselthread/reasons.h
+++ b/src/libteaselthread/reasons.h
@@ -33,8 +33,14 @@
   kDeadlinePassed,
   kOwnerGuarded,
   kKeyReused,
+  kUnknownRoute,
+  kUnknownKey,
+  kStaleConfiguration,  // a key may have been taken away since
+  kHeaderOversized,
+  kEndpointsCold,
+  kRetryLimit,
 };
-inline constexpr size_t kRefusalReasonCount = 24;
+inline constexpr size_t kRefusalReasonCount = 30;
 
 // Why nobody can say whether a request ran.
 enum class UnknownReason : uint8_t {
--- /dev/null
+++ b/src/libteaselthread/routes/knowledge_age.h
@@ -0,0 +1,32 @@
+#ifndef TEASELTHREAD_ROUTES_KNOWLEDGE_AGE_H_
+#define TEASELTHREAD_ROUTES_KNOWLEDGE_AGE_H_
+
+#include <optional>
+
+#include "libteaselthread/timestamp.h"
+
+namespace teaselthread {
+
+// How long ago the node's configuration was last shown to be the newest. A
+// key may have been taken away since, so requests with keys are refused once
+// the proof is too old. Times are on a clock that counts suspension.
+class KnowledgeAge {
+ public:
+  explicit KnowledgeAge(Duration max_age) : max_age_(max_age) {}
+
+  // The store was asked at `asked_at`, and its answer shows that the
+  // configuration held was the newest then.
+  void OnProof(Timestamp asked_at);
+
+  bool IsFresh(Timestamp now) const;
+  // Empty before the first proof.
+  std::optional<Duration> Age(Timestamp now) const;
+
+ private:
+  Duration max_age_;
+  std::optional<Timestamp> proved_at_;
+};
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_ROUTES_KNOWLEDGE_AGE_H_
--- a/src/teaselthread/asio.h
+++ b/src/teaselthread/asio.h
@@ -8,6 +8,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/src/teaselthread/command_line.cc
+++ b/src/teaselthread/command_line.cc
@@ -11,6 +11,8 @@
 constexpr char kUsage[] =
     "COMMAND\n\n"
     "Commands:\n"
+    "  gateway --config FILE [--check]  run a gateway on the users' platform, "
+    "or only check its settings\n"
     "  node --config FILE [--check]     run a node, or only check its "
     "settings\n"
     "  ctl validate FILE                check a configuration document\n"
--- /dev/null
+++ b/src/teaselthread/gateway/admin_server.cc
@@ -0,0 +1,103 @@
+#include "teaselthread/gateway/admin_server.h"
+
+#include <algorithm>
+#include <set>
+
+#include "teaselthread/io_timeout.h"
+
+namespace teaselthread {
+namespace {
+
+constexpr int kHttp11 = 11;
+constexpr Duration kIdleTimeout = std::chrono::seconds(20);
+constexpr std::string_view kMetricsPath = "/metrics";
+
+http::response<http::string_body> MakeAnswer(http::status status,
+                                             std::string body,
+                                             std::string_view type) {
+  http::response<http::string_body> response(status, kHttp11);
+  response.set(http::field::content_type, {type.data(), type.size()});
+  response.body() = std::move(body);
+  return response;
+}
+
+}  // namespace
+
+Result<bool> AdminServer::Start() {
+  const GatewaySettings& settings = state_->settings();
+  const std::set<SocketAddress> addresses = {settings.readiness_listen(),
+                                             settings.directory_listen(),
+                                             settings.metrics_listen()};
+  for (const SocketAddress& address : addresses) {
+    auto listener = Listener::Start(
+        &state_->io(), address, [this](tcp::socket socket) {
+          asio::co_spawn(state_->io(), Serve(std::move(socket)),
+                         asio::detached);
+        });
+    if (!listener)
+      return listener.last_reason();
+    listeners_.push_back(listener.TakeValue());
+  }
+  return true;
+}
+
+asio::awaitable<void> AdminServer::Serve(tcp::socket socket) {
+  beast::flat_buffer buffer;
+  boost::system::error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  for (bool keep_alive = true; keep_alive;) {
+    http::request<http::empty_body> request;
+    IoTimeout limit(socket);
+    limit.Arm(kIdleTimeout);
+    auto [read_failure, read] =
+        co_await http::async_read(socket, buffer, request, kAsTuple);
+    if (read_failure)
+      co_return;
+    Response response = Answer({request.target().data(), request.target().size()});
+    keep_alive = request.keep_alive() && !state_->leaving();
+    response.keep_alive(keep_alive);
+    response.prepare_payload();
+    auto [write_failure, written] =
+        co_await http::async_write(socket, response, kAsTuple);
+    if (write_failure)
+      co_return;
+  }
+}
+
+AdminServer::Response AdminServer::Answer(std::string_view target) {
+  const std::string_view path = target.substr(0, target.find('?'));
+  if (state_->dialect().IsReadinessCall(path))
+    return AnswerReadiness();
+  if (state_->dialect().IsDirectoryCall(path))
+    return AnswerDirectory(target);
+  if (path == kMetricsPath) {
+    return MakeAnswer(http::status::ok, state_->RenderMetrics(),
+                      "text/plain; version=0.0.4");
+  }
+  return MakeAnswer(http::status::not_found, "no such path\n", "text/plain");
+}
+
+AdminServer::Response AdminServer::AnswerDirectory(std::string_view target) {
+  state_->peers().SetServing(state_->IsReady());
+  std::vector<Peer> nodes = state_->peers().ServingFor(
+      state_->dialect().DirectoryZone(target), state_->Now());
+  if (nodes.empty()) {
+    state_->metrics().OnRefusal(RefusalReason::kNotReady);
+    return MakeAnswer(http::status::service_unavailable,
+                      "no node takes new callers\n", "text/plain");
+  }
+  std::shuffle(nodes.begin(), nodes.end(), state_->random());
+  return MakeAnswer(http::status::ok,
+                    state_->dialect().EncodeDirectory(
+                        nodes, state_->settings().address_ttl()),
+                    "application/json");
+}
+
+AdminServer::Response AdminServer::AnswerReadiness() const {
+  return state_->IsReady()
+             ? MakeAnswer(http::status::ok, "ready\n", "text/plain")
+             : MakeAnswer(http::status::service_unavailable, "not ready\n",
+                          "text/plain");
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/teaselthread/gateway/caller_link.cc
@@ -0,0 +1,99 @@
+#include "teaselthread/gateway/caller_link.h"
+
+#include <sstream>
+
+namespace teaselthread {
+namespace {
+
+constexpr int kHttp10 = 10;
+constexpr int kHttp11 = 11;
+
+std::string HeadText(const http::response<http::empty_body>& response) {
+  std::ostringstream text;
+  text << response.base();
+  return text.str();
+}
+
+}  // namespace
+
+asio::awaitable<bool> CallerLink::WriteWhole(AnswerHead head,
+                                             std::string body) {
+  http::response<http::string_body> response(
+      static_cast<http::status>(head.status),
+      options_.is_http11 ? kHttp11 : kHttp10);
+  for (const auto& field : head.fields)
+    response.insert(field.name_string(), field.value());
+  response.body() = std::move(body);
+  response.keep_alive(options_.keep_alive);
+  if (!options_.is_head)
+    response.prepare_payload();
+  begun_ = true;
+  http::serializer<false, http::string_body> serializer(response);
+  boost::system::error_code failure;
+  if (options_.is_head) {
+    std::tie(failure, std::ignore) =
+        co_await http::async_write_header(*socket_, serializer, kAsTuple);
+  } else {
+    std::tie(failure, std::ignore) =
+        co_await http::async_write(*socket_, serializer, kAsTuple);
+  }
+  usable_ = !failure;
+  co_return usable_;
+}
+
+asio::awaitable<bool> CallerLink::BeginStream(AnswerHead head,
+                                              std::string first_events) {
+  http::response<http::empty_body> response(
+      static_cast<http::status>(head.status),
+      options_.is_http11 ? kHttp11 : kHttp10);
+  for (const auto& field : head.fields)
+    response.insert(field.name_string(), field.value());
+  // Without chunks the end of the connection ends the answer.
+  if (!options_.is_http11)
+    options_.keep_alive = false;
+  response.keep_alive(options_.keep_alive);
+  if (options_.is_http11)
+    response.chunked(true);
+  begun_ = true;
+  std::string text = HeadText(response) + Chunk(first_events);
+  co_return co_await WriteText(std::move(text));
+}
+
+asio::awaitable<bool> CallerLink::WriteEvents(std::string events) {
+  std::string text = Chunk(events);
+  co_return co_await WriteText(std::move(text));
+}
+
+asio::awaitable<bool> CallerLink::EndStream() {
+  if (!options_.is_http11)
+    co_return usable_;
+  std::string text = "0\r\n\r\n";
+  co_return co_await WriteText(std::move(text));
+}
+
+void CallerLink::BreakOff() {
+  usable_ = false;
+  // A reset cannot be taken for the end of an answer without a length.
+  boost::system::error_code ignored;
+  socket_->set_option(asio::socket_base::linger(true, 0), ignored);
+}
+
+asio::awaitable<bool> CallerLink::WriteText(std::string text) {
+  if (text.empty())
+    co_return usable_;
+  auto [failure, written] =
+      co_await asio::async_write(*socket_, asio::buffer(text), kAsTuple);
+  if (failure)
+    usable_ = false;
+  co_return usable_;
+}
+
+std::string CallerLink::Chunk(const std::string& bytes) const {
+  if (bytes.empty() || !options_.is_http11)
+    return bytes;
+  std::ostringstream chunk;
+  chunk << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
+  return chunk.str();
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/teaselthread/gateway/decision_log.cc
@@ -0,0 +1,47 @@
+#include "teaselthread/gateway/decision_log.h"
+
+#include <spdlog/sinks/stdout_sinks.h>
+
+namespace teaselthread {
+namespace {
+
+// Lines. At 400 bytes each, the queue holds 1.6 MB at most.
+constexpr size_t kQueueLines = 4'096;
+// Time in microseconds since the epoch first, then the line itself.
+constexpr char kPattern[] = R"({"time":"%Y-%m-%dT%H:%M:%S.%e","level":"%l",%v)";
+
+}  // namespace
+
+LogLine& LogLine::AddTime(std::string_view name, Duration duration) {
+  const double milliseconds =
+      std::chrono::duration<double, std::milli>(duration).count();
+  return Add(std::string(name) + "_ms",
+             static_cast<int64_t>(milliseconds * 10) / 10.0);
+}
+
+DecisionLog::DecisionLog(const std::string& level)
+    : pool_(std::make_shared<spdlog::details::thread_pool>(kQueueLines, 1)) {
+  logger_ = std::make_shared<spdlog::async_logger>(
+      "decisions", std::make_shared<spdlog::sinks::stdout_sink_st>(), pool_,
+      spdlog::async_overflow_policy::overrun_oldest);
+  logger_->set_pattern(kPattern, spdlog::pattern_time_type::utc);
+  logger_->flush_on(spdlog::level::info);
+  SetLevel(level);
+}
+
+DecisionLog::~DecisionLog() {
+  logger_->flush();
+}
+
+void DecisionLog::SetLevel(const std::string& level) {
+  logger_->set_level(spdlog::level::from_str(level));
+}
+
+void DecisionLog::Write(spdlog::level::level_enum level, const LogLine& line) {
+  if (!logger_->should_log(level))
+    return;
+  // The pattern has opened the object.
+  logger_->log(level, "{}", std::string_view(line.ToJson()).substr(1));
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/teaselthread/gateway/endpoint_attempt.cc
@@ -0,0 +1,296 @@
+#include "teaselthread/gateway/endpoint_attempt.h"
+
+#include <charconv>
+
+namespace teaselthread {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Several round trips between availability zones; a lost SYN costs 1 s.
+constexpr Duration kConnectTimeout = milliseconds(250);
+constexpr uint32_t kMaxHeaderBytes = 32 * 1024;
+// An answer that is not streamed is kept until it is whole.
+constexpr size_t kMaxWholeBytes = 16 << 20;
+constexpr size_t kPieceBytes = 8 * 1024;
+// Stray answers of earlier requests that are read past.
+constexpr int kMaxForeignAnswers = 2;
+// Assumed if an endpoint does not say how long it keeps a connection.
+constexpr seconds kDefaultKeepAlive(4);
+// A connection is not used in its last moments.
+constexpr milliseconds kKeepAliveMargin(1'000);
+constexpr int kMisdirectedRequest = 421;
+
+bool IsSuccess(int status) {
+  return status >= 200 && status < 300;
+}
+
+bool IsServerError(int status) {
+  return status >= 500;
+}
+
+// Of "timeout=5, max=100".
+std::chrono::steady_clock::duration KeepAliveTime(const http::fields& fields) {
+  const auto value = fields["Keep-Alive"];
+  const std::string_view text(value.data(), value.size());
+  constexpr std::string_view kTimeout = "timeout=";
+  const size_t start = text.find(kTimeout);
+  int time = 0;
+  if (start == std::string_view::npos)
+    return kDefaultKeepAlive - kKeepAliveMargin;
+  std::from_chars(text.data() + start + kTimeout.size(),
+                  text.data() + text.size(), time);
+  return seconds(time) - kKeepAliveMargin;
+}
+
+// Fields that concern one connection only are not passed on.
+http::fields EndToEndFields(const http::fields& from) {
+  http::fields to;
+  for (const auto& field : from) {
+    switch (field.name()) {
+      case http::field::connection:
+      case http::field::keep_alive:
+      case http::field::proxy_connection:
+      case http::field::transfer_encoding:
+      case http::field::content_length:
+      case http::field::trailer:
+      case http::field::te:
+      case http::field::upgrade:
+        break;
+      default:
+        to.insert(field.name_string(), field.value());
+    }
+  }
+  return to;
+}
+
+}  // namespace
+
+EndpointAttempt::EndpointAttempt(GatewayState* state,
+                                 EndpointConnections* connections,
+                                 EndpointPtr endpoint,
+                                 RequestGuard* guard,
+                                 RequestAttempts* attempts)
+    : state_(state),
+      connections_(connections),
+      endpoint_(std::move(endpoint)),
+      guard_(guard),
+      attempts_(attempts) {}
+
+asio::awaitable<AttemptResult> EndpointAttempt::Run(
+    std::shared_ptr<const EndpointHttpRequest> request,
+    std::string request_id,
+    SilenceLimits limits,
+    StreamRelay* relay) {
+  request_id_ = std::move(request_id);
+  limits_ = limits;
+  connection_ = connections_->Take(endpoint_->record().id);
+  if (!connection_ && !co_await Connect()) {
+    guard_->Detach();
+    AttemptResult unreachable;
+    unreachable.failure = guard_->is_final() ? *guard_->interruption()
+                                             : AttemptFailure::kUnreachable;
+    co_return unreachable;
+  }
+  const bool is_head = request->method() == http::verb::head;
+  const bool on_kept_connection = connection_->is_reused;
+  guard_->Attach(&connection_->socket, limits_.first);
+  attempts_->OnExposed();
+  StartWrite(std::move(request));
+  AttemptResult result;
+  std::unique_ptr<Parser> parser;
+  if (co_await ReadHead(&parser, is_head)) {
+    result = co_await ReadAnswer(*parser, relay);
+  } else {
+    const bool is_garbled =
+        last_failure_.category() == http::make_error_code(http::error::bad_version).category() &&
+        last_failure_ != http::error::end_of_stream &&
+        last_failure_ != http::error::partial_message;
+    result.failure = FailureOr(is_garbled ? AttemptFailure::kMalformed
+                                          : AttemptFailure::kBroken);
+  }
+  guard_->Detach();
+  result.on_kept_connection = on_kept_connection;
+  if (connection_)
+    connection_->Reset();
+  co_return result;
+}
+
+asio::awaitable<bool> EndpointAttempt::Connect() {
+  connection_ = std::make_shared<EndpointConnection>(state_->io());
+  const SocketAddress& address = endpoint_->record().address;
+  const tcp::endpoint target(asio::ip::make_address(address.host),
+                             address.port);
+  boost::system::error_code ignored;
+  connection_->socket.open(target.protocol(), ignored);
+  guard_->Attach(&connection_->socket, kConnectTimeout);
+  auto [failure] =
+      co_await connection_->socket.async_connect(target, kAsTuple);
+  if (failure) {
+    connection_->Reset();
+    co_return false;
+  }
+  connection_->socket.set_option(tcp::no_delay(true), ignored);
+  co_return true;
+}
+
+// An endpoint may answer before it has read all of the body, so the answer is
+// read while the request is being written.
+void EndpointAttempt::StartWrite(
+    std::shared_ptr<const EndpointHttpRequest> request) {
+  written_ = std::make_shared<bool>(false);
+  auto serializer =
+      std::make_shared<http::serializer<true, http::string_body,
+                                        http::fields>>(*request);
+  http::async_write(connection_->socket, *serializer,
+                    [serializer, request, connection = connection_,
+                     written = written_](
+                        const boost::system::error_code& failure, size_t) {
+                      *written = !failure;
+                    });
+}
+
+asio::awaitable<bool> EndpointAttempt::ReadHead(
+    std::unique_ptr<Parser>* parser,
+    bool is_head) {
+  for (int foreign = 0; foreign <= kMaxForeignAnswers;) {
+    *parser = std::make_unique<Parser>();
+    (*parser)->header_limit(kMaxHeaderBytes);
+    (*parser)->body_limit(boost::none);
+    (*parser)->skip(is_head);
+    auto [failure, count] = co_await http::async_read_header(
+        connection_->socket, connection_->buffer, **parser, kAsTuple);
+    last_failure_ = failure;
+    if (failure)
+      co_return false;
+    if ((*parser)->get().result_int() < 200)
+      continue;
+    endpoint_head_ = state_->dialect().DecodeEndpoint((*parser)->get().base());
+    if (BelongsToRequest(endpoint_head_))
+      co_return true;
+    ++foreign;
+    std::string ignored;
+    if (!co_await ReadWhole(**parser, &ignored))
+      co_return false;
+  }
+  last_failure_ = http::error::bad_value;
+  co_return false;
+}
+
+// Without an echoed id, only a connection that had no earlier request is
+// certain to carry this one's answer.
+bool EndpointAttempt::BelongsToRequest(const EndpointHead& head) const {
+  if (head.request_id.empty())
+    return !connection_->is_reused;
+  return head.request_id == request_id_;
+}
+
+asio::awaitable<AttemptResult> EndpointAttempt::ReadAnswer(Parser& parser,
+                                                           StreamRelay* relay) {
+  if (endpoint_head_.load)
+    endpoint_->OnReport(*endpoint_head_.load, state_->Now());
+  if (endpoint_head_.cold_left)
+    endpoint_->ExtendCold(state_->Now() + *endpoint_head_.cold_left);
+  const int status = static_cast<int>(parser.get().result_int());
+  const bool not_run =
+      endpoint_head_.not_run || status == kMisdirectedRequest;
+  if (relay && IsSuccess(status) && !not_run)
+    co_return co_await Stream(parser, *relay);
+  AttemptResult result;
+  if (!co_await ReadWhole(parser, &result.body)) {
+    // What was said of the request stands, even if the rest is lost.
+    result.failure =
+        not_run ? AttemptFailure::kRejected : FailureOr(AttemptFailure::kBroken);
+    co_return result;
+  }
+  if (not_run) {
+    result.failure = status == kMisdirectedRequest
+                         ? AttemptFailure::kMisdirected
+                         : AttemptFailure::kRejected;
+  } else if (IsServerError(status)) {
+    result.failure = AttemptFailure::kServerError;
+  }
+  result.head = AnswerHead{status, EndToEndFields(parser.get().base())};
+  Release(parser);
+  co_return result;
+}
+
+asio::awaitable<bool> EndpointAttempt::ReadWhole(Parser& parser,
+                                                 std::string* body) {
+  while (!parser.is_done()) {
+    std::string_view piece;
+    if (!co_await ReadPiece(parser, &piece))
+      co_return false;
+    body->append(piece);
+    if (body->size() > kMaxWholeBytes) {
+      last_failure_ = http::error::body_limit;
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
+asio::awaitable<AttemptResult> EndpointAttempt::Stream(Parser& parser,
+                                                       StreamRelay& relay) {
+  AttemptResult result;
+  const int status = static_cast<int>(parser.get().result_int());
+  relay.OnHead({status, EndToEndFields(parser.get().base())});
+  while (!parser.is_done()) {
+    std::string_view piece;
+    if (!co_await ReadPiece(parser, &piece)) {
+      result.failure = FailureOr(AttemptFailure::kBroken);
+      co_return result;
+    }
+    if (piece.empty())
+      continue;
+    guard_->SuspendSilence();
+    if (!co_await relay.OnBytes(piece)) {
+      result.failure = AttemptFailure::kCallerGone;
+      co_return result;
+    }
+    guard_->OnProgress(limits_.between);
+  }
+  if (relay.events().has_partial_event()) {
+    result.failure = AttemptFailure::kMalformed;
+    co_return result;
+  }
+  Release(parser);
+  if (!co_await relay.OnEnd())
+    result.failure = AttemptFailure::kCallerGone;
+  co_return result;
+}
+
+asio::awaitable<bool> EndpointAttempt::ReadPiece(Parser& parser,
+                                                 std::string_view* piece) {
+  piece_buffer_.resize(kPieceBytes);
+  http::buffer_body::value_type& body = parser.get().body();
+  body.data = piece_buffer_.data();
+  body.size = piece_buffer_.size();
+  body.more = true;
+  auto [failure, count] = co_await http::async_read_some(
+      connection_->socket, connection_->buffer, parser, kAsTuple);
+  *piece = {piece_buffer_.data(), piece_buffer_.size() - body.size};
+  if (failure && failure != http::error::need_buffer) {
+    last_failure_ = failure;
+    co_return false;
+  }
+  co_return true;
+}
+
+void EndpointAttempt::Release(const Parser& parser) {
+  const bool is_clean = parser.keep_alive() && connection_->buffer.size() == 0 &&
+                        *written_ && !guard_->interruption();
+  if (!is_clean)
+    return;
+  connection_->usable_until = std::chrono::steady_clock::now() +
+                              KeepAliveTime(parser.get().base());
+  connections_->Return(endpoint_->record().id, std::move(connection_));
+  connection_ = nullptr;
+}
+
+AttemptFailure EndpointAttempt::FailureOr(AttemptFailure failure) const {
+  return guard_->interruption().value_or(failure);
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/teaselthread/gateway/endpoint_connections.cc
@@ -0,0 +1,65 @@
+#include "teaselthread/gateway/endpoint_connections.h"
+
+#include <sys/socket.h>
+
+#include <cerrno>
+
+namespace teaselthread {
+namespace {
+
+// More than this are not kept for one endpoint; a node's share of what an
+// endpoint accepts is larger.
+constexpr size_t kMaxIdle = 16;
+
+// Anything to read on an idle connection is its end or a stray answer.
+bool IsQuiet(EndpointConnection& connection) {
+  char byte = 0;
+  const ssize_t count = ::recv(connection.socket.native_handle(), &byte, 1,
+                               MSG_PEEK | MSG_DONTWAIT);
+  return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+}  // namespace
+
+void EndpointConnection::Reset() {
+  boost::system::error_code ignored;
+  socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  socket.close(ignored);
+}
+
+EndpointConnectionPtr EndpointConnections::Take(
+    const std::string& endpoint_id) {
+  const auto found = idle_.find(endpoint_id);
+  if (found == idle_.end())
+    return nullptr;
+  const auto now = std::chrono::steady_clock::now();
+  std::vector<EndpointConnectionPtr>& idle = found->second;
+  while (!idle.empty()) {
+    EndpointConnectionPtr connection = std::move(idle.back());
+    idle.pop_back();
+    if (now < connection->usable_until && IsQuiet(*connection)) {
+      connection->is_reused = true;
+      return connection;
+    }
+  }
+  return nullptr;
+}
+
+void EndpointConnections::Return(const std::string& endpoint_id,
+                                 EndpointConnectionPtr connection) {
+  std::vector<EndpointConnectionPtr>& idle = idle_[endpoint_id];
+  if (idle.size() < kMaxIdle)
+    idle.push_back(std::move(connection));
+}
+
+void EndpointConnections::Sweep() {
+  const auto now = std::chrono::steady_clock::now();
+  for (auto& [id, idle] : idle_) {
+    std::erase_if(idle, [&](const EndpointConnectionPtr& connection) {
+      return now >= connection->usable_until;
+    });
+  }
+  std::erase_if(idle_, [](const auto& item) { return item.second.empty(); });
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/teaselthread/gateway/front_connection.cc
@@ -0,0 +1,182 @@
+#include "teaselthread/gateway/front_connection.h"
+
+#include <algorithm>
+
+#include "teaselthread/io_timeout.h"
+#include "teaselthread/problem.h"
+
+namespace teaselthread {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kHttp10 = 10;
+constexpr int kHttp11 = 11;
+// In force until the first configuration is known.
+constexpr ConnectionBounds kDefaultBounds = {
+    16 * 1024, 4 << 20, milliseconds(3'000), milliseconds(15'000)};
+// A body of the largest size on a slow line.
+constexpr Duration kBodyTimeout = milliseconds(15'000);
+constexpr Duration kLingerTime = milliseconds(2'000);
+constexpr size_t kLingerBytes = 16 << 20;
+constexpr size_t kReadBytes = 8 * 1024;
+
+RefusalReason ReasonOf(const boost::system::error_code& failure) {
+  if (failure == http::error::header_limit ||
+      failure == http::error::buffer_overflow) {
+    return RefusalReason::kHeaderOversized;
+  }
+  if (failure == http::error::body_limit)
+    return RefusalReason::kOversized;
+  return RefusalReason::kMalformed;
+}
+
+// Bodies whose end is not beyond doubt could hide another request.
+bool HasPlainFraming(const http::fields& fields) {
+  const auto encoding = fields[http::field::transfer_encoding];
+  if (encoding.empty())
+    return true;
+  return beast::iequals(encoding, "chunked") &&
+         fields.find(http::field::content_length) == fields.end() &&
+         fields.count(http::field::transfer_encoding) == 1;
+}
+
+bool IsWellFormed(const http::request<http::string_body>& message) {
+  const auto target = message.target();
+  const bool has_valid_target =
+      target.starts_with('/') || message.method() == http::verb::options;
+  const bool has_valid_version =
+      message.version() == kHttp11 || message.version() == kHttp10;
+  const size_t hosts = message.count(http::field::host);
+  const bool has_valid_host =
+      hosts == 1 || (hosts == 0 && message.version() == kHttp10);
+  return has_valid_target && has_valid_version && has_valid_host &&
+         message.method() != http::verb::connect &&
+         HasPlainFraming(message.base());
+}
+
+}  // namespace
+
+FrontConnection::FrontConnection(GatewayState* state,
+                                 RequestHandler* handler,
+                                 tcp::socket socket)
+    : state_(state), handler_(handler), socket_(std::move(socket)) {}
+
+asio::awaitable<void> FrontConnection::Run() {
+  const auto self = shared_from_this();
+  boost::system::error_code ignored;
+  socket_.set_option(tcp::no_delay(true), ignored);
+  ++state_->connections;
+  while (co_await ServeOne()) {
+  }
+  --state_->connections;
+  socket_.shutdown(tcp::socket::shutdown_send, ignored);
+  socket_.close(ignored);
+}
+
+void FrontConnection::CloseIfIdle() {
+  if (!is_idle_ || buffer_.size() > 0)
+    return;
+  boost::system::error_code ignored;
+  socket_.cancel(ignored);
+}
+
+asio::awaitable<bool> FrontConnection::ServeOne() {
+  const ConnectionBounds bounds =
+      state_->routes() ? state_->routes()->bounds() : kDefaultBounds;
+  is_idle_ = true;
+  if (buffer_.size() == 0 && !co_await AwaitBytes(bounds.idle_timeout))
+    co_return false;
+  is_idle_ = false;
+  Parser parser;
+  parser.header_limit(bounds.max_header_bytes);
+  parser.body_limit(bounds.max_body_bytes);
+  const auto refusal = co_await ReadRequest(parser);
+  if (caller_gone_)
+    co_return false;
+  if (refusal) {
+    co_await RefuseUnread(*refusal);
+    co_return false;
+  }
+  const CallerHttpRequest& message = parser.get();
+  CallerLink link(&socket_,
+                  {.keep_alive = message.keep_alive() && !state_->leaving(),
+                   .is_http11 = message.version() == kHttp11,
+                   .is_head = message.method() == http::verb::head});
+  co_await handler_->Serve(message, state_->Now(), &socket_, &link);
+  co_return link.is_usable();
+}
+
+asio::awaitable<bool> FrontConnection::AwaitBytes(Duration timeout) {
+  IoTimeout limit(socket_);
+  limit.Arm(timeout);
+  auto [failure, count] = co_await socket_.async_read_some(
+      buffer_.prepare(kReadBytes), kAsTuple);
+  limit.Disarm();
+  buffer_.commit(count);
+  co_return !failure;
+}
+
+asio::awaitable<std::optional<RefusalReason>> FrontConnection::ReadRequest(
+    Parser& parser) {
+  const ConnectionBounds bounds =
+      state_->routes() ? state_->routes()->bounds() : kDefaultBounds;
+  IoTimeout limit(socket_);
+  limit.Arm(bounds.header_timeout);
+  auto [failure, count] =
+      co_await http::async_read_header(socket_, buffer_, parser, kAsTuple);
+  if (!failure && !IsWellFormed(parser.get()))
+    co_return RefusalReason::kMalformed;
+  if (!failure && !parser.is_done()) {
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+      constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+      co_await asio::async_write(socket_, asio::buffer(kContinue), kAsTuple);
+    }
+    limit.Arm(kBodyTimeout);
+    std::tie(failure, count) =
+        co_await http::async_read(socket_, buffer_, parser, kAsTuple);
+  }
+  limit.Disarm();
+  if (!failure)
+    co_return std::nullopt;
+  if (limit.expired())
+    co_return RefusalReason::kTooSlow;
+  const bool is_transport = failure == http::error::end_of_stream ||
+                            failure == http::error::partial_message ||
+                            failure.category() == asio::error::get_system_category();
+  if (is_transport) {
+    caller_gone_ = true;
+    co_return std::nullopt;
+  }
+  co_return ReasonOf(failure);
+}
+
+asio::awaitable<void> FrontConnection::RefuseUnread(RefusalReason reason) {
+  state_->metrics().OnRefusal(reason);
+  LogLine line("request-unread");
+  line.Add("reason", ToString(reason));
+  state_->log().Info(line);
+  CallerLink link(&socket_, {.keep_alive = false});
+  auto problem = MakeUnreadProblem({reason, Duration::zero()}, "");
+  AnswerHead head{static_cast<int>(problem.result_int()), problem.base()};
+  std::string body = std::move(problem.body());
+  co_await link.WriteWhole(std::move(head), std::move(body));
+  co_await Linger();
+}
+
+asio::awaitable<void> FrontConnection::Linger() {
+  boost::system::error_code ignored;
+  socket_.shutdown(tcp::socket::shutdown_send, ignored);
+  IoTimeout limit(socket_);
+  limit.Arm(kLingerTime);
+  std::string sink(kReadBytes, '\0');
+  for (size_t total = 0; total < kLingerBytes;) {
+    auto [failure, count] =
+        co_await socket_.async_read_some(asio::buffer(sink), kAsTuple);
+    if (failure)
+      co_return;
+    total += count;
+  }
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/teaselthread/gateway/front_connection.h
@@ -0,0 +1,47 @@
+#ifndef TEASELTHREAD_GATEWAY_FRONT_CONNECTION_H_
+#define TEASELTHREAD_GATEWAY_FRONT_CONNECTION_H_
+
+#include <optional>
+#include <string>
+
+#include "teaselthread/gateway/gateway_state.h"
+#include "teaselthread/gateway/request_handler.h"
+
+namespace teaselthread {
+
+// One caller's connection: reads requests one after the other within the
+// configured bounds and hands each to the request handler.
+class FrontConnection : public std::enable_shared_from_this<FrontConnection> {
+ public:
+  FrontConnection(GatewayState* state,
+                  RequestHandler* handler,
+                  tcp::socket socket);
+
+  asio::awaitable<void> Run();
+  // Closes the connection unless a request is in progress on it.
+  void CloseIfIdle();
+
+ private:
+  using Parser = http::request_parser<http::string_body>;
+
+  // False once the connection is to be closed.
+  asio::awaitable<bool> ServeOne();
+  asio::awaitable<bool> AwaitBytes(Duration timeout);
+  // The reason why it cannot be served, after which the connection closes.
+  asio::awaitable<std::optional<RefusalReason>> ReadRequest(Parser& parser);
+  asio::awaitable<void> RefuseUnread(RefusalReason reason);
+  // Reads what the caller still sends, so that closing does not reset the
+  // connection before the caller has read the answer.
+  asio::awaitable<void> Linger();
+
+  GatewayState* state_;
+  RequestHandler* handler_;
+  tcp::socket socket_;
+  beast::flat_buffer buffer_;
+  bool is_idle_ = true;
+  bool caller_gone_ = false;
+};
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_GATEWAY_FRONT_CONNECTION_H_
--- /dev/null
+++ b/src/teaselthread/gateway/front_server.h
@@ -0,0 +1,34 @@
+#ifndef TEASELTHREAD_GATEWAY_FRONT_SERVER_H_
+#define TEASELTHREAD_GATEWAY_FRONT_SERVER_H_
+
+#include <memory>
+#include <set>
+
+#include "teaselthread/gateway/front_connection.h"
+#include "teaselthread/gateway/listener.h"
+
+namespace teaselthread {
+
+// Takes callers' connections and keeps track of them.
+class FrontServer {
+ public:
+  explicit FrontServer(GatewayState* state);
+
+  // Fails with kUnavailable if the address cannot be listened on.
+  Result<bool> Start();
+  // New connections are refused, and idle ones closed.
+  void StopAccepting();
+  RequestHandler& handler() { return handler_; }
+
+ private:
+  asio::awaitable<void> Serve(std::shared_ptr<FrontConnection> connection);
+
+  GatewayState* state_;
+  RequestHandler handler_;
+  std::unique_ptr<Listener> listener_;
+  std::set<std::shared_ptr<FrontConnection>> connections_;
+};
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_GATEWAY_FRONT_SERVER_H_
--- /dev/null
+++ b/src/teaselthread/gateway/gateway.cc
@@ -0,0 +1,119 @@
+#include "teaselthread/gateway/gateway.h"
+
+#include <csignal>
+
+namespace teaselthread {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kDrainPoll = milliseconds(50);
+// Callers that were told this node's address just before it left come still.
+constexpr Duration kLateCallers = milliseconds(1'500);
+// Before the process is killed, so that it ends by itself.
+constexpr Duration kKillMargin = milliseconds(500);
+constexpr Duration kSweepInterval = milliseconds(1'000);
+
+}  // namespace
+
+Result<int> Gateway::Run(GatewaySettings settings,
+                         const WireDialect* dialect,
+                         const std::string& settings_file) {
+  asio::io_context io(1);
+  Gateway gateway(&io, std::move(settings), dialect);
+  Result<bool> started = gateway.Start();
+  if (!started)
+    return started.last_reason();
+  asio::co_spawn(io, gateway.DriveTimers(), asio::detached);
+  asio::co_spawn(io, gateway.ReloadOnSignal(settings_file), asio::detached);
+  asio::co_spawn(io, gateway.LeaveOnSignal(), asio::detached);
+  io.run();
+  return 0;
+}
+
+Gateway::Gateway(asio::io_context* io,
+                 GatewaySettings settings,
+                 const WireDialect* dialect)
+    : io_(io),
+      state_(io, std::move(settings), dialect),
+      front_(&state_),
+      admin_(&state_),
+      store_(&state_),
+      registrar_(&state_) {}
+
+Result<bool> Gateway::Start() {
+  for (Result<bool> started : {front_.Start(), admin_.Start()}) {
+    if (!started)
+      return started;
+  }
+  Result<std::unique_ptr<PeerHeartbeat>> heartbeat =
+      PeerHeartbeat::Start(&state_);
+  if (!heartbeat)
+    return heartbeat.last_reason();
+  heartbeat_ = heartbeat.TakeValue();
+  store_.Start();
+  registrar_.Start();
+  state_.timers().Subscribe(kSweepInterval, state_.Now(), [this](Timestamp) {
+    front_.handler().Sweep();
+  });
+  LogLine line("started");
+  line.Add("node", state_.settings().name())
+      .Add("zone", state_.settings().zone())
+      .Add("front", state_.settings().front_listen().ToString());
+  state_.log().Info(line);
+  return true;
+}
+
+asio::awaitable<void> Gateway::DriveTimers() {
+  asio::steady_timer timer(*io_);
+  for (;;) {
+    const std::optional<Timestamp> due = state_.timers().next_due();
+    timer.expires_at(GatewayState::ToSteady(due.value_or(state_.Now())));
+    co_await timer.async_wait(kAsTuple);
+    state_.timers().Advance(state_.Now());
+  }
+}
+
+asio::awaitable<void> Gateway::ReloadOnSignal(std::string settings_file) {
+  asio::signal_set signals(*io_, SIGHUP);
+  for (;;) {
+    co_await signals.async_wait(kAsTuple);
+    Result<GatewaySettings> settings = GatewaySettings::Load(settings_file);
+    LogLine line("settings-reloaded");
+    line.Add("valid", settings.has_value());
+    if (settings)
+      state_.Reload(settings.TakeValue());
+    else
+      line.Add("reason", Describe(settings.last_reason()));
+    state_.log().Info(line);
+  }
+}
+
+asio::awaitable<void> Gateway::LeaveOnSignal() {
+  asio::signal_set signals(*io_, SIGTERM, SIGINT);
+  co_await signals.async_wait(kAsTuple);
+  const Timestamp asked_at = state_.Now();
+  state_.BeginLeaving();
+  heartbeat_->SendNow();
+  LogLine leaving("leaving");
+  leaving.Add("requests", state_.requests_in_progress);
+  state_.log().Info(leaving);
+  asio::co_spawn(*io_, registrar_.Deregister(), asio::detached);
+  const Timestamp kill_at =
+      asked_at + state_.settings().limits().leaving_grace - kKillMargin;
+  asio::steady_timer pause(*io_);
+  const auto wait = [&](Duration time) {
+    pause.expires_after(time);
+    return pause.async_wait(kAsTuple);
+  };
+  co_await wait(kLateCallers);
+  front_.StopAccepting();
+  while (state_.requests_in_progress > 0 && state_.Now() < kill_at)
+    co_await wait(kDrainPoll);
+  LogLine left("left");
+  left.Add("requests_cut", state_.requests_in_progress);
+  state_.log().Info(left);
+  io_->stop();
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/teaselthread/gateway/gateway.h
@@ -0,0 +1,44 @@
+#ifndef TEASELTHREAD_GATEWAY_GATEWAY_H_
+#define TEASELTHREAD_GATEWAY_GATEWAY_H_
+
+#include <memory>
+#include <string>
+
+#include "teaselthread/gateway/admin_server.h"
+#include "teaselthread/gateway/front_server.h"
+#include "teaselthread/gateway/node_registrar.h"
+#include "teaselthread/gateway/peer_heartbeat.h"
+#include "teaselthread/gateway/store_controller.h"
+
+namespace teaselthread {
+
+// One gateway process: its state, its listeners and its controllers.
+class Gateway {
+ public:
+  // Runs until SIGTERM or SIGINT and the end of all requests in progress.
+  static Result<int> Run(GatewaySettings settings,
+                         const WireDialect* dialect,
+                         const std::string& settings_file);
+
+ private:
+  Gateway(asio::io_context* io,
+          GatewaySettings settings,
+          const WireDialect* dialect);
+
+  Result<bool> Start();
+  asio::awaitable<void> DriveTimers();
+  asio::awaitable<void> ReloadOnSignal(std::string settings_file);
+  asio::awaitable<void> LeaveOnSignal();
+
+  asio::io_context* io_;
+  GatewayState state_;
+  FrontServer front_;
+  AdminServer admin_;
+  StoreController store_;
+  NodeRegistrar registrar_;
+  std::unique_ptr<PeerHeartbeat> heartbeat_;
+};
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_GATEWAY_GATEWAY_H_
--- /dev/null
+++ b/src/teaselthread/gateway/gateway_metrics.cc
@@ -0,0 +1,121 @@
+#include "teaselthread/gateway/gateway_metrics.h"
+
+#include <sstream>
+
+namespace teaselthread {
+namespace {
+
+constexpr std::string_view kKindNames[] = {"idempotent", "non-idempotent",
+                                           "streaming"};
+
+template <typename Value>
+void Scalar(std::ostream& out,
+            std::string_view name,
+            std::string_view type,
+            Value value) {
+  out << "# TYPE teaselthread_" << name << " " << type << "\nteaselthread_"
+      << name << " " << value << "\n";
+}
+
+template <typename Reason, size_t kCount>
+void ByReason(std::ostream& out,
+              std::string_view name,
+              const std::array<uint64_t, kCount>& counts) {
+  out << "# TYPE teaselthread_" << name << " counter\n";
+  for (size_t i = 0; i < kCount; ++i) {
+    out << "teaselthread_" << name << "{reason=\""
+        << ToString(static_cast<Reason>(i)) << "\"} " << counts[i] << "\n";
+  }
+}
+
+template <size_t kCount>
+void Histograms(std::ostream& out,
+                std::string_view name,
+                const std::array<LatencyHistogram, kCount>& histograms) {
+  out << "# TYPE teaselthread_" << name << " histogram\n";
+  for (size_t kind = 0; kind < kCount; ++kind) {
+    const LatencyHistogram& histogram = histograms[kind];
+    const auto counts = histogram.CumulativeCounts();
+    const std::string label =
+        "kind=\"" + std::string(kKindNames[kind]) + "\"";
+    for (size_t i = 0; i < counts.size(); ++i) {
+      out << "teaselthread_" << name << "_bucket{" << label << ",le=\""
+          << LatencyHistogram::kBounds[i] << "\"} " << counts[i] << "\n";
+    }
+    out << "teaselthread_" << name << "_bucket{" << label << ",le=\"+Inf\"} "
+        << histogram.count() << "\nteaselthread_" << name << "_sum{" << label
+        << "} " << histogram.sum_seconds() << "\nteaselthread_" << name
+        << "_count{" << label << "} " << histogram.count() << "\n";
+  }
+}
+
+}  // namespace
+
+void LatencyHistogram::Add(Duration latency) {
+  const double seconds = std::chrono::duration<double>(latency).count();
+  ++count_;
+  sum_seconds_ += seconds;
+  for (size_t i = 0; i < kBuckets; ++i) {
+    if (seconds <= kBounds[i]) {
+      ++counts_[i];
+      return;
+    }
+  }
+}
+
+std::array<uint64_t, LatencyHistogram::kBuckets>
+LatencyHistogram::CumulativeCounts() const {
+  std::array<uint64_t, kBuckets> cumulative = counts_;
+  for (size_t i = 1; i < kBuckets; ++i)
+    cumulative[i] += cumulative[i - 1];
+  return cumulative;
+}
+
+void GatewayMetrics::OnRefusal(RefusalReason reason) {
+  ++refusals_[static_cast<size_t>(reason)];
+}
+
+void GatewayMetrics::OnAttemptFailure(AttemptFailure failure, bool retried) {
+  ++failures_[static_cast<size_t>(failure)];
+  if (retried)
+    ++retries_[static_cast<size_t>(failure)];
+}
+
+void GatewayMetrics::OnFirstByte(RequestKind kind, Duration latency) {
+  first_byte_[static_cast<size_t>(kind)].Add(latency);
+}
+
+void GatewayMetrics::OnAnswer(RequestKind kind, Duration latency) {
+  answers_[static_cast<size_t>(kind)].Add(latency);
+}
+
+void GatewayMetrics::OnStoreCall(bool succeeded) {
+  ++store_calls_;
+  store_failures_ += succeeded ? 0 : 1;
+}
+
+std::string GatewayMetrics::Render(const GatewayGauges& gauges) const {
+  std::ostringstream out;
+  ByReason<RefusalReason>(out, "refusals_total", refusals_);
+  ByReason<AttemptFailure>(out, "attempt_failures_total", failures_);
+  ByReason<AttemptFailure>(out, "retries_total", retries_);
+  Histograms(out, "first_byte_seconds", first_byte_);
+  Histograms(out, "request_seconds", answers_);
+  Scalar(out, "unknown_outcomes_total", "counter", unknown_outcomes_);
+  Scalar(out, "broken_streams_total", "counter", broken_streams_);
+  Scalar(out, "store_calls_total", "counter", store_calls_);
+  Scalar(out, "store_failures_total", "counter", store_failures_);
+  Scalar(out, "unreadable_entries_total", "counter", unreadable_entries_);
+  Scalar(out, "log_lines_dropped_total", "counter", gauges.log_lines_dropped);
+  Scalar(out, "configuration_version", "gauge", gauges.configuration_version);
+  Scalar(out, "configuration_age_seconds", "gauge",
+         gauges.configuration_age_seconds);
+  Scalar(out, "endpoints", "gauge", gauges.endpoints);
+  Scalar(out, "peers_alive", "gauge", gauges.peers_alive);
+  Scalar(out, "requests_in_progress", "gauge", gauges.requests_in_progress);
+  Scalar(out, "connections", "gauge", gauges.connections);
+  Scalar(out, "ready", "gauge", gauges.ready ? 1 : 0);
+  return out.str();
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/teaselthread/gateway/gateway_metrics.h
@@ -0,0 +1,79 @@
+#ifndef TEASELTHREAD_GATEWAY_GATEWAY_METRICS_H_
+#define TEASELTHREAD_GATEWAY_GATEWAY_METRICS_H_
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+#include "libteaselthread/attempts/request_attempts.h"
+#include "libteaselthread/reasons.h"
+#include "libteaselthread/routes/route.h"
+
+namespace teaselthread {
+
+// Counts of latencies up to fixed bounds.
+class LatencyHistogram {
+ public:
+  static constexpr size_t kBuckets = 10;
+  // Upper bounds in seconds.
+  static constexpr std::array<double, kBuckets> kBounds = {
+      0.02, 0.05, 0.1, 0.15, 0.25, 0.5, 1, 2, 5, 12};
+
+  void Add(Duration latency);
+
+  // Cumulative counts of the buckets, without the one above the last bound.
+  std::array<uint64_t, kBuckets> CumulativeCounts() const;
+  uint64_t count() const { return count_; }
+  double sum_seconds() const { return sum_seconds_; }
+
+ private:
+  std::array<uint64_t, kBuckets> counts_{};
+  uint64_t count_ = 0;
+  double sum_seconds_ = 0;
+};
+
+// Values that are read when metrics are rendered.
+struct GatewayGauges {
+  uint64_t configuration_version = 0;
+  double configuration_age_seconds = -1;  // -1: no proof yet
+  uint64_t endpoints = 0;
+  uint64_t peers_alive = 0;
+  uint64_t requests_in_progress = 0;
+  uint64_t connections = 0;
+  uint64_t log_lines_dropped = 0;
+  bool ready = false;
+};
+
+// The gateway's counters and latency histograms, and their Prometheus text.
+class GatewayMetrics {
+ public:
+  void OnRefusal(RefusalReason reason);
+  // An attempt failed; `retried` tells whether another one follows.
+  void OnAttemptFailure(AttemptFailure failure, bool retried);
+  void OnFirstByte(RequestKind kind, Duration latency);
+  void OnAnswer(RequestKind kind, Duration latency);
+  void OnUnknownOutcome() { ++unknown_outcomes_; }
+  void OnBrokenStream() { ++broken_streams_; }
+  void OnStoreCall(bool succeeded);
+  void OnUnreadableEntry() { ++unreadable_entries_; }
+
+  std::string Render(const GatewayGauges& gauges) const;
+
+ private:
+  static constexpr size_t kKinds = 3;
+
+  std::array<uint64_t, kRefusalReasonCount> refusals_{};
+  std::array<uint64_t, kAttemptFailureCount> failures_{};
+  std::array<uint64_t, kAttemptFailureCount> retries_{};
+  std::array<LatencyHistogram, kKinds> first_byte_;
+  std::array<LatencyHistogram, kKinds> answers_;
+  uint64_t unknown_outcomes_ = 0;
+  uint64_t broken_streams_ = 0;
+  uint64_t store_calls_ = 0;
+  uint64_t store_failures_ = 0;
+  uint64_t unreadable_entries_ = 0;
+};
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_GATEWAY_GATEWAY_METRICS_H_
--- /dev/null
+++ b/src/teaselthread/gateway/gateway_settings.cc
@@ -0,0 +1,140 @@
+#include "teaselthread/gateway/gateway_settings.h"
+
+#include <algorithm>
+#include <fstream>
+#include <iterator>
+#include <sstream>
+
+#include "libteaselthread/section_reader.h"
+
+namespace teaselthread {
+namespace {
+
+constexpr std::string_view kSections[] = {"gateway", "peers", "limits"};
+constexpr std::string_view kLogLevels[] = {"debug", "info", "warn", "error"};
+constexpr IntegerRange kMillisecondsRange = {1, 600'000};
+constexpr IntegerRange kTtlRangeMs = {500, 60'000};
+
+SocketAddress ReadAddress(SectionReader& reader,
+                          std::string_view key,
+                          const std::string& place,
+                          std::vector<Error>* errors) {
+  const std::string text = reader.RequiredText(key);
+  if (text.empty())
+    return {};
+  Result<SocketAddress> address = SocketAddress::Parse(text);
+  if (address)
+    return *address;
+  errors->push_back(
+      {address.last_reason().code, place + " " + std::string(key) + ": " +
+                                       address.last_reason().detail});
+  return {};
+}
+
+std::string PlaceOf(const IniSection& section, const std::string& source) {
+  return source + ": [" + section.kind + "]";
+}
+
+}  // namespace
+
+Result<GatewaySettings> GatewaySettings::Parse(std::string_view text,
+                                               std::string source) {
+  Result<IniDocument> document = IniDocument::Parse(text, source);
+  if (!document)
+    return document.reasons();
+  std::vector<Error> errors;
+  for (const IniSection& section : document->sections()) {
+    if (std::find(std::begin(kSections), std::end(kSections),
+                  section.Title()) == std::end(kSections)) {
+      errors.push_back({ErrorCode::kUnknownSection,
+                        source + ": [" + section.Title() +
+                            "]: no such section in a gateway's settings"});
+    }
+  }
+  const auto find = [&](std::string_view kind) {
+    const IniSection* section = document->Find(kind, "");
+    return section ? *section : IniSection{std::string(kind), "", {}};
+  };
+  GatewaySettings settings;
+  settings.ReadNode(find("gateway"), source, &errors);
+  settings.ReadPeers(find("peers"), source, &errors);
+  settings.ReadLimits(find("limits"), source, &errors);
+  if (!errors.empty())
+    return errors;
+  return settings;
+}
+
+Result<GatewaySettings> GatewaySettings::Load(const std::string& file_name) {
+  std::ifstream file(file_name);
+  std::ostringstream text;
+  if (!file || !(text << file.rdbuf())) {
+    return Error{ErrorCode::kUnreadableFile,
+                 file_name + ": cannot be read or is empty"};
+  }
+  return Parse(text.str(), file_name);
+}
+
+void GatewaySettings::ReadNode(const IniSection& section,
+                               const std::string& source,
+                               std::vector<Error>* errors) {
+  SectionReader reader(section, source, errors);
+  const std::string place = PlaceOf(section, source);
+  name_ = reader.RequiredText("name");
+  zone_ = reader.RequiredText("zone");
+  log_level_ = reader.Text("log_level", "info");
+  if (std::find(std::begin(kLogLevels), std::end(kLogLevels), log_level_) ==
+      std::end(kLogLevels)) {
+    errors->push_back({ErrorCode::kBadValue,
+                       place + " log_level: expected debug, info, warn or "
+                               "error, found '" +
+                           log_level_ + "'"});
+  }
+  front_listen_ = ReadAddress(reader, "front_listen", place, errors);
+  readiness_listen_ = ReadAddress(reader, "readiness_listen", place, errors);
+  directory_listen_ = ReadAddress(reader, "directory_listen", place, errors);
+  metrics_listen_ = ReadAddress(reader, "metrics_listen", place, errors);
+  peer_listen_ = ReadAddress(reader, "peer_listen", place, errors);
+  store_ = ReadAddress(reader, "store", place, errors);
+  address_ttl_ = reader.Milliseconds("address_ttl_ms", 2'000, kTtlRangeMs);
+  reader.RejectUnknownKeys();
+}
+
+void GatewaySettings::ReadPeers(const IniSection& section,
+                                const std::string& source,
+                                std::vector<Error>* errors) {
+  SectionReader reader(section, source, errors);
+  for (const std::string& item : reader.List("seeds")) {
+    Result<SocketAddress> seed = SocketAddress::Parse(item);
+    if (seed) {
+      seeds_.push_back(*seed);
+    } else {
+      errors->push_back(
+          {seed.last_reason().code,
+           PlaceOf(section, source) + " seeds: " + seed.last_reason().detail});
+    }
+  }
+  heartbeat_interval_ =
+      reader.Milliseconds("heartbeat_interval_ms", 500, kMillisecondsRange);
+  heartbeat_timeout_ =
+      reader.Milliseconds("heartbeat_timeout_ms", 2'000, kMillisecondsRange);
+  reader.RejectUnknownKeys();
+}
+
+void GatewaySettings::ReadLimits(const IniSection& section,
+                                 const std::string& source,
+                                 std::vector<Error>* errors) {
+  SectionReader reader(section, source, errors);
+  limits_.revocation_bound =
+      reader.Milliseconds("revocation_ms", 5'000, kMillisecondsRange);
+  limits_.retries.ratio = reader.Number("retry_ratio", 0.2, 0, 10);
+  limits_.retries.slack = reader.Number("retry_slack", 50, 0, 1e6);
+  limits_.retries.window = std::chrono::seconds(
+      reader.Integer("retry_window_s", 10, {1, 3'600}));
+  limits_.cold_over = reader.Number("cold_over", 1.5, 0, 100);
+  limits_.cold_slack = reader.Number("cold_slack", 5, 0, 1e6);
+  limits_.leaving_grace = std::chrono::seconds(
+      reader.Integer("leaving_grace_s", 8, {1, 3'600}));
+  reader.RejectUnknownKeys();
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/teaselthread/gateway/gateway_settings.h
@@ -0,0 +1,79 @@
+#ifndef TEASELTHREAD_GATEWAY_GATEWAY_SETTINGS_H_
+#define TEASELTHREAD_GATEWAY_GATEWAY_SETTINGS_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "libteaselthread/attempts/retry_allowance.h"
+#include "libteaselthread/error.h"
+#include "libteaselthread/ini_document.h"
+#include "libteaselthread/settings.h"
+
+namespace teaselthread {
+
+// Limits that the operators promise to callers and endpoints.
+struct GatewayLimits {
+  Duration revocation_bound{};  // until a key that is taken away stops working
+  RetryLimit retries;           // of all nodes together
+  double cold_over = 1;         // multiple of a service's cold rate
+  double cold_slack = 0;        // requests a second beyond it
+  Duration leaving_grace{};     // from SIGTERM until the process is killed
+
+  friend auto operator<=>(const GatewayLimits&, const GatewayLimits&) = default;
+};
+
+// What one gateway process reads from its INI file at start.
+class GatewaySettings {
+ public:
+  static Result<GatewaySettings> Parse(std::string_view text,
+                                       std::string source);
+  static Result<GatewaySettings> Load(const std::string& file_name);
+
+  const std::string& name() const { return name_; }
+  const std::string& zone() const { return zone_; }
+  const std::string& log_level() const { return log_level_; }
+  const SocketAddress& front_listen() const { return front_listen_; }
+  const SocketAddress& readiness_listen() const { return readiness_listen_; }
+  const SocketAddress& directory_listen() const { return directory_listen_; }
+  const SocketAddress& metrics_listen() const { return metrics_listen_; }
+  const SocketAddress& peer_listen() const { return peer_listen_; }
+  const SocketAddress& store() const { return store_; }
+  // Peer addresses to try first.
+  const std::vector<SocketAddress>& seeds() const { return seeds_; }
+  Duration heartbeat_interval() const { return heartbeat_interval_; }
+  Duration heartbeat_timeout() const { return heartbeat_timeout_; }
+  Duration address_ttl() const { return address_ttl_; }
+  const GatewayLimits& limits() const { return limits_; }
+
+ private:
+  GatewaySettings() = default;
+  void ReadNode(const IniSection& section,
+                const std::string& source,
+                std::vector<Error>* errors);
+  void ReadPeers(const IniSection& section,
+                 const std::string& source,
+                 std::vector<Error>* errors);
+  void ReadLimits(const IniSection& section,
+                  const std::string& source,
+                  std::vector<Error>* errors);
+
+  std::string name_;
+  std::string zone_;
+  std::string log_level_;
+  SocketAddress front_listen_;
+  SocketAddress readiness_listen_;
+  SocketAddress directory_listen_;
+  SocketAddress metrics_listen_;
+  SocketAddress peer_listen_;
+  SocketAddress store_;
+  std::vector<SocketAddress> seeds_;
+  Duration heartbeat_interval_{};
+  Duration heartbeat_timeout_{};
+  Duration address_ttl_{};
+  GatewayLimits limits_;
+};
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_GATEWAY_GATEWAY_SETTINGS_H_
--- /dev/null
+++ b/src/teaselthread/gateway/gateway_state.cc
@@ -0,0 +1,114 @@
+#include "teaselthread/gateway/gateway_state.h"
+
+#include <algorithm>
+#include <ctime>
+
+namespace teaselthread {
+namespace {
+
+// Part of the revocation bound that covers the way of a request to an
+// endpoint and the spread of clocks' speeds.
+constexpr Duration kRevocationMargin = std::chrono::milliseconds(400);
+// Until a starting node has heard of the others, limits are shared as if there
+// were this many: the largest of today's deployments without one.
+constexpr size_t kAssumedNodes = 8;
+// Heartbeats and records of all nodes have come in by then.
+constexpr Duration kDiscoveryTime = std::chrono::seconds(4);
+
+Peer MakeSelf(const GatewaySettings& settings) {
+  return {settings.name(), settings.zone(), settings.peer_listen(),
+          settings.front_listen(), false};
+}
+
+}  // namespace
+
+GatewayState::GatewayState(asio::io_context* io,
+                           GatewaySettings settings,
+                           const WireDialect* dialect)
+    : io_(io),
+      settings_(std::move(settings)),
+      dialect_(dialect),
+      random_(std::random_device()()),
+      knowledge_(settings_.limits().revocation_bound - kRevocationMargin),
+      selector_(&endpoints_),
+      peers_(MakeSelf(settings_), settings_.heartbeat_timeout()),
+      log_(settings_.log_level()),
+      started_at_(Now()) {}
+
+Timestamp GatewayState::Now() const {
+  return Timestamp(std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+Timestamp GatewayState::BootNow() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return Timestamp(std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(now.tv_sec) +
+      std::chrono::nanoseconds(now.tv_nsec)));
+}
+
+std::chrono::steady_clock::time_point GatewayState::ToSteady(Timestamp time) {
+  return std::chrono::steady_clock::time_point(time.time_since_epoch());
+}
+
+bool GatewayState::OfferRoutes(RouteTable table) {
+  if (routes_ && table.version() <= routes_->version())
+    return false;
+  routes_ = std::make_shared<const RouteTable>(std::move(table));
+  endpoints_.SetServices(*routes_);
+  return true;
+}
+
+RetryAllowance& GatewayState::RetriesOf(const std::string& service) {
+  return retries_.try_emplace(service, settings_.limits().retries)
+      .first->second;
+}
+
+SelectionView GatewayState::MakeSelectionView() const {
+  const Timestamp now = Now();
+  SelectionView view;
+  view.zone = settings_.zone();
+  view.node = settings_.name();
+  view.nodes = peers_.PossiblyAlive(now);
+  const bool is_discovering = now - started_at_ < kDiscoveryTime;
+  for (size_t i = view.nodes.size(); is_discovering && i < kAssumedNodes; ++i)
+    view.nodes.push_back("assumed-" + std::to_string(i));
+  view.cold_over = settings_.limits().cold_over;
+  view.cold_slack = settings_.limits().cold_slack;
+  return view;
+}
+
+void GatewayState::BeginLeaving() {
+  leaving_ = true;
+  peers_.SetServing(false);
+}
+
+bool GatewayState::IsReady() const {
+  return routes_ && endpoints_known_ && !leaving_ &&
+         (!routes_->needs_keys() || knowledge_.IsFresh(BootNow()));
+}
+
+void GatewayState::Reload(GatewaySettings settings) {
+  log_.SetLevel(settings.log_level());
+  settings_ = std::move(settings);
+}
+
+std::string GatewayState::RenderMetrics() const {
+  GatewayGauges gauges;
+  gauges.configuration_version = routes_ ? routes_->version() : 0;
+  const auto age = knowledge_.Age(BootNow());
+  if (age) {
+    gauges.configuration_age_seconds =
+        std::chrono::duration<double>(*age).count();
+  }
+  gauges.endpoints = endpoints_.size();
+  gauges.peers_alive = peers_.alive_count(Now());
+  gauges.requests_in_progress = requests_in_progress;
+  gauges.connections = connections;
+  gauges.log_lines_dropped = log_.dropped();
+  gauges.ready = IsReady();
+  return metrics_.Render(gauges);
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/teaselthread/gateway/gateway_state.h
@@ -0,0 +1,95 @@
+#ifndef TEASELTHREAD_GATEWAY_GATEWAY_STATE_H_
+#define TEASELTHREAD_GATEWAY_GATEWAY_STATE_H_
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "libteaselthread/attempts/retry_allowance.h"
+#include "libteaselthread/endpoints/endpoint_selector.h"
+#include "libteaselthread/endpoints/endpoint_table.h"
+#include "libteaselthread/peers/peer_set.h"
+#include "libteaselthread/routes/knowledge_age.h"
+#include "libteaselthread/routes/route_table.h"
+#include "libteaselthread/timer_service.h"
+#include "teaselthread/asio.h"
+#include "teaselthread/gateway/decision_log.h"
+#include "teaselthread/gateway/gateway_metrics.h"
+#include "teaselthread/gateway/gateway_settings.h"
+#include "teaselthread/gateway/wire_dialect.h"
+
+namespace teaselthread {
+
+using RouteTablePtr = std::shared_ptr<const RouteTable>;
+
+// All that one gateway process knows and decides by. Used from its one thread
+// only.
+class GatewayState {
+ public:
+  GatewayState(asio::io_context* io,
+               GatewaySettings settings,
+               const WireDialect* dialect);
+  GatewayState(const GatewayState&) = delete;
+  GatewayState& operator=(const GatewayState&) = delete;
+
+  asio::io_context& io() { return *io_; }
+  const GatewaySettings& settings() const { return settings_; }
+  const WireDialect& dialect() const { return *dialect_; }
+
+  Timestamp Now() const;
+  // A clock that also counts the time in which the machine is suspended.
+  static Timestamp BootNow();
+  static std::chrono::steady_clock::time_point ToSteady(Timestamp time);
+
+  // Null until the first configuration is known. Versions never go back.
+  const RouteTablePtr& routes() const { return routes_; }
+  // Takes the table if it is newer; tells whether it did.
+  bool OfferRoutes(RouteTable table);
+
+  KnowledgeAge& knowledge() { return knowledge_; }
+  EndpointTable& endpoints() { return endpoints_; }
+  const EndpointSelector& selector() const { return selector_; }
+  PeerSet& peers() { return peers_; }
+  RetryAllowance& RetriesOf(const std::string& service);
+  SelectionView MakeSelectionView() const;
+  GatewayMetrics& metrics() { return metrics_; }
+  DecisionLog& log() { return log_; }
+  TimerService& timers() { return timers_; }
+  std::mt19937_64& random() { return random_; }
+
+  bool leaving() const { return leaving_; }
+  void BeginLeaving();
+  // Whether callers' requests can be served: configuration and endpoints are
+  // known and not too old, and the node is not leaving.
+  bool IsReady() const;
+  void set_endpoints_known() { endpoints_known_ = true; }
+  // Replaces what a running process can take over from new settings.
+  void Reload(GatewaySettings settings);
+  std::string RenderMetrics() const;
+
+  uint64_t requests_in_progress = 0;
+  uint64_t connections = 0;
+
+ private:
+  asio::io_context* io_;
+  GatewaySettings settings_;
+  const WireDialect* dialect_;
+  std::mt19937_64 random_;
+  RouteTablePtr routes_;
+  KnowledgeAge knowledge_;
+  EndpointTable endpoints_;
+  EndpointSelector selector_;
+  PeerSet peers_;
+  std::map<std::string, RetryAllowance> retries_;
+  GatewayMetrics metrics_;
+  DecisionLog log_;
+  TimerService timers_;
+  Timestamp started_at_;
+  bool leaving_ = false;
+  bool endpoints_known_ = false;
+};
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_GATEWAY_GATEWAY_STATE_H_
--- /dev/null
+++ b/src/teaselthread/gateway/listener.h
@@ -0,0 +1,35 @@
+#ifndef TEASELTHREAD_GATEWAY_LISTENER_H_
+#define TEASELTHREAD_GATEWAY_LISTENER_H_
+
+#include <functional>
+#include <memory>
+
+#include "libteaselthread/error.h"
+#include "libteaselthread/settings.h"
+#include "teaselthread/asio.h"
+
+namespace teaselthread {
+
+// Accepts connections on one address.
+class Listener {
+ public:
+  using OnConnection = std::function<void(tcp::socket)>;
+
+  // Fails with kUnavailable if the address cannot be listened on.
+  static Result<std::unique_ptr<Listener>> Start(asio::io_context* io,
+                                                 const SocketAddress& address,
+                                                 OnConnection on_connection);
+  // New connections are refused from now on.
+  void Stop();
+
+ private:
+  Listener(tcp::acceptor acceptor, OnConnection on_connection);
+  asio::awaitable<void> AcceptLoop();
+
+  tcp::acceptor acceptor_;
+  OnConnection on_connection_;
+};
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_GATEWAY_LISTENER_H_
--- /dev/null
+++ b/src/teaselthread/gateway/node_registrar.cc
@@ -0,0 +1,141 @@
+#include "teaselthread/gateway/node_registrar.h"
+
+#include <boost/json.hpp>
+
+namespace teaselthread {
+namespace {
+
+namespace json = boost::json;
+using std::chrono::milliseconds;
+
+constexpr Duration kCallTimeout = milliseconds(800);
+constexpr Duration kRetryPause = milliseconds(500);
+// Heartbeats tell of changes meanwhile; records only bring nodes together.
+constexpr Duration kReadInterval = milliseconds(5'000);
+// Nodes that start together have written their records by then.
+constexpr Duration kFirstReadDelay = milliseconds(600);
+constexpr int kOk = 200;
+constexpr int kConflict = 409;
+constexpr int kNoAnswer = 0;
+
+bool IsSuccess(int status) {
+  return status >= 200 && status < 300;
+}
+
+std::string Text(const json::object& object, std::string_view key) {
+  const json::value* value = object.if_contains(key);
+  return value && value->is_string() ? std::string(value->get_string()) : "";
+}
+
+}  // namespace
+
+NodeRegistrar::NodeRegistrar(GatewayState* state)
+    : state_(state), connection_(state->settings().store()) {}
+
+void NodeRegistrar::Start() {
+  asio::co_spawn(state_->io(), Run(), asio::detached);
+}
+
+asio::awaitable<void> NodeRegistrar::Run() {
+  asio::steady_timer timer(state_->io());
+  while (!state_->leaving() && !co_await Register()) {
+    timer.expires_after(kRetryPause);
+    co_await timer.async_wait(kAsTuple);
+  }
+  timer.expires_after(kFirstReadDelay);
+  co_await timer.async_wait(kAsTuple);
+  for (bool may_be_stale = false; !state_->leaving(); may_be_stale = true) {
+    co_await ReadRecords(may_be_stale);
+    timer.expires_after(kReadInterval);
+    co_await timer.async_wait(kAsTuple);
+  }
+}
+
+asio::awaitable<bool> NodeRegistrar::Register() {
+  const Peer& self = state_->peers().self();
+  json::object content;
+  content["zone"] = self.zone;
+  content["peer_address"] = self.peer_address.ToString();
+  content["front_address"] = self.front_address.ToString();
+  StoreObject object;
+  object.name = self.name;
+  object.content = std::move(content);
+  const std::string body = state_->dialect().EncodeObject(object);
+  std::string kind_target =
+      state_->dialect().ObjectTarget(StoreKind::kNodes, "");
+  const int created =
+      co_await Call(http::verb::post, std::move(kind_target), body);
+  if (created != kConflict)
+    co_return IsSuccess(created);
+  std::string own_target =
+      state_->dialect().ObjectTarget(StoreKind::kNodes, self.name);
+  const int replaced =
+      co_await Call(http::verb::put, std::move(own_target), body);
+  co_return IsSuccess(replaced);
+}
+
+asio::awaitable<void> NodeRegistrar::ReadRecords(bool may_be_stale) {
+  std::string after;
+  for (;;) {
+    std::string target =
+        state_->dialect().ListTarget(StoreKind::kNodes, after, may_be_stale);
+    Result<HttpReply> reply =
+        co_await connection_.Get(std::move(target), kCallTimeout);
+    state_->metrics().OnStoreCall(reply && reply->status == kOk);
+    if (!reply || reply->status != kOk)
+      co_return;
+    const Result<StorePage> page = state_->dialect().DecodeList(reply->body);
+    if (!page) {
+      state_->metrics().OnUnreadableEntry();
+      co_return;
+    }
+    for (const StoreObject& object : page->objects)
+      OnRecord(object);
+    if (!page->has_more || page->objects.empty())
+      co_return;
+    after = page->objects.back().name;
+  }
+}
+
+void NodeRegistrar::OnRecord(const StoreObject& object) {
+  const json::object* fields = object.content.if_object();
+  if (!fields) {
+    state_->metrics().OnUnreadableEntry();
+    return;
+  }
+  const auto peer_address = SocketAddress::Parse(Text(*fields, "peer_address"));
+  const auto front_address =
+      SocketAddress::Parse(Text(*fields, "front_address"));
+  if (!peer_address || !front_address) {
+    state_->metrics().OnUnreadableEntry();
+    return;
+  }
+  state_->peers().OnRecord({object.name, Text(*fields, "zone"), *peer_address,
+                            *front_address, false},
+                           state_->Now());
+}
+
+asio::awaitable<int> NodeRegistrar::Call(http::verb method,
+                                         std::string target,
+                                         std::string body) {
+  const Result<HttpReply> reply = co_await connection_.Call(
+      method, std::move(target), std::move(body), kCallTimeout);
+  const int status = reply ? reply->status : kNoAnswer;
+  state_->metrics().OnStoreCall(IsSuccess(status));
+  co_return status;
+}
+
+asio::awaitable<void> NodeRegistrar::Deregister() {
+  std::string target = state_->dialect().ObjectTarget(
+      StoreKind::kNodes, state_->settings().name());
+  std::string no_body;
+  const int status = co_await Call(http::verb::delete_, std::move(target),
+                                   std::move(no_body));
+  if (IsSuccess(status))
+    co_return;
+  LogLine line("deregistration-failed");
+  line.Add("status", status);
+  state_->log().Warn(line);
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/teaselthread/gateway/request_checks.cc
@@ -0,0 +1,69 @@
+#include "teaselthread/gateway/request_checks.h"
+
+#include <algorithm>
+
+namespace teaselthread {
+
+const RequestChecks::Check RequestChecks::kChecks[] = {
+    &RequestChecks::CheckRoute,
+    &RequestChecks::CheckKnowledge,
+    &RequestChecks::CheckKey,
+    &RequestChecks::CheckDeadline,
+};
+
+std::optional<RefusalReason> RequestChecks::Apply(
+    ClassifiedRequest& request) const {
+  for (const Check check : kChecks) {
+    if (const auto refusal = (this->*check)(request))
+      return refusal;
+  }
+  return std::nullopt;
+}
+
+std::optional<RefusalReason> RequestChecks::CheckRoute(
+    ClassifiedRequest& request) const {
+  request.routes = state_->routes();
+  if (!request.routes)
+    return RefusalReason::kNotReady;
+  request.route = request.routes->FindRoute(request.host, request.path);
+  if (!request.route) {
+    // A route that is missing here may have been added since.
+    return state_->knowledge().IsFresh(GatewayState::BootNow())
+               ? RefusalReason::kUnknownRoute
+               : RefusalReason::kStaleConfiguration;
+  }
+  request.service = request.routes->FindService(
+      PickService(*request.route, request.head.id));
+  return std::nullopt;
+}
+
+std::optional<RefusalReason> RequestChecks::CheckKnowledge(
+    ClassifiedRequest& request) const {
+  const bool needs_key =
+      request.routes->needs_keys() && !request.route->is_public;
+  if (needs_key && !state_->knowledge().IsFresh(GatewayState::BootNow()))
+    return RefusalReason::kStaleConfiguration;
+  return std::nullopt;
+}
+
+std::optional<RefusalReason> RequestChecks::CheckKey(
+    ClassifiedRequest& request) const {
+  if (!request.routes->needs_keys() || request.route->is_public)
+    return std::nullopt;
+  request.customer = request.routes->FindCustomer(request.head.key);
+  return request.customer ? std::nullopt
+                          : std::optional(RefusalReason::kUnknownKey);
+}
+
+std::optional<RefusalReason> RequestChecks::CheckDeadline(
+    ClassifiedRequest& request) const {
+  Duration time = request.route->timeout;
+  if (request.head.time_left)
+    time = std::min(time, *request.head.time_left);
+  request.deadline = request.received_at + time;
+  if (request.deadline <= state_->Now())
+    return RefusalReason::kDeadlinePassed;
+  return std::nullopt;
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/teaselthread/gateway/request_guard.cc
@@ -0,0 +1,116 @@
+#include "teaselthread/gateway/request_guard.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+
+namespace teaselthread {
+namespace {
+
+// A caller that takes no bytes is given up so long after the deadline.
+constexpr auto kStuckWriteTime = std::chrono::milliseconds(300);
+
+}  // namespace
+
+RequestGuard::RequestGuard(tcp::socket* caller, Clock::time_point deadline)
+    : caller_(caller), timer_(caller->get_executor()), deadline_(deadline) {}
+
+void RequestGuard::Start() {
+  active_ = true;
+  WatchCaller();
+  Schedule();
+}
+
+void RequestGuard::Finish() {
+  active_ = false;
+  upstream_ = nullptr;
+  timer_.cancel();
+  boost::system::error_code ignored;
+  caller_->cancel(ignored);
+}
+
+void RequestGuard::Attach(tcp::socket* upstream,
+                          Clock::duration silence_limit) {
+  if (interruption_ == AttemptFailure::kSilent)
+    interruption_.reset();
+  upstream_ = upstream;
+  OnProgress(silence_limit);
+  Schedule();
+}
+
+void RequestGuard::Detach() {
+  upstream_ = nullptr;
+  silence_limit_ = Clock::duration::max();
+}
+
+void RequestGuard::OnProgress(Clock::duration silence_limit) {
+  last_progress_ = Clock::now();
+  silence_limit_ = silence_limit;
+}
+
+void RequestGuard::WatchCaller() {
+  caller_->async_wait(tcp::socket::wait_read,
+                      [self = shared_from_this()](
+                          const boost::system::error_code& failure) {
+                        if (!failure && self->active_)
+                          self->OnCallerReadable();
+                      });
+}
+
+void RequestGuard::OnCallerReadable() {
+  char byte = 0;
+  const ssize_t count =
+      ::recv(caller_->native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  const bool is_spurious =
+      count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  if (is_spurious) {
+    WatchCaller();
+    return;
+  }
+  // Bytes are the next request; it waits for its turn.
+  if (count <= 0)
+    Interrupt(AttemptFailure::kCallerGone);
+}
+
+void RequestGuard::Schedule() {
+  Clock::time_point due =
+      interruption_ ? deadline_ + kStuckWriteTime : deadline_;
+  if (upstream_ && silence_limit_ != Clock::duration::max())
+    due = std::min(due, last_progress_ + silence_limit_);
+  timer_.expires_at(due);
+  timer_.async_wait([self = shared_from_this()](
+                        const boost::system::error_code& failure) {
+    if (!failure && self->active_)
+      self->OnTimer();
+  });
+}
+
+void RequestGuard::OnTimer() {
+  const Clock::time_point now = Clock::now();
+  if (now >= deadline_ + kStuckWriteTime) {
+    Interrupt(AttemptFailure::kTimedOut);
+    boost::system::error_code ignored;
+    caller_->cancel(ignored);
+    return;
+  }
+  if (now >= deadline_) {
+    Interrupt(AttemptFailure::kTimedOut);
+  } else if (upstream_ && silence_limit_ != Clock::duration::max() &&
+             now - last_progress_ >= silence_limit_) {
+    Interrupt(AttemptFailure::kSilent);
+    return;
+  }
+  Schedule();
+}
+
+void RequestGuard::Interrupt(AttemptFailure reason) {
+  if (!is_final())
+    interruption_ = reason;
+  if (!upstream_)
+    return;
+  boost::system::error_code ignored;
+  upstream_->cancel(ignored);
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/teaselthread/gateway/request_handler.cc
@@ -0,0 +1,396 @@
+#include "teaselthread/gateway/request_handler.h"
+
+#include <algorithm>
+
+#include "libteaselthread/attempts/retry_after.h"
+#include "teaselthread/problem.h"
+
+namespace teaselthread {
+namespace {
+
+using std::chrono::milliseconds;
+
+// An endpoint that says nothing for this multiple of the objective, or of the
+// longest pause that the route allows, is given up if the request may be
+// repeated.
+constexpr double kSilenceMultiple = 2.5;
+// A repeat needs about as much time as the first attempt.
+constexpr double kMaxSilentShare = 0.5;
+constexpr Duration kMinSilence = milliseconds(200);
+
+std::string_view PathOf(const CallerHttpRequest& message) {
+  const std::string_view target(message.target().data(),
+                                message.target().size());
+  return target.substr(0, target.find('?'));
+}
+
+// In seconds, with fractions.
+std::string RetryAfterText(Duration time) {
+  std::string text = std::to_string(
+      std::chrono::duration<double>(time).count());
+  return text.substr(0, text.find('.') + 3);
+}
+
+RefusalReason ToRefusal(NoEndpointReason reason) {
+  switch (reason) {
+    case NoEndpointReason::kAllCold:
+      return RefusalReason::kEndpointsCold;
+    case NoEndpointReason::kAllTried:
+      return RefusalReason::kEndpointBusy;
+    case NoEndpointReason::kNoneAvailable:
+      break;
+  }
+  return RefusalReason::kNoEndpoint;
+}
+
+RefusalReason ToRefusal(AttemptFailure failure) {
+  switch (failure) {
+    case AttemptFailure::kUnreachable:
+    case AttemptFailure::kStaleConnection:
+    case AttemptFailure::kMisdirected:
+      return RefusalReason::kEndpointUnreachable;
+    case AttemptFailure::kTimedOut:
+      return RefusalReason::kDeadlinePassed;
+    default:
+      return RefusalReason::kEndpointBusy;
+  }
+}
+
+UnknownReason ToUnknown(AttemptFailure failure) {
+  switch (failure) {
+    case AttemptFailure::kTimedOut:
+    case AttemptFailure::kSilent:
+      return UnknownReason::kTimedOut;
+    case AttemptFailure::kMalformed:
+      return UnknownReason::kTruncatedAnswer;
+    default:
+      return UnknownReason::kConnectionLost;
+  }
+}
+
+}  // namespace
+
+// One request on its way.
+struct RequestHandler::Exchange {
+  Exchange(const CallerHttpRequest& message,
+           ClassifiedRequest request,
+           CallerLink* link,
+           std::shared_ptr<RequestGuard> guard,
+           RequestAttempts attempts)
+      : message(message),
+        request(std::move(request)),
+        link(link),
+        guard(std::move(guard)),
+        relay(link),
+        attempts(std::move(attempts)) {}
+
+  const CallerHttpRequest& message;
+  ClassifiedRequest request;
+  CallerLink* link;
+  std::shared_ptr<RequestGuard> guard;
+  StreamRelay relay;
+  RequestAttempts attempts;
+
+  // For the log.
+  std::string outcome = "none";
+  std::string reason;
+  std::string endpoint;
+  int status = 0;
+};
+
+asio::awaitable<void> RequestHandler::Serve(const CallerHttpRequest& message,
+                                            Timestamp received_at,
+                                            tcp::socket* socket,
+                                            CallerLink* link) {
+  ClassifiedRequest request;
+  request.head = state_->dialect().DecodeCaller(message.base());
+  request.host = std::string(message[http::field::host]);
+  request.path = std::string(PathOf(message));
+  request.received_at = received_at;
+  const auto refusal = checks_.Apply(request);
+  const Route* route = request.route;
+  RequestAttempts attempts(route && route->IsRepeatable(),
+                           route ? route->max_attempts : 1);
+  const Timestamp deadline =
+      refusal ? state_->Now() + std::chrono::seconds(1) : request.deadline;
+  Exchange exchange(
+      message, std::move(request), link,
+      std::make_shared<RequestGuard>(socket, GatewayState::ToSteady(deadline)),
+      std::move(attempts));
+  ++state_->requests_in_progress;
+  if (refusal) {
+    co_await Refuse(exchange, *refusal);
+  } else {
+    exchange.guard->Start();
+    co_await RunAttempts(exchange);
+    exchange.guard->Finish();
+  }
+  --state_->requests_in_progress;
+  LogEnd(exchange);
+}
+
+asio::awaitable<void> RequestHandler::RunAttempts(Exchange& exchange) {
+  state_->RetriesOf(exchange.request.service->name).OnRequest(state_->Now());
+  bool is_final = false;
+  while (!is_final)
+    is_final = co_await RunAttempt(exchange);
+}
+
+asio::awaitable<bool> RequestHandler::RunAttempt(Exchange& exchange) {
+  const bool may_have_run = exchange.attempts.may_have_run();
+  if (const auto refusal = checks_.CheckKnowledge(exchange.request)) {
+    if (may_have_run)
+      co_await GiveUp(exchange, UnknownReason::kConnectionLost);
+    else
+      co_await Refuse(exchange, *refusal);
+    co_return true;
+  }
+  const SelectionResult selected = Select(exchange);
+  if (const auto* reason = std::get_if<NoEndpointReason>(&selected)) {
+    if (may_have_run)
+      co_await GiveUp(exchange, UnknownReason::kConnectionLost);
+    else
+      co_await Refuse(exchange, ToRefusal(*reason));
+    co_return true;
+  }
+  const Selection& selection = std::get<Selection>(selected);
+  KnownEndpoint& endpoint = *selection.endpoint;
+  exchange.endpoint = endpoint.record().id;
+  exchange.attempts.OnStart(endpoint.record().id);
+  endpoint.OnSend(state_->Now());
+  const bool is_stream = exchange.request.route->kind == RequestKind::kStreaming;
+  EndpointAttempt attempt(state_, &connections_, selection.endpoint,
+                          exchange.guard.get(), &exchange.attempts);
+  const auto message = MakeEndpointRequest(exchange, selection);
+  const SilenceLimits limits = SilenceLimitsFor(exchange);
+  StreamRelay* relay = is_stream ? &exchange.relay : nullptr;
+  AttemptResult result = co_await attempt.Run(
+      message, exchange.request.head.id, limits, relay);
+  endpoint.OnEnd();
+  JudgeEndpoint(endpoint, result);
+  bool is_final = true;
+  if (result.failure) {
+    co_await AfterFailure(exchange, selection, std::move(result), &is_final);
+  } else {
+    exchange.outcome = "answered";
+    exchange.status = 200;
+    if (result.head) {
+      exchange.status = result.head->status;
+      AnswerHead head = *std::move(result.head);
+      std::string body = std::move(result.body);
+      co_await exchange.link->WriteWhole(std::move(head), std::move(body));
+    }
+    state_->metrics().OnAnswer(exchange.request.route->kind,
+                               state_->Now() - exchange.request.received_at);
+  }
+  co_return is_final;
+}
+
+asio::awaitable<void> RequestHandler::AfterFailure(Exchange& exchange,
+                                                   const Selection& selection,
+                                                   AttemptResult result,
+                                                   bool* is_final) {
+  const AttemptFailure failure = *result.failure;
+  const Route& route = *exchange.request.route;
+  const bool relayed = exchange.relay.begun();
+  const bool can_resume =
+      route.is_resumable && exchange.relay.events().last_id().has_value();
+  const std::string& service = exchange.request.service->name;
+  const NextStep step = exchange.attempts.OnFailure(
+      failure, relayed, can_resume, [&] {
+        return state_->RetriesOf(service).TryTake(
+            state_->peers().PossiblyAlive(state_->Now()).size(),
+            state_->Now());
+      });
+  *is_final = step != NextStep::kRetry;
+  state_->metrics().OnAttemptFailure(failure, !*is_final);
+  LogLine line("attempt-failed");
+  line.Add("id", exchange.request.head.id)
+      .Add("endpoint", selection.endpoint->record().id)
+      .Add("failure", ToString(failure))
+      .Add("kept_connection", result.on_kept_connection)
+      .Add("load", selection.endpoint->EstimatedLoad(state_->Now()))
+      .Add("events", exchange.relay.events().event_count())
+      .Add("retried", !*is_final)
+      .AddTime("elapsed", state_->Now() - exchange.request.received_at);
+  state_->log().Info(line);
+  switch (step) {
+    case NextStep::kRetry:
+      break;
+    case NextStep::kDrop:
+      exchange.outcome = "dropped";
+      exchange.reason = "caller-gone";
+      exchange.link->BreakOff();
+      break;
+    case NextStep::kPassOn: {
+      exchange.outcome = "answered";
+      exchange.status = result.head->status;
+      AnswerHead head = *std::move(result.head);
+      std::string body = std::move(result.body);
+      co_await exchange.link->WriteWhole(std::move(head), std::move(body));
+      break;
+    }
+    case NextStep::kRefuse:
+      co_await Refuse(exchange, ToRefusal(failure));
+      break;
+    case NextStep::kGiveUp:
+      co_await GiveUp(exchange, ToUnknown(failure));
+      break;
+  }
+}
+
+SelectionResult RequestHandler::Select(const Exchange& exchange) {
+  SelectionQuery query;
+  query.service = exchange.request.service;
+  if (query.service->engine)
+    query.prompt = exchange.request.head.prompt;
+  query.excluded = exchange.attempts.tried();
+  return state_->selector().Select(query, state_->MakeSelectionView(),
+                                   state_->Now());
+}
+
+std::shared_ptr<EndpointHttpRequest> RequestHandler::MakeEndpointRequest(
+    const Exchange& exchange,
+    const Selection& selection) const {
+  const ClassifiedRequest& request = exchange.request;
+  SendInstructions instructions;
+  instructions.endpoint_id = selection.endpoint->record().id;
+  if (request.customer)
+    instructions.customer = request.customer->name;
+  instructions.time_left = request.deadline - state_->Now();
+  instructions.resume_after = exchange.relay.events().last_id();
+  instructions.kv_source = selection.kv_source;
+  if (request.service->engine) {
+    const int priority = request.customer && request.customer->priority
+                             ? *request.customer->priority
+                             : request.route->priority;
+    instructions.engine_priority = std::clamp(priority, 0, 9);
+  }
+  auto message = std::make_shared<EndpointHttpRequest>();
+  message->version(11);
+  message->method_string(exchange.message.method_string());
+  message->target(exchange.message.target());
+  state_->dialect().EncodeForEndpoint(exchange.message.base(), instructions,
+                                      message.get());
+  message->body() = exchange.message.body();
+  const bool has_body = !message->body().empty() ||
+                        exchange.message.method() == http::verb::post ||
+                        exchange.message.method() == http::verb::put;
+  if (has_body)
+    message->content_length(message->body().size());
+  return message;
+}
+
+SilenceLimits RequestHandler::SilenceLimitsFor(const Exchange& exchange) const {
+  const Route& route = *exchange.request.route;
+  const Duration left = exchange.request.deadline - state_->Now();
+  SilenceLimits limits{left, left};
+  if (!route.IsRepeatable() || route.max_attempts < 2)
+    return limits;
+  const auto times = [](Duration time, double factor) {
+    return Duration(static_cast<Duration::rep>(time.count() * factor));
+  };
+  limits.first = std::max(
+      kMinSilence, std::min(times(route.objective, kSilenceMultiple),
+                            times(left, kMaxSilentShare)));
+  if (route.max_event_gap > Duration::zero())
+    limits.between = times(route.max_event_gap, kSilenceMultiple);
+  return limits;
+}
+
+void RequestHandler::JudgeEndpoint(KnownEndpoint& endpoint,
+                                   const AttemptResult& result) {
+  const Timestamp now = state_->Now();
+  EndpointHealth& health = endpoint.health();
+  const bool was_ejected = health.ejected();
+  if (!result.failure) {
+    health.OnSuccess();
+  } else {
+    switch (*result.failure) {
+      case AttemptFailure::kUnreachable:
+      case AttemptFailure::kMisdirected:
+        connections_.Drop(endpoint.record().id);
+        health.OnUnreachable(now);
+        break;
+      case AttemptFailure::kStaleConnection:
+      case AttemptFailure::kCallerGone:
+        health.OnAbandoned();
+        break;
+      default:
+        health.OnFailure(state_->endpoints().ToleratedFailureRate(endpoint),
+                         now);
+    }
+  }
+  if (health.ejected() == was_ejected)
+    return;
+  LogLine line(health.ejected() ? "endpoint-ejected" : "endpoint-readmitted");
+  line.Add("endpoint", endpoint.record().id)
+      .Add("service", endpoint.record().service)
+      .Add("failure_rate", health.failure_rate());
+  if (result.failure)
+    line.Add("failure", ToString(*result.failure));
+  state_->log().Info(line);
+}
+
+asio::awaitable<void> RequestHandler::Refuse(Exchange& exchange,
+                                             RefusalReason reason) {
+  state_->metrics().OnRefusal(reason);
+  const double spread =
+      std::uniform_real_distribution<double>(0, 1)(state_->random());
+  const Duration retry_after = RetryAfterFor(reason, spread);
+  auto problem = MakeProblem(RefusedNotRun{reason, retry_after});
+  if (retry_after > Duration::zero())
+    problem.set(http::field::retry_after, RetryAfterText(retry_after));
+  exchange.outcome = "refused";
+  exchange.reason = ToString(reason);
+  exchange.status = static_cast<int>(problem.result_int());
+  AnswerHead head{exchange.status, problem.base()};
+  std::string body = std::move(problem.body());
+  co_await exchange.link->WriteWhole(std::move(head), std::move(body));
+}
+
+asio::awaitable<void> RequestHandler::GiveUp(Exchange& exchange,
+                                             UnknownReason reason) {
+  state_->metrics().OnUnknownOutcome();
+  exchange.outcome = "unknown";
+  exchange.reason = ToString(reason);
+  if (exchange.relay.begun()) {
+    state_->metrics().OnBrokenStream();
+    exchange.link->BreakOff();
+    co_return;
+  }
+  auto problem = MakeProblem(MayHaveRun{reason});
+  exchange.status = static_cast<int>(problem.result_int());
+  AnswerHead head{exchange.status, problem.base()};
+  std::string body = std::move(problem.body());
+  co_await exchange.link->WriteWhole(std::move(head), std::move(body));
+}
+
+void RequestHandler::LogEnd(const Exchange& exchange) {
+  const ClassifiedRequest& request = exchange.request;
+  LogLine line("request-ended");
+  line.Add("id", request.head.id)
+      .Add("route", request.route ? request.route->name : "none")
+      .Add("outcome", exchange.outcome)
+      .Add("status", exchange.status);
+  if (!exchange.reason.empty())
+    line.Add("reason", exchange.reason);
+  if (!exchange.endpoint.empty())
+    line.Add("endpoint", exchange.endpoint);
+  line.Add("sends", exchange.attempts.sends())
+      .Add("events", exchange.relay.events().event_count())
+      .AddTime("elapsed", state_->Now() - request.received_at);
+  if (const auto first = exchange.relay.first_event_at()) {
+    const Duration latency = std::chrono::duration_cast<Duration>(
+        *first - GatewayState::ToSteady(request.received_at));
+    line.AddTime("first_event", latency);
+    state_->metrics().OnFirstByte(RequestKind::kStreaming, latency);
+  }
+  if (request.routes)
+    line.Add("configuration", request.routes->version());
+  if (const auto age = state_->knowledge().Age(GatewayState::BootNow()))
+    line.AddTime("configuration_age", *age);
+  state_->log().Info(line);
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/teaselthread/gateway/store_watcher.cc
@@ -0,0 +1,140 @@
+#include "teaselthread/gateway/store_watcher.h"
+
+#include <algorithm>
+
+namespace teaselthread {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A store that is slow answers within this; a dead connection is noticed so
+// long after the time that a watch was to wait.
+constexpr Duration kCallTimeout = milliseconds(800);
+constexpr Duration kMinBackOff = milliseconds(60);
+constexpr uint32_t kMaxDoublings = 3;
+constexpr int kOk = 200;
+constexpr int kGone = 410;
+
+}  // namespace
+
+StoreWatcher::StoreWatcher(GatewayState* state,
+                           StoreKind kind,
+                           Duration wait,
+                           Callbacks callbacks)
+    : state_(state),
+      kind_(kind),
+      wait_(wait),
+      callbacks_(std::move(callbacks)),
+      connection_(state->settings().store()) {}
+
+void StoreWatcher::Start() {
+  asio::co_spawn(state_->io(), Run(), asio::detached);
+}
+
+asio::awaitable<void> StoreWatcher::Run() {
+  bool is_listed = false;
+  for (;;) {
+    Step step = Step::kDone;
+    if (is_listed)
+      step = co_await Watch();
+    else
+      step = co_await List();
+    if (step == Step::kFailed) {
+      co_await BackOff();
+      continue;
+    }
+    is_listed = step == Step::kDone;
+  }
+}
+
+asio::awaitable<StoreWatcher::Step> StoreWatcher::List() {
+  std::vector<StoreObject> objects;
+  const Timestamp asked_at = GatewayState::BootNow();
+  std::optional<uint64_t> first_revision;
+  for (std::string after;;) {
+    std::string target = state_->dialect().ListTarget(kind_, after, false);
+    Result<HttpReply> reply =
+        co_await Get(std::move(target), kCallTimeout);
+    if (!reply)
+      co_return OnFailure(Describe(reply.last_reason()));
+    Result<StorePage> page = state_->dialect().DecodeList(reply->body);
+    if (!page)
+      co_return OnFailure(Describe(page.last_reason()));
+    // Changes made while later pages are read come with the watch.
+    if (!first_revision)
+      first_revision = page->revision;
+    for (const StoreObject& object : page->objects)
+      objects.push_back(object);
+    if (!page->has_more || page->objects.empty())
+      break;
+    after = page->objects.back().name;
+  }
+  OnSuccess();
+  revision_ = *first_revision;
+  callbacks_.on_list(objects, asked_at);
+  co_return Step::kDone;
+}
+
+asio::awaitable<StoreWatcher::Step> StoreWatcher::Watch() {
+  const Timestamp asked_at = GatewayState::BootNow();
+  std::string target =
+      state_->dialect().WatchTarget(kind_, revision_, wait_);
+  Result<HttpReply> reply =
+      co_await Get(std::move(target), wait_ + kCallTimeout);
+  if (!reply) {
+    if (reply.last_reason().code == ErrorCode::kNotFound)
+      co_return Step::kListAgain;
+    co_return OnFailure(Describe(reply.last_reason()));
+  }
+  Result<StorePage> page = state_->dialect().DecodeWatch(reply->body);
+  if (!page)
+    co_return OnFailure(Describe(page.last_reason()));
+  OnSuccess();
+  revision_ = std::max(revision_, page->revision);
+  callbacks_.on_changes(page->objects, asked_at);
+  co_return Step::kDone;
+}
+
+// Fails with kNotFound if the history that was asked for is gone.
+asio::awaitable<Result<HttpReply>> StoreWatcher::Get(std::string target,
+                                                     Duration timeout) {
+  Result<HttpReply> reply =
+      co_await connection_.Get(std::move(target), timeout);
+  state_->metrics().OnStoreCall(reply && reply->status == kOk);
+  if (!reply || reply->status == kOk)
+    co_return reply;
+  const ErrorCode code =
+      reply->status == kGone ? ErrorCode::kNotFound : ErrorCode::kUnavailable;
+  co_return Error{code, "the store answered " + std::to_string(reply->status)};
+}
+
+StoreWatcher::Step StoreWatcher::OnFailure(const std::string& detail) {
+  if (failures_++ == 0) {
+    LogLine line("store-lost");
+    line.Add("kind", ToString(kind_)).Add("detail", detail);
+    state_->log().Warn(line);
+    callbacks_.on_reachable(false);
+  }
+  return Step::kFailed;
+}
+
+void StoreWatcher::OnSuccess() {
+  if (failures_ > 0) {
+    LogLine line("store-regained");
+    line.Add("kind", ToString(kind_)).Add("failures", failures_);
+    state_->log().Info(line);
+    callbacks_.on_reachable(true);
+  }
+  failures_ = 0;
+}
+
+asio::awaitable<void> StoreWatcher::BackOff() {
+  const uint32_t doublings = std::min(failures_ - 1, kMaxDoublings);
+  std::uniform_real_distribution<double> jitter(0.5, 1.5);
+  const auto pause = Duration(static_cast<Duration::rep>(
+      (kMinBackOff * (1 << doublings)).count() * jitter(state_->random())));
+  asio::steady_timer timer(state_->io(), pause);
+  co_await timer.async_wait(kAsTuple);
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/teaselthread/gateway/wire_dialect.cc
@@ -0,0 +1,11 @@
+#include "teaselthread/gateway/wire_dialect.h"
+
+namespace teaselthread {
+
+std::string_view ToString(StoreKind kind) {
+  constexpr std::string_view kNames[kStoreKindCount] = {
+      "configuration", "endpoints", "evacuations", "nodes"};
+  return kNames[static_cast<size_t>(kind)];
+}
+
+}  // namespace teaselthread
--- a/src/teaselthread/http_connection.cc
+++ b/src/teaselthread/http_connection.cc
@@ -4,14 +4,36 @@
 
 asio::awaitable<Result<HttpReply>> HttpConnection::Get(std::string target,
                                                        Duration timeout) {
+  std::string no_body;
+  co_return co_await Call(http::verb::get, std::move(target),
+                          std::move(no_body), timeout);
+}
+
+asio::awaitable<Result<HttpReply>> HttpConnection::Call(http::verb method,
+                                                        std::string target,
+                                                        std::string body,
+                                                        Duration timeout) {
   busy_ = true;
-  Result<HttpReply> reply = co_await TryGet(std::move(target), timeout);
+  Result<HttpReply> reply =
+      co_await TryCall(method, std::move(target), std::move(body), timeout);
   busy_ = false;
   co_return reply;
 }
 
-asio::awaitable<Result<HttpReply>> HttpConnection::TryGet(std::string target,
-                                                          Duration timeout) {
+void HttpConnection::Reconnect() {
+  if (!socket_)
+    return;
+  boost::system::error_code ignored;
+  socket_->cancel(ignored);
+  if (!busy_)
+    socket_.reset();
+}
+
+asio::awaitable<Result<HttpReply>> HttpConnection::TryCall(
+    http::verb method,
+    std::string target,
+    std::string body,
+    Duration timeout) {
   const bool is_reused = socket_.has_value();
   if (!socket_) {
     Result<tcp::socket> connected = co_await Connect(address_, timeout);
@@ -19,8 +41,8 @@
       co_return connected.last_reason();
     socket_ = connected.TakeValue();
   }
-  Result<HttpExchange> exchange = co_await ExchangeOn(
-      *socket_, address_, http::verb::get, target, "", timeout);
+  Result<HttpExchange> exchange =
+      co_await ExchangeOn(*socket_, address_, method, target, body, timeout);
   if (exchange) {
     if (!exchange->keep_alive)
       socket_.reset();
@@ -29,9 +51,12 @@
   socket_.reset();
   // The other side may have closed a connection that was idle.
   const bool may_have_idled_out =
-      is_reused && exchange.last_reason().code == ErrorCode::kConnectionLost;
-  if (may_have_idled_out)
-    co_return co_await TryGet(std::move(target), timeout);
+      is_reused && method == http::verb::get &&
+      exchange.last_reason().code == ErrorCode::kConnectionLost;
+  if (may_have_idled_out) {
+    co_return co_await TryCall(method, std::move(target), std::move(body),
+                               timeout);
+  }
   co_return exchange.last_reason();
 }
 
--- a/src/teaselthread/http_connection.h
+++ b/src/teaselthread/http_connection.h
@@ -19,10 +19,19 @@
   bool busy() const { return busy_; }
   // Errors as for HttpCall.
   asio::awaitable<Result<HttpReply>> Get(std::string target, Duration timeout);
+  asio::awaitable<Result<HttpReply>> Call(http::verb method,
+                                          std::string target,
+                                          std::string body,
+                                          Duration timeout);
+  // A call in progress is made again on a new connection if it is a GET, and
+  // fails otherwise.
+  void Reconnect();
 
  private:
-  asio::awaitable<Result<HttpReply>> TryGet(std::string target,
-                                            Duration timeout);
+  asio::awaitable<Result<HttpReply>> TryCall(http::verb method,
+                                             std::string target,
+                                             std::string body,
+                                             Duration timeout);
 
   SocketAddress address_;
   std::optional<tcp::socket> socket_;
--- a/src/teaselthread/main.cc
+++ b/src/teaselthread/main.cc
@@ -2,9 +2,11 @@
 
 #include <iostream>
 
+#include "platform/platform_dialect.h"
 #include "teaselthread/command_line.h"
 #include "teaselthread/ctl_command.h"
 #include "teaselthread/exit_code.h"
+#include "teaselthread/gateway/gateway.h"
 #include "teaselthread/node.h"
 
 namespace teaselthread {
@@ -37,6 +39,26 @@
                : ReportAll(ended.reasons(), ExitCode::kUnavailable);
 }
 
+ExitCode RunGateway(const CommandLine& command_line) {
+  if (command_line.config_file.empty()) {
+    std::cerr << "teaselthread: gateway needs --config FILE\n";
+    return ExitCode::kUsage;
+  }
+  Result<GatewaySettings> settings =
+      GatewaySettings::Load(command_line.config_file);
+  if (!settings)
+    return ReportAll(settings.reasons(), ExitCode::kInvalid);
+  if (command_line.check) {
+    std::cout << command_line.config_file << ": valid\n";
+    return ExitCode::kSuccess;
+  }
+  const platform::PlatformDialect dialect;
+  const Result<int> ended = Gateway::Run(settings.TakeValue(), &dialect,
+                                         command_line.config_file);
+  return ended ? ExitCode::kSuccess
+               : ReportAll(ended.reasons(), ExitCode::kUnavailable);
+}
+
 ExitCode Run(int argc, const char** argv) {
   const Result<CommandLine> command_line = CommandLine::Parse(argc, argv);
   if (!command_line)
@@ -48,9 +70,11 @@
   const std::vector<std::string>& words = command_line->words;
   if (words.size() == 1 && words[0] == "node")
     return RunNode(*command_line);
+  if (words.size() == 1 && words[0] == "gateway")
+    return RunGateway(*command_line);
   if (words.size() >= 2 && words[0] == "ctl")
     return RunCtl(*command_line);
-  std::cerr << "teaselthread: expected node or ctl; see teaselthread --help\n";
+  std::cerr << "teaselthread: expected gateway, node or ctl; see teaselthread --help\n";
   return ExitCode::kUsage;
 }
 
