Configuration's age travels by heartbeat; store calls grow less with the fleet

Change: RemovalGrace begins once per outage; a zone's first node asks each 1 s and heartbeats carry the proof, counted from an echoed time, so that neither clocks nor delays matter; endpoint changes are gathered for 0.6 s; other kinds wait while the configuration cannot be read. Heartbeats cross zones to four nodes only. A margin of 50 ms on the revocation bound, as callers send before the check.

--- a/src/libteaselthread/peers/peer_set.cc
+++ b/src/libteaselthread/peers/peer_set.cc
@@ -2,15 +2,35 @@
 
 #include <algorithm>
 
+#include "libteaselthread/rendezvous_hash.h"
+
 namespace teaselthread {
 
 PeerSet::PeerSet(Peer self, Duration heartbeat_timeout)
     : self_(std::move(self)), heartbeat_timeout_(heartbeat_timeout) {}
 
-void PeerSet::OnHeartbeat(const Peer& peer, Timestamp now) {
+void PeerSet::OnIntroduction(const Peer& peer, Timestamp now) {
   if (peer.name == self_.name)
     return;
-  entries_[peer.name] = {peer, now, now, true};
+  Entry& entry = entries_[peer.name];
+  entry.peer = peer;
+  entry.mentioned_at = now;
+}
+
+bool PeerSet::OnHeartbeat(const SocketAddress& from,
+                          const PeerNews& news,
+                          Timestamp now) {
+  for (auto& [name, entry] : entries_) {
+    if (entry.peer.peer_address != from)
+      continue;
+    entry.peer.serving = news.serving;
+    entry.mentioned_at = now;
+    entry.heard_at = now;
+    entry.heard = true;
+    entry.news = news;
+    return true;
+  }
+  return false;
 }
 
 void PeerSet::OnRecord(const Peer& peer, Timestamp now) {
@@ -21,8 +41,11 @@
   const bool was_replaced =
       !is_new && entry.peer.peer_address != peer.peer_address &&
       !IsAlive(entry, now);
-  if (is_new || was_replaced)
-    entry = {peer, now, {}, false};
+  if (is_new || was_replaced) {
+    entry = Entry();
+    entry.peer = peer;
+  }
+  entry.mentioned_at = now;
 }
 
 std::vector<Peer> PeerSet::ServingFor(const std::string& zone,
@@ -53,13 +76,69 @@
 
 std::vector<SocketAddress> PeerSet::HeartbeatTargets(Timestamp now) const {
   std::vector<SocketAddress> targets;
+  // By zone and weight, so that every pair of zones has links between
+  // different nodes.
+  std::map<std::string, std::map<uint64_t, SocketAddress>> remote;
+  const RendezvousKey key(self_.name);
   for (const auto& [name, entry] : entries_) {
-    if (now - entry.mentioned_at <= kMemory)
+    if (now - entry.mentioned_at > kMemory)
+      continue;
+    if (entry.peer.zone == self_.zone)
       targets.push_back(entry.peer.peer_address);
+    else
+      remote[entry.peer.zone].emplace(key.WeightOf(name),
+                                      entry.peer.peer_address);
+  }
+  for (const auto& [zone, by_weight] : remote) {
+    size_t taken = 0;
+    for (const auto& [weight, address] : by_weight) {
+      if (taken++ == kRemoteTargets)
+        break;
+      targets.push_back(address);
+    }
   }
   return targets;
 }
 
+std::optional<Timestamp> PeerSet::LastSentAt(const SocketAddress& from) const {
+  const Entry* entry = FindByAddress(from);
+  if (!entry || !entry->heard)
+    return std::nullopt;
+  return entry->news.sent_at;
+}
+
+bool PeerSet::IsAlive(const SocketAddress& address, Timestamp now) const {
+  const Entry* entry = FindByAddress(address);
+  return entry && IsAlive(*entry, now);
+}
+
+bool PeerSet::IsZoneLead(Timestamp now) const {
+  return std::none_of(
+      entries_.begin(), entries_.end(), [&](const auto& item) {
+        const Entry& entry = item.second;
+        return entry.peer.zone == self_.zone && entry.peer.serving &&
+               IsAlive(entry, now) && entry.peer.name < self_.name;
+      });
+}
+
+Duration PeerSet::HeartbeatInterval(Duration shortest, Timestamp now) const {
+  const auto in_zone =
+      std::count_if(entries_.begin(), entries_.end(), [&](const auto& item) {
+        return item.second.peer.zone == self_.zone &&
+               IsAlive(item.second, now);
+      });
+  return std::max(shortest, kIntervalPerNode * (in_zone + 1));
+}
+
+const PeerSet::Entry* PeerSet::FindByAddress(
+    const SocketAddress& address) const {
+  const auto found =
+      std::find_if(entries_.begin(), entries_.end(), [&](const auto& item) {
+        return item.second.peer.peer_address == address;
+      });
+  return found == entries_.end() ? nullptr : &found->second;
+}
+
 size_t PeerSet::alive_count(Timestamp now) const {
   return static_cast<size_t>(
       1 + std::count_if(entries_.begin(), entries_.end(),
--- a/src/libteaselthread/peers/peer_set.h
+++ b/src/libteaselthread/peers/peer_set.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,20 @@
   friend auto operator<=>(const Peer&, const Peer&) = default;
 };
 
+// What a heartbeat says, beside who sent it. Times of the sender are on its own
+// clock; `echoed_at` is on this node's.
+struct PeerNews {
+  bool serving = false;
+  uint64_t configuration_version = 0;
+  // How long ago the sender's configuration was shown to be the newest.
+  std::optional<Duration> proof_age;
+  Timestamp sent_at{};
+  // When this node sent the latest heartbeat that has reached the sender.
+  std::optional<Timestamp> echoed_at;
+
+  friend auto operator<=>(const PeerNews&, const PeerNews&) = default;
+};
+
 // The other nodes, by their heartbeats. Nodes need no agreement: each list is
 // one node's belief, used for the addresses that callers get and for shares of
 // limits.
@@ -32,8 +47,13 @@
   const Peer& self() const { return self_; }
   void SetServing(bool serving) { self_.serving = serving; }
 
-  void OnHeartbeat(const Peer& peer, Timestamp now);
-  // A node that is known by its record only.
+  // The sender has said who it is.
+  void OnIntroduction(const Peer& peer, Timestamp now);
+  // False if no node with that address is known.
+  bool OnHeartbeat(const SocketAddress& from,
+                   const PeerNews& news,
+                   Timestamp now);
+  // A node's record in the store.
   void OnRecord(const Peer& peer, Timestamp now);
 
   // Nodes that take new callers, this one included if it does. Only nodes of
@@ -42,13 +62,25 @@
   // All nodes that may be alive, this one included. A node that fell silent
   // counts for kMemory more, since it may only be cut off.
   std::vector<std::string> PossiblyAlive(Timestamp now) const;
-  // Where heartbeats go.
+  // Where heartbeats go: to every node of the own availability zone, and to
+  // kRemoteTargets in each other one.
   std::vector<SocketAddress> HeartbeatTargets(Timestamp now) const;
+  // The sender's time of the latest heartbeat from that address.
+  std::optional<Timestamp> LastSentAt(const SocketAddress& from) const;
+  bool IsAlive(const SocketAddress& address, Timestamp now) const;
   size_t alive_count(Timestamp now) const;
+  // Whether this node is the one of its availability zone that asks the store
+  // often, and tells the others of its zone how old the configuration is.
+  bool IsZoneLead(Timestamp now) const;
+  // Between two heartbeats, so that their cost does not grow with the zone.
+  Duration HeartbeatInterval(Duration shortest, Timestamp now) const;
 
   static constexpr size_t kMinZoneNodes = 2;
+  static constexpr size_t kRemoteTargets = 4;
+  // Per node of the zone: 50 heartbeats a second, about 3 KB.
+  static constexpr Duration kIntervalPerNode = std::chrono::milliseconds(20);
   // Longer than a cut or a restart usually lasts.
-  static constexpr Duration kMemory = std::chrono::seconds(45);
+  static constexpr Duration kMemory = std::chrono::minutes(5);
 
  private:
   struct Entry {
@@ -56,11 +88,13 @@
     Timestamp mentioned_at{};  // by itself or by its record
     Timestamp heard_at{};      // by its own heartbeat
     bool heard = false;
+    PeerNews news;
   };
 
   bool IsAlive(const Entry& entry, Timestamp now) const {
     return entry.heard && now - entry.heard_at <= heartbeat_timeout_;
   }
+  const Entry* FindByAddress(const SocketAddress& address) const;
 
   Peer self_;
   Duration heartbeat_timeout_;
--- a/src/libteaselthread/routes/knowledge_age.h
+++ b/src/libteaselthread/routes/knowledge_age.h
@@ -18,6 +18,12 @@
   // configuration held was the newest then.
   void OnProof(Timestamp asked_at);
 
+  // A node with the same configuration says that it was the newest `age`
+  // before it sent a message. It sent that after it had received what this
+  // node sent at `echoed_at`, so that neither clocks nor the time that the
+  // message was under way need be known.
+  void OnPeerProof(Timestamp echoed_at, Duration age, Timestamp now);
+
   bool IsFresh(Timestamp now) const;
   // Empty before the first proof.
   std::optional<Duration> Age(Timestamp now) const;
--- a/src/teaselthread/gateway/gateway.cc
+++ b/src/teaselthread/gateway/gateway.cc
@@ -51,6 +51,9 @@
   if (!heartbeat)
     return heartbeat.last_reason();
   heartbeat_ = heartbeat.TakeValue();
+  heartbeat_->set_on_news(
+      [this](const PeerNews& news) { store_.OnPeerNews(news); });
+  store_.set_on_regained([this] { heartbeat_->SendNow(); });
   store_.Start();
   registrar_.Start();
   state_.timers().Subscribe(kSweepInterval, state_.Now(), [this](Timestamp) {
--- a/src/teaselthread/gateway/gateway_settings.cc
+++ b/src/teaselthread/gateway/gateway_settings.cc
@@ -114,7 +114,7 @@
     }
   }
   heartbeat_interval_ =
-      reader.Milliseconds("heartbeat_interval_ms", 500, kMillisecondsRange);
+      reader.Milliseconds("heartbeat_interval_ms", 250, kMillisecondsRange);
   heartbeat_timeout_ =
       reader.Milliseconds("heartbeat_timeout_ms", 2'000, kMillisecondsRange);
   reader.RejectUnknownKeys();
--- a/src/teaselthread/gateway/gateway_state.cc
+++ b/src/teaselthread/gateway/gateway_state.cc
@@ -6,9 +6,9 @@
 namespace teaselthread {
 namespace {
 
-// Part of the revocation bound that covers the way of a request to an
-// endpoint and the spread of clocks' speeds.
-constexpr Duration kRevocationMargin = std::chrono::milliseconds(400);
+// Covers the difference between the speeds of clocks. A caller sends before
+// its request is checked here, so that time under way needs no margin.
+constexpr Duration kRevocationMargin = std::chrono::milliseconds(50);
 // Until a starting node has heard of the others, limits are shared as if there
 // were this many: the largest of today's deployments without one.
 constexpr size_t kAssumedNodes = 8;
--- a/src/teaselthread/gateway/peer_heartbeat.cc
+++ b/src/teaselthread/gateway/peer_heartbeat.cc
@@ -7,6 +7,17 @@
 namespace teaselthread {
 namespace {
 
+// Identities are repeated for nodes that have lost theirs.
+constexpr uint32_t kBeatsBetweenIntroductions = 16;
+
+uint64_t ToMicroseconds(Timestamp time) {
+  return static_cast<uint64_t>(time.time_since_epoch().count());
+}
+
+Timestamp ToTimestamp(uint64_t microseconds) {
+  return Timestamp(Duration(static_cast<Duration::rep>(microseconds)));
+}
+
 asio::ip::udp::endpoint ToEndpoint(const SocketAddress& address) {
   return {asio::ip::make_address(address.host), address.port};
 }
@@ -34,8 +45,8 @@
   asio::co_spawn(state->io(), heartbeat->ReceiveLoop(), asio::detached);
   state->timers().Subscribe(state->settings().heartbeat_interval(),
                             state->Now(),
-                            [heartbeat = heartbeat.get()](Timestamp) {
-                              heartbeat->SendNow();
+                            [heartbeat = heartbeat.get()](Timestamp now) {
+                              heartbeat->SendIfDue(now);
                             });
   heartbeat->SendNow();
   return heartbeat;
@@ -44,29 +55,55 @@
 PeerHeartbeat::PeerHeartbeat(GatewayState* state, asio::ip::udp::socket socket)
     : state_(state), socket_(std::move(socket)) {}
 
+void PeerHeartbeat::SendIfDue(Timestamp now) {
+  const Duration interval = state_->peers().HeartbeatInterval(
+      state_->settings().heartbeat_interval(), now);
+  if (now - last_sent_at_ >= interval)
+    SendNow();
+}
+
 void PeerHeartbeat::SendNow() {
+  ++beats_;
+  last_sent_at_ = state_->Now();
   state_->peers().SetServing(state_->IsReady());
+  const std::vector<SocketAddress> known =
+      state_->peers().HeartbeatTargets(state_->Now());
+  std::set<SocketAddress> targets(known.begin(), known.end());
+  // Seeds bring nodes together that have no record of each other.
+  if (known.empty()) {
+    targets.insert(state_->settings().seeds().begin(),
+                   state_->settings().seeds().end());
+  }
+  targets.erase(state_->peers().self().peer_address);
+  for (const SocketAddress& target : targets)
+    Send(target);
+}
+
+void PeerHeartbeat::Send(const SocketAddress& target) {
   const Peer& self = state_->peers().self();
+  const Timestamp now = GatewayState::BootNow();
   wire::GatewayHeartbeat message;
-  message.set_name(self.name);
-  message.set_zone(self.zone);
-  message.set_peer_address(self.peer_address.ToString());
-  message.set_front_address(self.front_address.ToString());
+  const auto heard_at = state_->peers().LastSentAt(target);
+  if (!heard_at || beats_ % kBeatsBetweenIntroductions == 0) {
+    message.mutable_identity()->set_name(self.name);
+    message.mutable_identity()->set_zone(self.zone);
+    message.mutable_identity()->set_front_address(
+        self.front_address.ToString());
+  }
   message.set_serving(self.serving);
   if (state_->routes())
     message.set_configuration_version(state_->routes()->version());
-  const std::string bytes = message.SerializeAsString();
-  const std::vector<SocketAddress> known =
-      state_->peers().HeartbeatTargets(state_->Now());
-  std::set<SocketAddress> targets(known.begin(), known.end());
-  targets.insert(state_->settings().seeds().begin(),
-                 state_->settings().seeds().end());
-  targets.erase(self.peer_address);
-  for (const SocketAddress& target : targets) {
-    // A datagram that cannot be sent counts as lost.
-    boost::system::error_code ignored;
-    socket_.send_to(asio::buffer(bytes), ToEndpoint(target), 0, ignored);
+  if (const auto age = state_->knowledge().Age(now)) {
+    message.set_proof_age_ms(static_cast<uint32_t>(
+        std::chrono::ceil<std::chrono::milliseconds>(*age).count()));
   }
+  message.set_sent_at_us(ToMicroseconds(now));
+  if (heard_at)
+    message.set_echoed_us(ToMicroseconds(*heard_at));
+  const std::string bytes = message.SerializeAsString();
+  // A datagram that cannot be sent counts as lost.
+  boost::system::error_code ignored;
+  socket_.send_to(asio::buffer(bytes), ToEndpoint(target), 0, ignored);
 }
 
 asio::awaitable<void> PeerHeartbeat::ReceiveLoop() {
@@ -76,26 +113,42 @@
         asio::buffer(received_), sender, kAsTuple);
     if (failure == asio::error::operation_aborted)
       co_return;
-    if (!failure)
-      OnDatagram({received_.data(), count});
+    if (failure)
+      continue;
+    const SocketAddress from{sender.address().to_string(), sender.port()};
+    OnDatagram(from, {received_.data(), count});
   }
 }
 
-void PeerHeartbeat::OnDatagram(std::string_view bytes) {
+void PeerHeartbeat::OnDatagram(const SocketAddress& from,
+                               std::string_view bytes) {
   wire::GatewayHeartbeat message;
   if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
     state_->metrics().OnUnreadableEntry();
     return;
   }
-  const auto peer_address = SocketAddress::Parse(message.peer_address());
-  const auto front_address = SocketAddress::Parse(message.front_address());
-  if (!peer_address || !front_address || message.name().empty()) {
-    state_->metrics().OnUnreadableEntry();
-    return;
+  if (message.has_identity()) {
+    const wire::GatewayIdentity& identity = message.identity();
+    const auto front_address = SocketAddress::Parse(identity.front_address());
+    if (!front_address || identity.name().empty()) {
+      state_->metrics().OnUnreadableEntry();
+      return;
+    }
+    state_->peers().OnIntroduction(
+        {identity.name(), identity.zone(), from, *front_address,
+         message.serving()},
+        state_->Now());
   }
-  state_->peers().OnHeartbeat({message.name(), message.zone(), *peer_address,
-                               *front_address, message.serving()},
-                              state_->Now());
+  PeerNews news;
+  news.serving = message.serving();
+  news.configuration_version = message.configuration_version();
+  if (message.has_proof_age_ms())
+    news.proof_age = std::chrono::milliseconds(message.proof_age_ms());
+  news.sent_at = ToTimestamp(message.sent_at_us());
+  if (message.echoed_us() != 0)
+    news.echoed_at = ToTimestamp(message.echoed_us());
+  if (state_->peers().OnHeartbeat(from, news, state_->Now()) && on_news_)
+    on_news_(news);
 }
 
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/peer_heartbeat.h
+++ b/src/teaselthread/gateway/peer_heartbeat.h
@@ -2,6 +2,7 @@
 #define TEASELTHREAD_GATEWAY_PEER_HEARTBEAT_H_
 
 #include <array>
+#include <functional>
 #include <memory>
 
 #include "teaselthread/gateway/gateway_state.h"
@@ -14,17 +15,26 @@
   // Fails with kUnavailable if the peer address cannot be bound.
   static Result<std::unique_ptr<PeerHeartbeat>> Start(GatewayState* state);
 
+  // Called with each heartbeat that comes in.
+  using OnNews = std::function<void(const PeerNews&)>;
+  void set_on_news(OnNews on_news) { on_news_ = std::move(on_news); }
+
   // Tells the others at once.
   void SendNow();
 
  private:
   PeerHeartbeat(GatewayState* state, asio::ip::udp::socket socket);
   asio::awaitable<void> ReceiveLoop();
-  void OnDatagram(std::string_view bytes);
+  void OnDatagram(const SocketAddress& from, std::string_view bytes);
+  void SendIfDue(Timestamp now);
+  void Send(const SocketAddress& target);
 
   GatewayState* state_;
   asio::ip::udp::socket socket_;
   std::array<char, 1500> received_{};
+  OnNews on_news_;
+  uint32_t beats_ = 0;
+  Timestamp last_sent_at_{};
 };
 
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/store_controller.cc
+++ b/src/teaselthread/gateway/store_controller.cc
@@ -7,15 +7,21 @@
 
 using std::chrono::milliseconds;
 
-// Each answer proves the configuration's age anew, so this is well below the
-// revocation bound.
-constexpr Duration kConfigurationWait = milliseconds(1'500);
-// Changes come at once in any case; a connection that has gone silent shows
-// by the configuration's watch.
-constexpr Duration kListWait = milliseconds(6'000);
-// Endpoints whose entries lapsed while the store was away register again
-// within 2 s of its return.
-constexpr Duration kReturnGrace = milliseconds(2'300);
+// Each answer to a zone's lead proves the configuration's age to its zone, so
+// this is well below the revocation bound.
+constexpr Duration kLeadWait = milliseconds(1'000);
+// Changes come at once in any case.
+constexpr Duration kLongWait = milliseconds(8'000);
+// A gateway asks for itself once it has had no proof for so long: a lead's wait
+// and two heartbeats.
+constexpr Duration kAskAfter = milliseconds(2'000);
+// Releases change endpoints one after the other; the bound on a leaving
+// endpoint's last request is 2 s at least.
+constexpr Duration kEndpointGather = milliseconds(600);
+constexpr Duration kEvacuationGather = milliseconds(100);
+constexpr Duration kLeadBackOff = milliseconds(400);
+// The lead's heartbeat ends the pause once the store is back.
+constexpr Duration kFollowerBackOff = milliseconds(1'500);
 constexpr Duration kSweepInterval = milliseconds(200);
 
 }  // namespace
@@ -24,30 +30,80 @@
     : state_(state),
       configuration_(state,
                      StoreKind::kConfiguration,
-                     kConfigurationWait,
-                     MakeCallbacks(&StoreController::OnConfigurationList,
+                     [this] { return ConfigurationPace(); },
+                     MakeCallbacks(StoreKind::kConfiguration,
+                                   &StoreController::OnConfigurationList,
                                    &StoreController::OnConfigurationChanges)),
       endpoints_(state,
                  StoreKind::kEndpoints,
-                 kListWait,
-                 MakeCallbacks(&StoreController::OnEndpointList,
+                 [this] { return ListPace(kEndpointGather); },
+                 MakeCallbacks(StoreKind::kEndpoints,
+                               &StoreController::OnEndpointList,
                                &StoreController::OnEndpointChanges)),
       evacuations_(state,
                    StoreKind::kEvacuations,
-                   kListWait,
-                   MakeCallbacks(&StoreController::OnEvacuationList,
+                   [this] { return ListPace(kEvacuationGather); },
+                   MakeCallbacks(StoreKind::kEvacuations,
+                                 &StoreController::OnEvacuationList,
                                  &StoreController::OnEvacuationChanges)) {}
 
 void StoreController::Start() {
   configuration_.Start();
   endpoints_.Start();
   evacuations_.Start();
-  state_->timers().Subscribe(
-      kSweepInterval, state_->Now(),
-      [this](Timestamp now) { state_->endpoints().Sweep(now); });
+  state_->timers().Subscribe(kSweepInterval, state_->Now(),
+                             [this](Timestamp now) {
+                               state_->endpoints().Sweep(now);
+                               CheckAge();
+                             });
+}
+
+StoreWatcher::Pace StoreController::ConfigurationPace() const {
+  const auto age = state_->knowledge().Age(GatewayState::BootNow());
+  const bool asks_often = state_->peers().IsZoneLead(state_->Now()) || !age ||
+                          *age > kAskAfter;
+  return {asks_often ? kLeadWait : kLongWait, Duration::zero(),
+          asks_often ? kLeadBackOff : kFollowerBackOff};
+}
+
+StoreWatcher::Pace StoreController::ListPace(Duration gather) const {
+  return {kLongWait, gather, kLeadBackOff};
+}
+
+void StoreController::CheckAge() {
+  const auto age = state_->knowledge().Age(GatewayState::BootNow());
+  if (!age || *age <= kAskAfter || configuration_.is_lost() || asked_for_age_)
+    return;
+  asked_for_age_ = true;
+  configuration_.Reconnect();
+}
+
+void StoreController::OnPeerNews(const PeerNews& news) {
+  if (!state_->routes())
+    return;
+  const uint64_t own_version = state_->routes()->version();
+  if (news.configuration_version > own_version &&
+      news.configuration_version > newest_heard_version_) {
+    newest_heard_version_ = news.configuration_version;
+    configuration_.Reconnect();
+    return;
+  }
+  const bool is_proof = news.configuration_version == own_version &&
+                        news.proof_age && news.echoed_at;
+  if (!is_proof)
+    return;
+  const Timestamp now = GatewayState::BootNow();
+  state_->knowledge().OnPeerProof(*news.echoed_at, *news.proof_age, now);
+  const bool store_is_back = configuration_.is_lost() &&
+                             *news.echoed_at - *news.proof_age > lost_at_;
+  if (store_is_back) {
+    lost_at_ = now;
+    configuration_.Reconnect();
+  }
 }
 
 StoreWatcher::Callbacks StoreController::MakeCallbacks(
+    StoreKind kind,
     void (StoreController::*on_list)(const Objects&, Timestamp),
     void (StoreController::*on_changes)(const Objects&, Timestamp)) {
   return {[this, on_list](const Objects& objects, Timestamp asked_at) {
@@ -56,17 +112,29 @@
           [this, on_changes](const Objects& objects, Timestamp asked_at) {
             (this->*on_changes)(objects, asked_at);
           },
-          [this](bool reachable) { OnReachable(reachable); }};
+          [this, kind](bool reachable) { OnReachable(kind, reachable); }};
 }
 
-void StoreController::OnReachable(bool reachable) {
+// While the configuration cannot be read, the other kinds are not asked for.
+void StoreController::OnReachable(StoreKind kind, bool reachable) {
   if (reachable) {
-    state_->endpoints().DeferRemovals(state_->Now() + kReturnGrace);
+    if (const auto until = removal_grace_.OnRegained(state_->Now()))
+      state_->endpoints().DeferRemovals(*until);
+  } else {
+    removal_grace_.OnLost();
+    lost_at_ = GatewayState::BootNow();
+  }
+  if (kind != StoreKind::kConfiguration) {
+    if (!reachable && !configuration_.is_lost())
+      configuration_.Reconnect();
     return;
   }
-  configuration_.Reconnect();
-  endpoints_.Reconnect();
-  evacuations_.Reconnect();
+  for (StoreWatcher* follower : {&endpoints_, &evacuations_}) {
+    follower->HoldAfterFailure(!reachable);
+    follower->Reconnect();
+  }
+  if (reachable)
+    has_news_for_peers_ = true;
 }
 
 void StoreController::OnConfigurationList(const Objects& objects,
@@ -79,8 +147,13 @@
   bool all_taken = true;
   for (const StoreObject& object : objects)
     all_taken = (object.removed || TakeConfiguration(object)) && all_taken;
-  if (all_taken && state_->routes())
-    state_->knowledge().OnProof(asked_at);
+  asked_for_age_ = false;
+  if (!all_taken || !state_->routes())
+    return;
+  state_->knowledge().OnProof(asked_at);
+  if (has_news_for_peers_ && on_regained_)
+    on_regained_();
+  has_news_for_peers_ = false;
 }
 
 bool StoreController::TakeConfiguration(const StoreObject& object) {
--- a/src/teaselthread/gateway/store_controller.h
+++ b/src/teaselthread/gateway/store_controller.h
@@ -1,10 +1,12 @@
 #ifndef TEASELTHREAD_GATEWAY_STORE_CONTROLLER_H_
 #define TEASELTHREAD_GATEWAY_STORE_CONTROLLER_H_
 
+#include <functional>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "libteaselthread/endpoints/removal_grace.h"
 #include "teaselthread/gateway/store_watcher.h"
 
 namespace teaselthread {
@@ -18,11 +20,18 @@
   StoreController& operator=(const StoreController&) = delete;
 
   void Start();
+  // Another gateway's heartbeat, with what it knows of the configuration.
+  void OnPeerNews(const PeerNews& news);
+  // Called when the store answers again and the proof is taken.
+  void set_on_regained(std::function<void()> on_regained) {
+    on_regained_ = std::move(on_regained);
+  }
 
  private:
   using Objects = std::vector<StoreObject>;
 
   StoreWatcher::Callbacks MakeCallbacks(
+      StoreKind kind,
       void (StoreController::*on_list)(const Objects&, Timestamp),
       void (StoreController::*on_changes)(const Objects&, Timestamp));
   void OnConfigurationList(const Objects& objects, Timestamp asked_at);
@@ -31,7 +40,11 @@
   void OnEndpointChanges(const Objects& objects, Timestamp asked_at);
   void OnEvacuationList(const Objects& objects, Timestamp asked_at);
   void OnEvacuationChanges(const Objects& objects, Timestamp asked_at);
-  void OnReachable(bool reachable);
+  void OnReachable(StoreKind kind, bool reachable);
+  StoreWatcher::Pace ConfigurationPace() const;
+  StoreWatcher::Pace ListPace(Duration gather) const;
+  // Asks the store if no other gateway shows the configuration to be new.
+  void CheckAge();
 
   // False if the object holds no valid configuration.
   bool TakeConfiguration(const StoreObject& object);
@@ -42,6 +55,12 @@
                      const Error& reason);
 
   GatewayState* state_;
+  std::function<void()> on_regained_;
+  RemovalGrace removal_grace_;
+  Timestamp lost_at_{};  // the latest loss of the store
+  uint64_t newest_heard_version_ = 0;
+  bool asked_for_age_ = false;
+  bool has_news_for_peers_ = false;
   StoreWatcher configuration_;
   StoreWatcher endpoints_;
   StoreWatcher evacuations_;
--- a/src/teaselthread/gateway/store_watcher.cc
+++ b/src/teaselthread/gateway/store_watcher.cc
@@ -10,8 +10,9 @@
 // A store that is slow answers within this; a dead connection is noticed so
 // long after the time that a watch was to wait.
 constexpr Duration kCallTimeout = milliseconds(800);
+constexpr Duration kProbeWait = milliseconds(10);
 constexpr Duration kMinBackOff = milliseconds(60);
-constexpr uint32_t kMaxDoublings = 3;
+constexpr uint32_t kMaxDoublings = 6;
 constexpr int kOk = 200;
 constexpr int kGone = 410;
 
@@ -19,13 +20,20 @@
 
 StoreWatcher::StoreWatcher(GatewayState* state,
                            StoreKind kind,
-                           Duration wait,
+                           std::function<Pace()> pace,
                            Callbacks callbacks)
     : state_(state),
       kind_(kind),
-      wait_(wait),
+      pace_(std::move(pace)),
       callbacks_(std::move(callbacks)),
-      connection_(state->settings().store()) {}
+      connection_(state->settings().store()),
+      pause_(state->io()) {}
+
+void StoreWatcher::Reconnect() {
+  connection_.Reconnect();
+  if (is_lost())
+    pause_.cancel();
+}
 
 void StoreWatcher::Start() {
   asio::co_spawn(state_->io(), Run(), asio::detached);
@@ -77,10 +85,11 @@
 
 asio::awaitable<StoreWatcher::Step> StoreWatcher::Watch() {
   const Timestamp asked_at = GatewayState::BootNow();
-  std::string target =
-      state_->dialect().WatchTarget(kind_, revision_, wait_);
+  // After a failure a short call shows at once whether the store is back.
+  const Duration wait = failures_ > 0 ? kProbeWait : pace_().wait;
+  std::string target = state_->dialect().WatchTarget(kind_, revision_, wait);
   Result<HttpReply> reply =
-      co_await Get(std::move(target), wait_ + kCallTimeout);
+      co_await Get(std::move(target), wait + kCallTimeout);
   if (!reply) {
     if (reply.last_reason().code == ErrorCode::kNotFound)
       co_return Step::kListAgain;
@@ -92,6 +101,10 @@
   OnSuccess();
   revision_ = std::max(revision_, page->revision);
   callbacks_.on_changes(page->objects, asked_at);
+  if (!page->objects.empty()) {
+    pause_.expires_after(pace_().gather);
+    co_await pause_.async_wait(kAsTuple);
+  }
   co_return Step::kDone;
 }
 
@@ -130,11 +143,16 @@
 
 asio::awaitable<void> StoreWatcher::BackOff() {
   const uint32_t doublings = std::min(failures_ - 1, kMaxDoublings);
-  std::uniform_real_distribution<double> jitter(0.5, 1.5);
-  const auto pause = Duration(static_cast<Duration::rep>(
-      (kMinBackOff * (1 << doublings)).count() * jitter(state_->random())));
-  asio::steady_timer timer(state_->io(), pause);
-  co_await timer.async_wait(kAsTuple);
+  const Duration longest =
+      std::min(kMinBackOff * (1 << doublings), pace_().max_back_off);
+  std::uniform_real_distribution<double> jitter(0.5, 1.0);
+  const auto time = Duration(static_cast<Duration::rep>(
+      longest.count() * jitter(state_->random())));
+  if (holds_)
+    pause_.expires_at(asio::steady_timer::time_point::max());
+  else
+    pause_.expires_after(time);
+  co_await pause_.async_wait(kAsTuple);
 }
 
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/store_watcher.h
+++ b/src/teaselthread/gateway/store_watcher.h
@@ -25,15 +25,25 @@
     std::function<void(bool reachable)> on_reachable;
   };
 
-  // `wait`: how long one call waits for changes.
+  // How often a watcher calls. Asked before each call.
+  struct Pace {
+    Duration wait{};          // how long one call waits for changes
+    Duration gather{};        // pause after a change, to gather further ones
+    Duration max_back_off{};  // between calls that fail
+  };
+
   StoreWatcher(GatewayState* state,
                StoreKind kind,
-               Duration wait,
+               std::function<Pace()> pace,
                Callbacks callbacks);
 
   void Start();
-  // Another connection to the store has failed; this one may have gone silent.
-  void Reconnect() { connection_.Reconnect(); }
+  // Another connection to the store has failed, and this one may have gone
+  // silent; or there is news of a change. A pause after a failure ends.
+  void Reconnect();
+  // No calls are made after the next failure until Reconnect is called.
+  void HoldAfterFailure(bool hold) { holds_ = hold; }
+  bool is_lost() const { return failures_ > 0; }
 
  private:
   enum class Step { kDone, kListAgain, kFailed };
@@ -48,11 +58,13 @@
 
   GatewayState* state_;
   StoreKind kind_;
-  Duration wait_;
+  std::function<Pace()> pace_;
   Callbacks callbacks_;
   HttpConnection connection_;
   uint64_t revision_ = 0;
+  asio::steady_timer pause_;
   uint32_t failures_ = 0;  // in a row
+  bool holds_ = false;
 };
 
 }  // namespace teaselthread
--- /dev/null
+++ b/tests/gateway/endpoint_table_test.cc
@@ -0,0 +1,145 @@
+#include <boost/test/unit_test.hpp>
+
+#include "gateway/gateway_fixtures.h"
+#include "libteaselthread/endpoints/endpoint_table.h"
+#include "libteaselthread/endpoints/removal_grace.h"
+
+namespace teaselthread {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using test::At;
+using test::MakeEngineRecord;
+using test::MakeRoutes;
+
+struct TableFixture {
+  TableFixture() { table.SetServices(MakeRoutes()); }
+
+  size_t available() const { return table.Available("pool").size(); }
+
+  EndpointTable table;
+};
+
+BOOST_FIXTURE_TEST_SUITE(an_endpoint_table_follows_the_store, TableFixture)
+
+BOOST_AUTO_TEST_CASE(listed_endpoints_are_available) {
+  table.ReplaceAll({MakeEngineRecord("e1", "a"), MakeEngineRecord("e2", "b")},
+                   At(seconds(0)));
+  BOOST_TEST(available() == 2u);
+  BOOST_TEST(table.Available("other").empty());
+}
+
+BOOST_AUTO_TEST_CASE(what_a_new_list_does_not_name_is_gone) {
+  table.ReplaceAll({MakeEngineRecord("e1", "a"), MakeEngineRecord("e2", "b")},
+                   At(seconds(0)));
+  table.ReplaceAll({MakeEngineRecord("e2", "b")}, At(seconds(1)));
+  BOOST_TEST(available() == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE(an_endpoint_that_leaves)
+
+BOOST_FIXTURE_TEST_CASE(gets_no_new_work_but_serves_copies, TableFixture) {
+  EndpointRecord record = MakeEngineRecord("e1", "a");
+  table.Put(record, At(seconds(0)));
+  record.draining = true;
+  table.Put(record, At(seconds(1)));
+  BOOST_TEST(available() == 0u);
+  BOOST_TEST(table.Running("pool").size() == 1u);
+}
+
+BOOST_FIXTURE_TEST_CASE(does_not_come_back_by_a_late_entry, TableFixture) {
+  EndpointRecord record = MakeEngineRecord("e1", "a");
+  record.draining = true;
+  table.Put(record, At(seconds(0)));
+  record.draining = false;
+  table.Put(record, At(seconds(1)));
+  BOOST_TEST(available() == 0u);
+}
+
+BOOST_FIXTURE_TEST_CASE(comes_back_as_a_new_incarnation, TableFixture) {
+  EndpointRecord record = MakeEngineRecord("e1", "a");
+  record.draining = true;
+  table.Put(record, At(seconds(0)));
+  record.draining = false;
+  record.started_at_ms += 1;
+  table.Put(record, At(seconds(1)));
+  BOOST_TEST(available() == 1u);
+}
+
+BOOST_FIXTURE_TEST_CASE(is_not_replaced_by_its_older_incarnation,
+                        TableFixture) {
+  EndpointRecord newer = MakeEngineRecord("e1", "a");
+  EndpointRecord older = newer;
+  newer.started_at_ms += 1;
+  older.draining = true;
+  table.Put(newer, At(seconds(0)));
+  table.Put(older, At(seconds(1)));
+  BOOST_TEST(available() == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(an_evacuated_zone)
+
+BOOST_FIXTURE_TEST_CASE(gets_nothing_and_returns_cold, TableFixture) {
+  table.ReplaceAll({MakeEngineRecord("e1", "a"), MakeEngineRecord("e2", "b")},
+                   At(seconds(0)));
+  table.SetEvacuatedZones({"a"}, At(seconds(10)));
+  BOOST_TEST(available() == 1u);
+  table.SetEvacuatedZones({}, At(seconds(20)));
+  BOOST_TEST(available() == 2u);
+  const auto engines = table.Available("pool");
+  BOOST_TEST(engines[0]->IsCold(At(seconds(23))));
+  BOOST_TEST(!engines[0]->IsCold(At(seconds(25))));
+  BOOST_TEST(!engines[1]->IsCold(At(seconds(23))));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(after_the_store_was_away)
+
+BOOST_FIXTURE_TEST_CASE(lapsed_entries_have_time_to_return, TableFixture) {
+  table.ReplaceAll({MakeEngineRecord("e1", "a"), MakeEngineRecord("e2", "b")},
+                   At(seconds(0)));
+  table.DeferRemovals(At(seconds(12)));
+  table.Remove("e1", At(seconds(10)));
+  table.Remove("e2", At(seconds(10)));
+  BOOST_TEST(available() == 2u);
+  table.Put(MakeEngineRecord("e2", "b"), At(seconds(11)));
+  table.Sweep(At(seconds(12)));
+  BOOST_TEST(available() == 1u);
+  BOOST_TEST(table.Available("pool")[0]->record().id == "e2");
+}
+
+// Replays a day on which a removal reached a gateway 3.8 s after the store had
+// returned to it, and requests reached the endpoint 3.1 s after that: the
+// watches of three kinds answered 12.2, 16.0 and 17.7 s into the day, and each
+// began the grace anew.
+BOOST_AUTO_TEST_CASE(watches_that_answer_late_do_not_prolong_the_grace) {
+  RemovalGrace grace;
+  grace.OnLost();
+  grace.OnLost();
+  grace.OnLost();
+  const auto first = grace.OnRegained(At(milliseconds(12'200)));
+  BOOST_REQUIRE(first.has_value());
+  BOOST_TEST((*first <= At(milliseconds(14'600))));
+  BOOST_TEST(!grace.OnRegained(At(milliseconds(16'000))).has_value());
+  BOOST_TEST(!grace.OnRegained(At(milliseconds(17'700))).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(another_outage_begins_another_grace) {
+  RemovalGrace grace;
+  BOOST_TEST(!grace.OnRegained(At(seconds(1))).has_value());
+  grace.OnLost();
+  BOOST_TEST(grace.OnRegained(At(seconds(2))).has_value());
+  grace.OnLost();
+  BOOST_TEST(grace.OnRegained(At(seconds(9))).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace teaselthread
--- /dev/null
+++ b/tests/gateway/gateway_fixtures.h
@@ -0,0 +1,25 @@
+#ifndef TEASELTHREAD_TESTS_GATEWAY_GATEWAY_FIXTURES_H_
+#define TEASELTHREAD_TESTS_GATEWAY_GATEWAY_FIXTURES_H_
+
+#include <string>
+
+#include "libteaselthread/endpoints/endpoint_record.h"
+#include "libteaselthread/routes/route_table.h"
+
+namespace teaselthread::test {
+
+// A moment, as the time since the start of a test.
+Timestamp At(Duration since_start);
+
+// An engine of the service "pool".
+EndpointRecord MakeEngineRecord(const std::string& id, const std::string& zone);
+// An endpoint of the plain service "desk".
+EndpointRecord MakeDeskRecord(const std::string& id, const std::string& zone);
+
+// The services "pool" (engines, cold for 3 s) and "desk", with a route each:
+// shop.example/chat/ and shop.example/order/.
+RouteTable MakeRoutes();
+
+}  // namespace teaselthread::test
+
+#endif  // TEASELTHREAD_TESTS_GATEWAY_GATEWAY_FIXTURES_H_
