--- a/src/libteaselthread/endpoints/endpoint_selector.cc
+++ b/src/libteaselthread/endpoints/endpoint_selector.cc
@@ -14,13 +14,13 @@
 constexpr uint32_t kRemoteContextTokens = 1'000;
 // A home passes requests on beyond this multiple of the mean load, plus
 // kLoadSlack. Both stay below the bound that the operators set (cap_x and 3).
-constexpr double kLoadMultiple = 1.5;
-constexpr double kLoadSlack = 2;
+constexpr double kLoadMultiple = 1.8;
+constexpr double kLoadSlack = 3;
 // An endpoint of a plain service counts as busy beyond this share of slots.
 constexpr double kBusyShare = 0.7;
-// For this long an endpoint that is new to the node may lack the context that
-// the hash ascribes to it.
-constexpr Duration kNewcomerTime = std::chrono::seconds(15);
+// An engine that started so much later than another cannot be expected to hold
+// what the hash ascribes to it; those of a deployment start within 2 s.
+constexpr uint64_t kNewcomerMs = 4'000;
 
 uint32_t SharedTokens(const std::vector<PromptPart>& prompt) {
   uint32_t tokens = 0;
@@ -101,23 +101,30 @@
 namespace {
 
 // Chooses among engines that may all be sent to.
-EndpointPtr SelectEngine(const std::vector<EndpointPtr>& usable,
-                         const SelectionQuery& query,
-                         const std::string& zone,
-                         Timestamp now) {
+Selection SelectEngine(const std::vector<EndpointPtr>& usable,
+                       const SelectionQuery& query,
+                       const std::string& zone,
+                       Timestamp now) {
   std::vector<EndpointPtr> candidates = usable;
   if (SharedTokens(query.prompt) < kRemoteContextTokens) {
     std::vector<EndpointPtr> local = InZone(usable, zone);
     if (!local.empty())
       candidates = std::move(local);
   }
-  RankFor(HomePart(query.prompt).id, &candidates);
-  const double bound = LoadBound(usable, now);
+  Selection selection;
+  selection.home_part = HomePart(query.prompt).id;
+  selection.shared_tokens = SharedTokens(query.prompt);
+  selection.load_bound = LoadBound(usable, now);
+  RankFor(selection.home_part, &candidates);
   for (const EndpointPtr& endpoint : candidates) {
-    if (endpoint->EstimatedLoad(now) + 1 <= bound)
-      return endpoint;
+    if (endpoint->EstimatedLoad(now) + 1 <= selection.load_bound) {
+      selection.endpoint = endpoint;
+      return selection;
+    }
+    ++selection.rank;
   }
-  return LeastLoaded(usable, now);
+  selection.endpoint = LeastLoaded(usable, now);
+  return selection;
 }
 
 EndpointPtr SelectPlain(const std::vector<EndpointPtr>& usable,
@@ -132,29 +139,27 @@
   return LeastLoaded(usable, now);
 }
 
-// The highest-ranked engine but the target, which holds the context if the
-// target is not its settled home. Leaving engines still serve copies.
+bool IsNewerThan(const KnownEndpoint& endpoint, const KnownEndpoint& other) {
+  return endpoint.record().started_at_ms >
+         other.record().started_at_ms + kNewcomerMs;
+}
+
+// The engine that most likely holds the context if the target does not. For a
+// home that started later than others this is the home before it; for any
+// other target it is the home. Leaving engines still serve copies.
 std::optional<SocketAddress> KvSource(std::vector<EndpointPtr> running,
                                       const SelectionQuery& query,
-                                      const KnownEndpoint& target,
-                                      Timestamp now) {
-  if (SharedTokens(query.prompt) < kRemoteContextTokens)
-    return std::nullopt;
-  const auto is_newcomer = [&](const KnownEndpoint& endpoint) {
-    return now - endpoint.seen_at() < kNewcomerTime;
-  };
+                                      const KnownEndpoint& target) {
   std::erase_if(running, [&](const EndpointPtr& endpoint) {
-    return endpoint->health().ejected();
+    return endpoint->health().ejected() || IsNewerThan(*endpoint, target);
   });
   RankFor(HomePart(query.prompt).id, &running);
-  const bool is_settled_home = !running.empty() &&
-                               running.front().get() == &target &&
-                               !is_newcomer(target);
-  if (is_settled_home)
-    return std::nullopt;
+  const bool target_is_home =
+      !running.empty() && running.front().get() == &target;
   const auto source = std::find_if(
       running.begin(), running.end(), [&](const EndpointPtr& endpoint) {
-        return endpoint.get() != &target && !is_newcomer(*endpoint);
+        return target_is_home ? IsNewerThan(target, *endpoint)
+                              : endpoint.get() != &target;
       });
   if (source == running.end())
     return std::nullopt;
@@ -197,9 +202,9 @@
     usable = std::move(healthy);
   Selection selection;
   if (!query.prompt.empty()) {
-    selection.endpoint = SelectEngine(usable, query, view.zone, now);
+    selection = SelectEngine(usable, query, view.zone, now);
     selection.kv_source = KvSource(table_->Running(query.service->name), query,
-                                   *selection.endpoint, now);
+                                   *selection.endpoint);
   } else {
     selection.endpoint = SelectPlain(usable, view.zone, now);
   }
--- a/src/libteaselthread/endpoints/endpoint_selector.h
+++ b/src/libteaselthread/endpoints/endpoint_selector.h
@@ -32,6 +32,12 @@
   EndpointPtr endpoint;
   // An engine that may hold more of the prompt's KV cache, to copy it from.
   std::optional<SocketAddress> kv_source;
+  // For model engines: the part that decided, the endpoint's rank for it (0 is
+  // the home) and the load that an endpoint was to stay below.
+  std::string home_part;
+  uint32_t shared_tokens = 0;
+  uint32_t rank = 0;
+  double load_bound = 0;
 };
 
 // Why there is no endpoint now.
--- a/src/teaselthread/gateway/decision_log.cc
+++ b/src/teaselthread/gateway/decision_log.cc
@@ -2,6 +2,8 @@
 
 #include <spdlog/sinks/stdout_sinks.h>
 
+#include <cmath>
+
 namespace teaselthread {
 namespace {
 
@@ -13,10 +15,13 @@
 }  // namespace
 
 LogLine& LogLine::AddTime(std::string_view name, Duration duration) {
-  const double milliseconds =
-      std::chrono::duration<double, std::milli>(duration).count();
-  return Add(std::string(name) + "_ms",
-             static_cast<int64_t>(milliseconds * 10) / 10.0);
+  return Add(
+      std::string(name) + "_ms",
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+LogLine& LogLine::AddRounded(std::string_view name, double value) {
+  return Add(name, std::lround(value));
 }
 
 DecisionLog::DecisionLog(const std::string& level)
--- a/src/teaselthread/gateway/decision_log.h
+++ b/src/teaselthread/gateway/decision_log.h
@@ -28,6 +28,7 @@
   }
   // In milliseconds, with the suffix "_ms" on the name.
   LogLine& AddTime(std::string_view name, Duration duration);
+  LogLine& AddRounded(std::string_view name, double value);
 
   std::string ToJson() const { return boost::json::serialize(fields_); }
 
--- a/src/teaselthread/gateway/request_handler.cc
+++ b/src/teaselthread/gateway/request_handler.cc
@@ -161,6 +161,7 @@
   const bool is_stream = exchange.request.route->kind == RequestKind::kStreaming;
   EndpointAttempt attempt(state_, &connections_, selection.endpoint,
                           exchange.guard.get(), &exchange.attempts);
+  LogSend(exchange, selection);
   const auto message = MakeEndpointRequest(exchange, selection);
   const SilenceLimits limits = SilenceLimitsFor(exchange);
   StreamRelay* relay = is_stream ? &exchange.relay : nullptr;
@@ -209,7 +210,7 @@
       .Add("endpoint", selection.endpoint->record().id)
       .Add("failure", ToString(failure))
       .Add("kept_connection", result.on_kept_connection)
-      .Add("load", selection.endpoint->EstimatedLoad(state_->Now()))
+      .AddRounded("load", selection.endpoint->EstimatedLoad(state_->Now()))
       .Add("events", exchange.relay.events().event_count())
       .Add("retried", !*is_final)
       .AddTime("elapsed", state_->Now() - exchange.request.received_at);
@@ -326,7 +327,7 @@
   LogLine line(health.ejected() ? "endpoint-ejected" : "endpoint-readmitted");
   line.Add("endpoint", endpoint.record().id)
       .Add("service", endpoint.record().service)
-      .Add("failure_rate", health.failure_rate());
+      .AddRounded("failure_percent", 100 * health.failure_rate());
   if (result.failure)
     line.Add("failure", ToString(*result.failure));
   state_->log().Info(line);
@@ -366,6 +367,25 @@
   co_await exchange.link->WriteWhole(std::move(head), std::move(body));
 }
 
+void RequestHandler::LogSend(const Exchange& exchange,
+                             const Selection& selection) {
+  const KnownEndpoint& endpoint = *selection.endpoint;
+  LogLine line("sent");
+  line.Add("id", exchange.request.head.id)
+      .Add("endpoint", endpoint.record().id)
+      .AddRounded("load", endpoint.EstimatedLoad(state_->Now()))
+      .Add("cold", endpoint.IsCold(state_->Now()));
+  if (!selection.home_part.empty()) {
+    line.Add("part", selection.home_part)
+        .Add("shared_tokens", selection.shared_tokens)
+        .Add("rank", selection.rank)
+        .AddRounded("load_bound", selection.load_bound);
+  }
+  if (selection.kv_source)
+    line.Add("kv_source", selection.kv_source->ToString());
+  state_->log().Info(line);
+}
+
 void RequestHandler::LogEnd(const Exchange& exchange) {
   const ClassifiedRequest& request = exchange.request;
   LogLine line("request-ended");
--- a/src/teaselthread/gateway/request_handler.h
+++ b/src/teaselthread/gateway/request_handler.h
@@ -44,6 +44,7 @@
 
   asio::awaitable<void> Refuse(Exchange& exchange, RefusalReason reason);
   asio::awaitable<void> GiveUp(Exchange& exchange, UnknownReason reason);
+  void LogSend(const Exchange& exchange, const Selection& selection);
   void LogEnd(const Exchange& exchange);
 
   GatewayState* state_;
--- /dev/null
+++ b/tests/gateway/shares_test.cc
@@ -0,0 +1,132 @@
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <random>
+
+#include "gateway/gateway_fixtures.h"
+#include "libteaselthread/attempts/retry_after.h"
+#include "libteaselthread/attempts/retry_allowance.h"
+#include "libteaselthread/endpoints/cold_start_quota.h"
+
+namespace teaselthread {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using test::At;
+
+std::vector<std::string> Nodes(size_t count) {
+  std::vector<std::string> names;
+  for (size_t i = 0; i < count; ++i)
+    names.push_back("node-" + std::to_string(i));
+  return names;
+}
+
+BOOST_AUTO_TEST_SUITE(shares_of_a_cold_endpoints_limit)
+
+BOOST_AUTO_TEST_CASE(add_up_to_the_limit_at_most) {
+  for (const size_t count : {1u, 2u, 7u, 8u, 11u, 18u, 19u, 58u, 410u}) {
+    const std::vector<std::string> nodes = Nodes(count);
+    uint32_t total = 0;
+    for (const std::string& node : nodes)
+      total += ColdStartShare({20}, "engine-1", node, nodes);
+    BOOST_TEST_CONTEXT(count << " nodes") {
+      BOOST_TEST(total <= 20u);
+      BOOST_TEST(total >= 10u);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(do_so_also_while_nodes_know_of_different_others) {
+  std::mt19937_64 random(7);
+  const std::vector<std::string> all = Nodes(58);
+  for (int round = 0; round < 200; ++round) {
+    uint32_t total = 0;
+    for (const std::string& node : all) {
+      std::vector<std::string> known;
+      for (const std::string& other : all) {
+        if (other == node || random() % 20 != 0)
+          known.push_back(other);
+      }
+      total += ColdStartShare({20}, "engine-1", node, known);
+    }
+    BOOST_TEST(total <= 22u);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(are_kept_in_any_second) {
+  ColdStartQuota quota;
+  std::vector<Timestamp> sends;
+  for (int ms = 0; ms < 5'000; ms += 10) {
+    if (!quota.Allows(2, At(milliseconds(ms))))
+      continue;
+    quota.OnSend(At(milliseconds(ms)));
+    sends.push_back(At(milliseconds(ms)));
+  }
+  for (size_t i = 2; i < sends.size(); ++i)
+    BOOST_TEST((sends[i] - sends[i - 2] > seconds(1)));
+  BOOST_TEST(sends.size() >= 8u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(shares_of_the_retry_limit)
+
+// Replays endpoints that fail in numbers: seven nodes retry all that fails.
+BOOST_AUTO_TEST_CASE(keep_all_nodes_together_within_it) {
+  constexpr size_t kNodes = 7;
+  const RetryLimit limit{0.2, 54, seconds(10)};
+  std::vector<RetryAllowance> nodes(kNodes, RetryAllowance(limit));
+  std::vector<int64_t> requests;
+  std::vector<int64_t> retries;
+  std::mt19937_64 random(11);
+  for (int64_t ms = 0; ms < 60'000; ms += 10) {
+    RetryAllowance& node = nodes[random() % kNodes];
+    node.OnRequest(At(milliseconds(ms)));
+    requests.push_back(ms);
+    while (node.TryTake(kNodes, At(milliseconds(ms))))
+      retries.push_back(ms);
+  }
+  const auto within = [](const std::vector<int64_t>& times, int64_t start) {
+    return std::count_if(times.begin(), times.end(), [&](int64_t time) {
+      return time >= start && time < start + 10'000;
+    });
+  };
+  for (int64_t start = 0; start < 50'000; start += 100) {
+    const auto allowed =
+        0.2 * static_cast<double>(within(requests, start)) + 54;
+    BOOST_TEST(static_cast<double>(within(retries, start)) <= allowed);
+  }
+  BOOST_TEST(!retries.empty());
+}
+
+BOOST_AUTO_TEST_CASE(let_a_quiet_node_retry_a_few) {
+  RetryAllowance node(RetryLimit{0.2, 54, seconds(10)});
+  BOOST_TEST(node.TryTake(7, At(seconds(1))));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(refused_callers)
+
+BOOST_AUTO_TEST_CASE(return_at_different_times) {
+  const Duration early = RetryAfterFor(RefusalReason::kNoEndpoint, 0);
+  const Duration late = RetryAfterFor(RefusalReason::kNoEndpoint, 1);
+  BOOST_TEST((early > Duration::zero()));
+  BOOST_TEST((late > 2 * early));
+}
+
+BOOST_AUTO_TEST_CASE(return_sooner_where_another_node_can_serve_them) {
+  BOOST_TEST((RetryAfterFor(RefusalReason::kStaleConfiguration, 1) <
+              RetryAfterFor(RefusalReason::kNoEndpoint, 0)));
+}
+
+BOOST_AUTO_TEST_CASE(do_not_return_with_a_bad_request) {
+  BOOST_TEST((RetryAfterFor(RefusalReason::kUnknownKey, 1) ==
+              Duration::zero()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace teaselthread
