Silence limits by prompt size; endpoints judged while nothing can be repeated

Change: ChooseSilenceLimits gives 0.3 s plus reading time at half the engines' rate, 2.5 objectives where the engine is busy; the engine is judged then in any case, and its kept connections dropped. Tests: silence_policy_test.

--- a/src/teaselthread/gateway/endpoint_attempt.cc
+++ b/src/teaselthread/gateway/endpoint_attempt.cc
@@ -82,7 +82,8 @@
     std::shared_ptr<const EndpointHttpRequest> request,
     std::string request_id,
     SilenceLimits limits,
-    StreamRelay* relay) {
+    StreamRelay* relay,
+    std::function<void()> on_silence) {
   request_id_ = std::move(request_id);
   limits_ = limits;
   connection_ = connections_->Take(endpoint_->record().id);
@@ -96,6 +97,11 @@
   const bool is_head = request->method() == http::verb::head;
   const bool on_kept_connection = connection_->is_reused;
   guard_->Attach(&connection_->socket, limits_.first);
+  bool was_judged = false;
+  guard_->WatchFirstByte(limits_.judge, [&] {
+    was_judged = true;
+    on_silence();
+  });
   attempts_->OnExposed();
   StartWrite(std::move(request));
   AttemptResult result;
@@ -112,6 +118,7 @@
   }
   guard_->Detach();
   result.on_kept_connection = on_kept_connection;
+  result.was_judged = was_judged;
   if (connection_)
     connection_->Reset();
   co_return result;
@@ -164,6 +171,8 @@
     last_failure_ = failure;
     if (failure)
       co_return false;
+    if ((*parser)->get().result_int() >= 400)
+      guard_->StopWatchingFirstByte();
     if ((*parser)->get().result_int() < 200)
       continue;
     endpoint_head_ = state_->dialect().DecodeEndpoint((*parser)->get().base());
@@ -222,6 +231,8 @@
     std::string_view piece;
     if (!co_await ReadPiece(parser, &piece))
       co_return false;
+    if (!piece.empty())
+      guard_->StopWatchingFirstByte();
     body->append(piece);
     if (body->size() > kMaxWholeBytes) {
       last_failure_ = http::error::body_limit;
@@ -244,6 +255,7 @@
     }
     if (piece.empty())
       continue;
+    guard_->StopWatchingFirstByte();
     guard_->SuspendSilence();
     if (!co_await relay.OnBytes(piece)) {
       result.failure = AttemptFailure::kCallerGone;
--- a/src/teaselthread/gateway/endpoint_attempt.h
+++ b/src/teaselthread/gateway/endpoint_attempt.h
@@ -1,11 +1,13 @@
 #ifndef TEASELTHREAD_GATEWAY_ENDPOINT_ATTEMPT_H_
 #define TEASELTHREAD_GATEWAY_ENDPOINT_ATTEMPT_H_
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 
 #include "libteaselthread/attempts/request_attempts.h"
+#include "libteaselthread/attempts/silence_policy.h"
 #include "teaselthread/gateway/endpoint_connections.h"
 #include "teaselthread/gateway/gateway_state.h"
 #include "teaselthread/gateway/request_guard.h"
@@ -13,12 +15,6 @@
 
 namespace teaselthread {
 
-// How long an endpoint may say nothing.
-struct SilenceLimits {
-  Duration first{};    // until the first byte of an event or answer
-  Duration between{};  // between two pieces of an answer
-};
-
 // How an attempt ended.
 struct AttemptResult {
   // Empty if the whole answer has come.
@@ -28,6 +24,8 @@
   std::optional<AnswerHead> head;
   std::string body;
   bool on_kept_connection = false;
+  // The endpoint has been judged for its silence already.
+  bool was_judged = false;
 };
 
 // One attempt to have a request run by one endpoint.
@@ -39,12 +37,14 @@
                   RequestGuard* guard,
                   RequestAttempts* attempts);
 
-  // Successful answers are streamed to `relay` unless it is null.
+  // Successful answers are streamed to `relay` unless it is null. `on_silence`
+  // is called if the endpoint is to be judged while the attempt goes on.
   asio::awaitable<AttemptResult> Run(
       std::shared_ptr<const EndpointHttpRequest> request,
       std::string request_id,
       SilenceLimits limits,
-      StreamRelay* relay);
+      StreamRelay* relay,
+      std::function<void()> on_silence);
 
  private:
   using Parser = http::response_parser<http::buffer_body>;
--- a/src/teaselthread/gateway/request_guard.cc
+++ b/src/teaselthread/gateway/request_guard.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <utility>
 
 namespace teaselthread {
 namespace {
@@ -39,8 +40,16 @@
   Schedule();
 }
 
+void RequestGuard::WatchFirstByte(Clock::duration limit,
+                                  std::function<void()> on_silence) {
+  judge_at_ = Clock::now() + limit;
+  on_silence_ = std::move(on_silence);
+  Schedule();
+}
+
 void RequestGuard::Detach() {
   upstream_ = nullptr;
+  on_silence_ = nullptr;
   silence_limit_ = Clock::duration::max();
 }
 
@@ -78,6 +87,8 @@
       interruption_ ? deadline_ + kStuckWriteTime : deadline_;
   if (upstream_ && silence_limit_ != Clock::duration::max())
     due = std::min(due, last_progress_ + silence_limit_);
+  if (on_silence_)
+    due = std::min(due, judge_at_);
   timer_.expires_at(due);
   timer_.async_wait([self = shared_from_this()](
                         const boost::system::error_code& failure) {
@@ -88,6 +99,8 @@
 
 void RequestGuard::OnTimer() {
   const Clock::time_point now = Clock::now();
+  if (on_silence_ && now >= judge_at_)
+    std::exchange(on_silence_, nullptr)();
   if (now >= deadline_ + kStuckWriteTime) {
     Interrupt(AttemptFailure::kTimedOut);
     boost::system::error_code ignored;
--- a/src/teaselthread/gateway/request_guard.h
+++ b/src/teaselthread/gateway/request_guard.h
@@ -1,6 +1,7 @@
 #ifndef TEASELTHREAD_GATEWAY_REQUEST_GUARD_H_
 #define TEASELTHREAD_GATEWAY_REQUEST_GUARD_H_
 
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -25,6 +26,9 @@
   // An attempt begins to use the connection `upstream`.
   void Attach(tcp::socket* upstream, Clock::duration silence_limit);
   void Detach();
+  // Calls `on_silence` once if the endpoint has sent nothing for so long.
+  void WatchFirstByte(Clock::duration limit, std::function<void()> on_silence);
+  void StopWatchingFirstByte() { on_silence_ = nullptr; }
   // The endpoint has sent something. The next limit counts from now.
   void OnProgress(Clock::duration silence_limit);
   // The time on which a limit for silence does not run, since the caller is
@@ -53,6 +57,8 @@
   Clock::time_point deadline_;
   Clock::time_point last_progress_;
   Clock::duration silence_limit_ = Clock::duration::max();
+  Clock::time_point judge_at_;
+  std::function<void()> on_silence_;
   std::optional<AttemptFailure> interruption_;
   bool active_ = false;
 };
--- a/src/teaselthread/gateway/request_handler.cc
+++ b/src/teaselthread/gateway/request_handler.cc
@@ -8,16 +8,6 @@
 namespace teaselthread {
 namespace {
 
-using std::chrono::milliseconds;
-
-// An endpoint that says nothing for this multiple of the objective, or of the
-// longest pause that the route allows, is given up if the request may be
-// repeated.
-constexpr double kSilenceMultiple = 2.5;
-// A repeat needs about as much time as the first attempt.
-constexpr double kMaxSilentShare = 0.5;
-constexpr Duration kMinSilence = milliseconds(200);
-
 std::string_view PathOf(const CallerHttpRequest& message) {
   const std::string_view target(message.target().data(),
                                 message.target().size());
@@ -163,10 +153,16 @@
                           exchange.guard.get(), &exchange.attempts);
   LogSend(exchange, selection);
   const auto message = MakeEndpointRequest(exchange, selection);
-  const SilenceLimits limits = SilenceLimitsFor(exchange);
+  const SilenceLimits limits = SilenceLimitsFor(exchange, endpoint);
   StreamRelay* relay = is_stream ? &exchange.relay : nullptr;
-  AttemptResult result = co_await attempt.Run(
-      message, exchange.request.head.id, limits, relay);
+  std::function<void()> on_silence = [this, &endpoint] {
+    AttemptResult silent;
+    silent.failure = AttemptFailure::kSilent;
+    JudgeEndpoint(endpoint, silent);
+  };
+  AttemptResult result =
+      co_await attempt.Run(message, exchange.request.head.id, limits, relay,
+                           std::move(on_silence));
   endpoint.OnEnd();
   JudgeEndpoint(endpoint, result);
   bool is_final = true;
@@ -282,21 +278,17 @@
   return message;
 }
 
-SilenceLimits RequestHandler::SilenceLimitsFor(const Exchange& exchange) const {
-  const Route& route = *exchange.request.route;
-  const Duration left = exchange.request.deadline - state_->Now();
-  SilenceLimits limits{left, left};
-  if (!route.IsRepeatable() || route.max_attempts < 2)
-    return limits;
-  const auto times = [](Duration time, double factor) {
-    return Duration(static_cast<Duration::rep>(time.count() * factor));
-  };
-  limits.first = std::max(
-      kMinSilence, std::min(times(route.objective, kSilenceMultiple),
-                            times(left, kMaxSilentShare)));
-  if (route.max_event_gap > Duration::zero())
-    limits.between = times(route.max_event_gap, kSilenceMultiple);
-  return limits;
+SilenceLimits RequestHandler::SilenceLimitsFor(
+    const Exchange& exchange,
+    const KnownEndpoint& endpoint) const {
+  SilenceQuery query;
+  query.route = exchange.request.route;
+  for (const PromptPart& part : exchange.request.head.prompt)
+    query.prompt_tokens += part.tokens;
+  query.load_share = endpoint.EstimatedLoad(state_->Now()) /
+                     std::max(1u, endpoint.record().slots);
+  query.time_left = exchange.request.deadline - state_->Now();
+  return ChooseSilenceLimits(query);
 }
 
 void RequestHandler::JudgeEndpoint(KnownEndpoint& endpoint,
@@ -306,6 +298,8 @@
   const bool was_ejected = health.ejected();
   if (!result.failure) {
     health.OnSuccess();
+  } else if (result.was_judged) {
+    health.OnAbandoned();
   } else {
     switch (*result.failure) {
       case AttemptFailure::kUnreachable:
@@ -317,6 +311,10 @@
       case AttemptFailure::kCallerGone:
         health.OnAbandoned();
         break;
+      case AttemptFailure::kSilent:
+        // The next attempt shows by a new connection whether it is there.
+        connections_.Drop(endpoint.record().id);
+        [[fallthrough]];
       default:
         health.OnFailure(state_->endpoints().ToleratedFailureRate(endpoint),
                          now);
--- a/src/teaselthread/gateway/request_handler.h
+++ b/src/teaselthread/gateway/request_handler.h
@@ -39,7 +39,8 @@
   std::shared_ptr<EndpointHttpRequest> MakeEndpointRequest(
       const Exchange& exchange,
       const Selection& selection) const;
-  SilenceLimits SilenceLimitsFor(const Exchange& exchange) const;
+  SilenceLimits SilenceLimitsFor(const Exchange& exchange,
+                                 const KnownEndpoint& endpoint) const;
   void JudgeEndpoint(KnownEndpoint& endpoint, const AttemptResult& result);
 
   asio::awaitable<void> Refuse(Exchange& exchange, RefusalReason reason);
