Fewer store calls and heartbeats across zones; silent nodes leave the directory sooner

Change: changes are gathered for 0.45 of the operators' drain bound; every fourth heartbeat crosses zones; a silent node of the own zone is left out of directory answers after 1.3 s instead of 2 s.

--- a/src/libteaselthread/peers/peer_set.cc
+++ b/src/libteaselthread/peers/peer_set.cc
@@ -5,6 +5,12 @@
 #include "libteaselthread/rendezvous_hash.h"
 
 namespace teaselthread {
+namespace {
+
+// Heartbeats cross zones less often, and get lost more often on the way.
+constexpr int kRemoteTimeoutMultiple = 3;
+
+}  // namespace
 
 PeerSet::PeerSet(Peer self, Duration heartbeat_timeout)
     : self_(std::move(self)), heartbeat_timeout_(heartbeat_timeout) {}
@@ -74,22 +80,36 @@
   return names;
 }
 
-std::vector<SocketAddress> PeerSet::HeartbeatTargets(Timestamp now) const {
+bool PeerSet::IsAlive(const Entry& entry, Timestamp now) const {
+  const bool is_remote = entry.peer.zone != self_.zone;
+  const Duration timeout =
+      is_remote ? heartbeat_timeout_ * kRemoteTimeoutMultiple
+                : heartbeat_timeout_;
+  return entry.heard && now - entry.heard_at <= timeout;
+}
+
+std::vector<SocketAddress> PeerSet::ZoneTargets(Timestamp now) const {
   std::vector<SocketAddress> targets;
+  for (const auto& [name, entry] : entries_) {
+    if (entry.peer.zone == self_.zone && now - entry.mentioned_at <= kMemory)
+      targets.push_back(entry.peer.peer_address);
+  }
+  return targets;
+}
+
+std::vector<SocketAddress> PeerSet::RemoteTargets(Timestamp now) const {
   // By zone and weight, so that every pair of zones has links between
   // different nodes.
-  std::map<std::string, std::map<uint64_t, SocketAddress>> remote;
+  std::map<std::string, std::map<uint64_t, SocketAddress>> by_zone;
   const RendezvousKey key(self_.name);
   for (const auto& [name, entry] : entries_) {
-    if (now - entry.mentioned_at > kMemory)
+    if (entry.peer.zone == self_.zone || now - entry.mentioned_at > kMemory)
       continue;
-    if (entry.peer.zone == self_.zone)
-      targets.push_back(entry.peer.peer_address);
-    else
-      remote[entry.peer.zone].emplace(key.WeightOf(name),
-                                      entry.peer.peer_address);
+    by_zone[entry.peer.zone].emplace(key.WeightOf(name),
+                                     entry.peer.peer_address);
   }
-  for (const auto& [zone, by_weight] : remote) {
+  std::vector<SocketAddress> targets;
+  for (const auto& [zone, by_weight] : by_zone) {
     size_t taken = 0;
     for (const auto& [weight, address] : by_weight) {
       if (taken++ == kRemoteTargets)
--- a/src/libteaselthread/peers/peer_set.h
+++ b/src/libteaselthread/peers/peer_set.h
@@ -62,9 +62,10 @@
   // All nodes that may be alive, this one included. A node that fell silent
   // counts for kMemory more, since it may only be cut off.
   std::vector<std::string> PossiblyAlive(Timestamp now) const;
-  // Where heartbeats go: to every node of the own availability zone, and to
-  // kRemoteTargets in each other one.
-  std::vector<SocketAddress> HeartbeatTargets(Timestamp now) const;
+  // Where heartbeats go: to every node of the own availability zone.
+  std::vector<SocketAddress> ZoneTargets(Timestamp now) const;
+  // To kRemoteTargets nodes in each other availability zone, less often.
+  std::vector<SocketAddress> RemoteTargets(Timestamp now) const;
   // The sender's time of the latest heartbeat from that address.
   std::optional<Timestamp> LastSentAt(const SocketAddress& from) const;
   bool IsAlive(const SocketAddress& address, Timestamp now) const;
@@ -77,6 +78,9 @@
 
   static constexpr size_t kMinZoneNodes = 2;
   static constexpr size_t kRemoteTargets = 4;
+  // Heartbeats within the zone for each one that crosses zones, whose bytes
+  // are dear.
+  static constexpr uint32_t kBeatsPerRemoteBeat = 4;
   // Per node of the zone: 50 heartbeats a second, about 3 KB.
   static constexpr Duration kIntervalPerNode = std::chrono::milliseconds(20);
   // Longer than a cut or a restart usually lasts.
@@ -91,9 +95,7 @@
     PeerNews news;
   };
 
-  bool IsAlive(const Entry& entry, Timestamp now) const {
-    return entry.heard && now - entry.heard_at <= heartbeat_timeout_;
-  }
+  bool IsAlive(const Entry& entry, Timestamp now) const;
   const Entry* FindByAddress(const SocketAddress& address) const;
 
   Peer self_;
--- a/src/teaselthread/gateway/gateway_settings.cc
+++ b/src/teaselthread/gateway/gateway_settings.cc
@@ -116,7 +116,7 @@
   heartbeat_interval_ =
       reader.Milliseconds("heartbeat_interval_ms", 250, kMillisecondsRange);
   heartbeat_timeout_ =
-      reader.Milliseconds("heartbeat_timeout_ms", 2'000, kMillisecondsRange);
+      reader.Milliseconds("heartbeat_timeout_ms", 1'300, kMillisecondsRange);
   reader.RejectUnknownKeys();
 }
 
@@ -130,6 +130,8 @@
   limits_.retries.slack = reader.Number("retry_slack", 50, 0, 1e6);
   limits_.retries.window = std::chrono::seconds(
       reader.Integer("retry_window_s", 10, {1, 3'600}));
+  limits_.drain_bound =
+      reader.Milliseconds("drain_ms", 2'000, kMillisecondsRange);
   limits_.cold_over = reader.Number("cold_over", 1.5, 0, 100);
   limits_.cold_slack = reader.Number("cold_slack", 5, 0, 1e6);
   limits_.leaving_grace = std::chrono::seconds(
--- a/src/teaselthread/gateway/gateway_settings.h
+++ b/src/teaselthread/gateway/gateway_settings.h
@@ -15,6 +15,7 @@
 // Limits that the operators promise to callers and endpoints.
 struct GatewayLimits {
   Duration revocation_bound{};  // until a key that is taken away stops working
+  Duration drain_bound{};       // until a leaving endpoint gets no new work
   RetryLimit retries;           // of all nodes together
   double cold_over = 1;         // multiple of a service's cold rate
   double cold_slack = 0;        // requests a second beyond it
--- a/src/teaselthread/gateway/peer_heartbeat.cc
+++ b/src/teaselthread/gateway/peer_heartbeat.cc
@@ -59,32 +59,39 @@
   const Duration interval = state_->peers().HeartbeatInterval(
       state_->settings().heartbeat_interval(), now);
   if (now - last_sent_at_ >= interval)
-    SendNow();
+    Send(beats_ % PeerSet::kBeatsPerRemoteBeat == 0);
 }
 
 void PeerHeartbeat::SendNow() {
+  Send(true);
+}
+
+void PeerHeartbeat::Send(bool crosses_zones) {
   ++beats_;
   last_sent_at_ = state_->Now();
   state_->peers().SetServing(state_->IsReady());
-  const std::vector<SocketAddress> known =
-      state_->peers().HeartbeatTargets(state_->Now());
-  std::set<SocketAddress> targets(known.begin(), known.end());
+  const Timestamp now = state_->Now();
+  const std::vector<SocketAddress> zone = state_->peers().ZoneTargets(now);
+  const std::vector<SocketAddress> remote = state_->peers().RemoteTargets(now);
+  std::set<SocketAddress> targets(zone.begin(), zone.end());
+  if (crosses_zones)
+    targets.insert(remote.begin(), remote.end());
   // Seeds bring nodes together that have no record of each other.
-  if (known.empty()) {
+  if (zone.empty() && remote.empty()) {
     targets.insert(state_->settings().seeds().begin(),
                    state_->settings().seeds().end());
   }
   targets.erase(state_->peers().self().peer_address);
   for (const SocketAddress& target : targets)
-    Send(target);
+    SendTo(target);
 }
 
-void PeerHeartbeat::Send(const SocketAddress& target) {
+void PeerHeartbeat::SendTo(const SocketAddress& target) {
   const Peer& self = state_->peers().self();
   const Timestamp now = GatewayState::BootNow();
   wire::GatewayHeartbeat message;
   const auto heard_at = state_->peers().LastSentAt(target);
-  if (!heard_at || beats_ % kBeatsBetweenIntroductions == 0) {
+  if (!heard_at || beats_ % kBeatsBetweenIntroductions < PeerSet::kBeatsPerRemoteBeat) {
     message.mutable_identity()->set_name(self.name);
     message.mutable_identity()->set_zone(self.zone);
     message.mutable_identity()->set_front_address(
--- a/src/teaselthread/gateway/peer_heartbeat.h
+++ b/src/teaselthread/gateway/peer_heartbeat.h
@@ -27,7 +27,8 @@
   asio::awaitable<void> ReceiveLoop();
   void OnDatagram(const SocketAddress& from, std::string_view bytes);
   void SendIfDue(Timestamp now);
-  void Send(const SocketAddress& target);
+  void Send(bool crosses_zones);
+  void SendTo(const SocketAddress& target);
 
   GatewayState* state_;
   asio::ip::udp::socket socket_;
--- a/src/teaselthread/gateway/store_controller.cc
+++ b/src/teaselthread/gateway/store_controller.cc
@@ -15,9 +15,9 @@
 // A gateway asks for itself once it has had no proof for so long: a lead's wait
 // and two heartbeats.
 constexpr Duration kAskAfter = milliseconds(2'000);
-// Releases change endpoints one after the other; the bound on a leaving
-// endpoint's last request is 2 s at least.
-constexpr Duration kEndpointGather = milliseconds(600);
+// Releases change endpoints one after the other, and one call reads all that
+// has changed in this share of the bound on a leaving endpoint's last request.
+constexpr double kGatherShare = 0.45;
 constexpr Duration kEvacuationGather = milliseconds(100);
 constexpr Duration kLeadBackOff = milliseconds(400);
 // The lead's heartbeat ends the pause once the store is back.
@@ -38,7 +38,7 @@
                                    &StoreController::OnConfigurationChanges)),
       endpoints_(state,
                  StoreKind::kEndpoints,
-                 [this] { return ListPace(kEndpointGather); },
+                 [this] { return ListPace(EndpointGather()); },
                  MakeCallbacks(StoreKind::kEndpoints,
                                &StoreController::OnEndpointList,
                                &StoreController::OnEndpointChanges)),
@@ -68,6 +68,12 @@
           asks_often ? kLeadBackOff : kFollowerBackOff};
 }
 
+Duration StoreController::EndpointGather() const {
+  const Duration bound = state_->settings().limits().drain_bound;
+  return Duration(
+      static_cast<Duration::rep>(bound.count() * kGatherShare));
+}
+
 StoreWatcher::Pace StoreController::ListPace(Duration gather) const {
   return {kLongWait, gather, kLeadBackOff};
 }
--- a/src/teaselthread/gateway/store_controller.h
+++ b/src/teaselthread/gateway/store_controller.h
@@ -42,6 +42,7 @@
   void OnEvacuationChanges(const Objects& objects, Timestamp asked_at);
   void OnReachable(StoreKind kind, bool reachable);
   StoreWatcher::Pace ConfigurationPace() const;
+  Duration EndpointGather() const;
   StoreWatcher::Pace ListPace(Duration gather) const;
   // Asks the store if no other gateway shows the configuration to be new.
   void CheckAge();
--- a/tests/gateway/knowledge_test.cc
+++ b/tests/gateway/knowledge_test.cc
@@ -119,8 +119,9 @@
     peers.OnRecord(MakePeer("b-x" + std::to_string(i), "b", 200 + i),
                    At(seconds(0)));
   }
-  BOOST_TEST(peers.HeartbeatTargets(At(seconds(0))).size() ==
-             20u + PeerSet::kRemoteTargets);
+  BOOST_TEST(peers.ZoneTargets(At(seconds(0))).size() == 20u);
+  BOOST_TEST(peers.RemoteTargets(At(seconds(0))).size() ==
+             PeerSet::kRemoteTargets);
 }
 
 BOOST_AUTO_TEST_CASE(come_less_often_in_a_large_zone) {
