--- a/src/libteaselthread/attempts/request_attempts.cc
+++ b/src/libteaselthread/attempts/request_attempts.cc
@@ -69,10 +69,9 @@
   if (failure == AttemptFailure::kCallerGone)
     return NextStep::kDrop;
   const bool may_go_on =
-      failure != AttemptFailure::kTimedOut &&
-      (!was_run || is_repeatable_) && (!bytes_relayed || can_resume) &&
-      runs_ < max_attempts_ && rejected_sends_ <= kMaxRejectedSends &&
-      unsent_ <= kMaxUnsentAttempts;
+      failure != AttemptFailure::kTimedOut && (!was_run || is_repeatable_) &&
+      (!bytes_relayed || can_resume) && runs_ < max_attempts_ &&
+      rejected_sends_ <= kMaxRejectedSends && unsent_ <= kMaxUnsentAttempts;
   return may_go_on ? NextStep::kRetry : Final(failure, bytes_relayed);
 }
 
--- a/src/libteaselthread/attempts/request_attempts.h
+++ b/src/libteaselthread/attempts/request_attempts.h
@@ -14,15 +14,15 @@
 
 // How one attempt at an endpoint ended without a whole answer.
 enum class AttemptFailure : uint8_t {
-  kUnreachable,    // no connection; nothing was sent
+  kUnreachable,      // no connection; nothing was sent
   kStaleConnection,  // a kept connection was gone before anything was sent
-  kRejected,       // the endpoint states that it did not run the request
-  kMisdirected,    // another endpoint has the address; not run
-  kServerError,    // the endpoint's own failure; it ran the request
-  kBroken,         // the connection broke after the request was sent
-  kMalformed,      // bytes that are no answer to the request
-  kSilent,         // no byte for longer than the load explains
-  kTimedOut,       // the request's time is over
+  kRejected,         // the endpoint states that it did not run the request
+  kMisdirected,      // another endpoint has the address; not run
+  kServerError,      // the endpoint's own failure; it ran the request
+  kBroken,           // the connection broke after the request was sent
+  kMalformed,        // bytes that are no answer to the request
+  kSilent,           // no byte for longer than the load explains
+  kTimedOut,         // the request's time is over
   kCallerGone,
 };
 inline constexpr size_t kAttemptFailureCount = 10;
@@ -33,11 +33,11 @@
 
 // What to do after an attempt has failed.
 enum class NextStep : uint8_t {
-  kRetry,        // send it to another endpoint
-  kRefuse,       // final: not run, and never will be
-  kGiveUp,       // final: it may have run
-  kPassOn,       // final: give the caller the endpoint's own failure
-  kDrop,         // nobody waits for an answer
+  kRetry,   // send it to another endpoint
+  kRefuse,  // final: not run, and never will be
+  kGiveUp,  // final: it may have run
+  kPassOn,  // final: give the caller the endpoint's own failure
+  kDrop,    // nobody waits for an answer
 };
 
 // Decides how a request goes on after each failed attempt. A request that may
--- a/src/libteaselthread/attempts/retry_after.cc
+++ b/src/libteaselthread/attempts/retry_after.cc
@@ -37,8 +37,7 @@
 
 Duration RetryAfterFor(RefusalReason reason, double spread) {
   const double factor = 1 - kSpread + 2 * kSpread * spread;
-  return Duration(
-      static_cast<Duration::rep>(BaseFor(reason).count() * factor));
+  return Duration(static_cast<Duration::rep>(BaseFor(reason).count() * factor));
 }
 
 }  // namespace teaselthread
--- a/src/libteaselthread/attempts/silence_policy.cc
+++ b/src/libteaselthread/attempts/silence_policy.cc
@@ -27,8 +27,8 @@
 
 SilenceLimits ChooseSilenceLimits(const SilenceQuery& query) {
   const Route& route = *query.route;
-  const Duration reading = milliseconds(query.prompt_tokens /
-                                        kTokensPerMillisecond);
+  const Duration reading =
+      milliseconds(query.prompt_tokens / kTokensPerMillisecond);
   Duration judge = kBaseSilence + reading;
   if (query.load_share > kBusyShare)
     judge = std::max(judge, Times(route.objective, kSilenceMultiple));
--- a/src/libteaselthread/endpoints/cold_start_quota.cc
+++ b/src/libteaselthread/endpoints/cold_start_quota.cc
@@ -21,14 +21,13 @@
                         const std::vector<std::string>& nodes) {
   const auto usable = static_cast<uint32_t>(
       std::floor(limit.requests_per_second * kUsableShare));
-  const auto count =
-      static_cast<uint32_t>(std::max<size_t>(1, nodes.size()));
+  const auto count = static_cast<uint32_t>(std::max<size_t>(1, nodes.size()));
   if (usable >= count)
     return usable / count;
   const RendezvousKey key(endpoint_id);
   const uint64_t own_weight = key.WeightOf(self);
-  const auto ahead = std::count_if(
-      nodes.begin(), nodes.end(), [&](const std::string& node) {
+  const auto ahead =
+      std::count_if(nodes.begin(), nodes.end(), [&](const std::string& node) {
         return node != self && key.WeightOf(node) > own_weight;
       });
   return ahead < static_cast<int64_t>(usable) ? 1 : 0;
--- a/src/libteaselthread/endpoints/endpoint_selector.cc
+++ b/src/libteaselthread/endpoints/endpoint_selector.cc
@@ -56,9 +56,8 @@
   ranked.reserve(endpoints->size());
   for (const EndpointPtr& endpoint : *endpoints)
     ranked.emplace_back(key.WeightOf(endpoint->record().id), endpoint);
-  std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) {
-    return a.first > b.first;
-  });
+  std::sort(ranked.begin(), ranked.end(),
+            [](const auto& a, const auto& b) { return a.first > b.first; });
   for (size_t i = 0; i < ranked.size(); ++i)
     (*endpoints)[i] = std::move(ranked[i].second);
 }
@@ -179,14 +178,14 @@
   });
   if (usable.empty())
     return NoEndpointReason::kAllTried;
-  const ColdStartLimit cold_limit{
-      query.service->cold_requests_per_second * view.cold_over +
-      view.cold_slack};
+  const ColdStartLimit cold_limit{query.service->cold_requests_per_second *
+                                      view.cold_over +
+                                  view.cold_slack};
   std::erase_if(usable, [&](const EndpointPtr& endpoint) {
     if (!endpoint->IsCold(now))
       return false;
-    const uint32_t share = ColdStartShare(
-        cold_limit, endpoint->record().id, view.node, view.nodes);
+    const uint32_t share = ColdStartShare(cold_limit, endpoint->record().id,
+                                          view.node, view.nodes);
     return !endpoint->cold_quota().Allows(share, now);
   });
   if (usable.empty())
--- a/src/libteaselthread/endpoints/endpoint_selector.h
+++ b/src/libteaselthread/endpoints/endpoint_selector.h
@@ -23,8 +23,8 @@
 // What a placement depends on, besides the state of the endpoints.
 struct SelectionQuery {
   const ServiceSpec* service = nullptr;
-  std::vector<PromptPart> prompt;     // empty for plain services
-  std::set<std::string> excluded;     // endpoints that have been tried
+  std::vector<PromptPart> prompt;  // empty for plain services
+  std::set<std::string> excluded;  // endpoints that have been tried
 };
 
 // Where a request goes.
--- a/src/libteaselthread/endpoints/endpoint_table.cc
+++ b/src/libteaselthread/endpoints/endpoint_table.cc
@@ -66,8 +66,8 @@
                                       Timestamp now) {
   for (auto& [id, entry] : endpoints_) {
     const EndpointRecord& record = entry.endpoint->record();
-    const bool is_back = evacuated_zones_.contains(record.zone) &&
-                         !zones.contains(record.zone);
+    const bool is_back =
+        evacuated_zones_.contains(record.zone) && !zones.contains(record.zone);
     const Duration cold_start = ColdStartOf(record.service);
     if (is_back && cold_start > Duration::zero())
       entry.endpoint->ExtendCold(now + cold_start + kColdMargin);
@@ -83,9 +83,8 @@
 void EndpointTable::Sweep(Timestamp now) {
   if (now < defer_until_)
     return;
-  std::erase_if(endpoints_, [](const auto& item) {
-    return item.second.removal_pending;
-  });
+  std::erase_if(endpoints_,
+                [](const auto& item) { return item.second.removal_pending; });
 }
 
 std::vector<EndpointPtr> EndpointTable::Available(
--- a/src/libteaselthread/peers/peer_set.cc
+++ b/src/libteaselthread/peers/peer_set.cc
@@ -44,9 +44,9 @@
     return;
   auto [found, is_new] = entries_.try_emplace(peer.name);
   Entry& entry = found->second;
-  const bool was_replaced =
-      !is_new && entry.peer.peer_address != peer.peer_address &&
-      !IsAlive(entry, now);
+  const bool was_replaced = !is_new &&
+                            entry.peer.peer_address != peer.peer_address &&
+                            !IsAlive(entry, now);
   if (is_new || was_replaced) {
     entry = Entry();
     entry.peer = peer;
@@ -63,9 +63,9 @@
     if (entry.peer.serving && IsAlive(entry, now))
       serving.push_back(entry.peer);
   }
-  const auto in_zone = std::count_if(
-      serving.begin(), serving.end(),
-      [&](const Peer& peer) { return peer.zone == zone; });
+  const auto in_zone =
+      std::count_if(serving.begin(), serving.end(),
+                    [&](const Peer& peer) { return peer.zone == zone; });
   if (in_zone >= static_cast<int64_t>(kMinZoneNodes))
     std::erase_if(serving, [&](const Peer& peer) { return peer.zone != zone; });
   return serving;
@@ -82,9 +82,9 @@
 
 bool PeerSet::IsAlive(const Entry& entry, Timestamp now) const {
   const bool is_remote = entry.peer.zone != self_.zone;
-  const Duration timeout =
-      is_remote ? heartbeat_timeout_ * kRemoteTimeoutMultiple
-                : heartbeat_timeout_;
+  const Duration timeout = is_remote
+                               ? heartbeat_timeout_ * kRemoteTimeoutMultiple
+                               : heartbeat_timeout_;
   return entry.heard && now - entry.heard_at <= timeout;
 }
 
@@ -133,19 +133,17 @@
 }
 
 bool PeerSet::IsZoneLead(Timestamp now) const {
-  return std::none_of(
-      entries_.begin(), entries_.end(), [&](const auto& item) {
-        const Entry& entry = item.second;
-        return entry.peer.zone == self_.zone && entry.peer.serving &&
-               IsAlive(entry, now) && entry.peer.name < self_.name;
-      });
+  return std::none_of(entries_.begin(), entries_.end(), [&](const auto& item) {
+    const Entry& entry = item.second;
+    return entry.peer.zone == self_.zone && entry.peer.serving &&
+           IsAlive(entry, now) && entry.peer.name < self_.name;
+  });
 }
 
 Duration PeerSet::HeartbeatInterval(Duration shortest, Timestamp now) const {
   const auto in_zone =
       std::count_if(entries_.begin(), entries_.end(), [&](const auto& item) {
-        return item.second.peer.zone == self_.zone &&
-               IsAlive(item.second, now);
+        return item.second.peer.zone == self_.zone && IsAlive(item.second, now);
       });
   return std::max(shortest, kIntervalPerNode * (in_zone + 1));
 }
@@ -161,10 +159,9 @@
 
 size_t PeerSet::alive_count(Timestamp now) const {
   return static_cast<size_t>(
-      1 + std::count_if(entries_.begin(), entries_.end(),
-                        [&](const auto& item) {
-                          return IsAlive(item.second, now);
-                        }));
+      1 + std::count_if(
+              entries_.begin(), entries_.end(),
+              [&](const auto& item) { return IsAlive(item.second, now); }));
 }
 
 }  // namespace teaselthread
--- a/src/libteaselthread/routes/route_table.cc
+++ b/src/libteaselthread/routes/route_table.cc
@@ -80,11 +80,11 @@
 
 const std::string& PickService(const Route& route,
                                std::string_view request_id) {
-  const uint64_t total = std::accumulate(
-      route.services.begin(), route.services.end(), uint64_t{0},
-      [](uint64_t sum, const WeightedService& target) {
-        return sum + target.weight;
-      });
+  const uint64_t total =
+      std::accumulate(route.services.begin(), route.services.end(), uint64_t{0},
+                      [](uint64_t sum, const WeightedService& target) {
+                        return sum + target.weight;
+                      });
   if (total == 0)
     return route.services.front().service;
   uint64_t point = RendezvousKey(request_id).WeightOf(route.name) % total;
--- a/src/teaselthread/gateway/admin_server.cc
+++ b/src/teaselthread/gateway/admin_server.cc
@@ -29,8 +29,8 @@
                                              settings.directory_listen(),
                                              settings.metrics_listen()};
   for (const SocketAddress& address : addresses) {
-    auto listener = Listener::Start(
-        &state_->io(), address, [this](tcp::socket socket) {
+    auto listener =
+        Listener::Start(&state_->io(), address, [this](tcp::socket socket) {
           asio::co_spawn(state_->io(), Serve(std::move(socket)),
                          asio::detached);
         });
@@ -53,7 +53,8 @@
         co_await http::async_read(socket, buffer, request, kAsTuple);
     if (read_failure)
       co_return;
-    Response response = Answer({request.target().data(), request.target().size()});
+    Response response =
+        Answer({request.target().data(), request.target().size()});
     keep_alive = request.keep_alive() && !state_->leaving();
     response.keep_alive(keep_alive);
     response.prepare_payload();
--- a/src/teaselthread/gateway/caller_link.cc
+++ b/src/teaselthread/gateway/caller_link.cc
@@ -73,9 +73,7 @@
 
 void CallerLink::BreakOff() {
   usable_ = false;
-  // A reset cannot be taken for the end of an answer without a length.
-  boost::system::error_code ignored;
-  socket_->set_option(asio::socket_base::linger(true, 0), ignored);
+  is_broken_off_ = true;
 }
 
 asio::awaitable<bool> CallerLink::WriteText(std::string text) {
--- a/src/teaselthread/gateway/caller_link.h
+++ b/src/teaselthread/gateway/caller_link.h
@@ -18,8 +18,8 @@
  public:
   struct Options {
     bool keep_alive = true;
-    bool is_http11 = true;   // chunks may be sent
-    bool is_head = false;    // the answer has no body
+    bool is_http11 = true;  // chunks may be sent
+    bool is_head = false;   // the answer has no body
   };
 
   CallerLink(tcp::socket* socket, Options options)
@@ -35,8 +35,10 @@
   asio::awaitable<bool> BeginStream(AnswerHead head, std::string first_events);
   asio::awaitable<bool> WriteEvents(std::string events);
   asio::awaitable<bool> EndStream();
-  // The answer ends here and must not pass as whole.
+  // The answer ends here and must not pass as whole: the connection is to be
+  // reset.
   void BreakOff();
+  bool is_broken_off() const { return is_broken_off_; }
 
  private:
   asio::awaitable<bool> WriteText(std::string text);
@@ -46,6 +48,7 @@
   Options options_;
   bool begun_ = false;
   bool usable_ = true;
+  bool is_broken_off_ = false;
 };
 
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/endpoint_attempt.cc
+++ b/src/teaselthread/gateway/endpoint_attempt.cc
@@ -110,7 +110,8 @@
     result = co_await ReadAnswer(*parser, relay);
   } else {
     const bool is_garbled =
-        last_failure_.category() == http::make_error_code(http::error::bad_version).category() &&
+        last_failure_.category() ==
+            http::make_error_code(http::error::bad_version).category() &&
         last_failure_ != http::error::end_of_stream &&
         last_failure_ != http::error::partial_message;
     result.failure = FailureOr(is_garbled ? AttemptFailure::kMalformed
@@ -132,8 +133,7 @@
   boost::system::error_code ignored;
   connection_->socket.open(target.protocol(), ignored);
   guard_->Attach(&connection_->socket, kConnectTimeout);
-  auto [failure] =
-      co_await connection_->socket.async_connect(target, kAsTuple);
+  auto [failure] = co_await connection_->socket.async_connect(target, kAsTuple);
   if (failure) {
     connection_->Reset();
     co_return false;
@@ -148,19 +148,18 @@
     std::shared_ptr<const EndpointHttpRequest> request) {
   written_ = std::make_shared<bool>(false);
   auto serializer =
-      std::make_shared<http::serializer<true, http::string_body,
-                                        http::fields>>(*request);
-  http::async_write(connection_->socket, *serializer,
-                    [serializer, request, connection = connection_,
-                     written = written_](
-                        const boost::system::error_code& failure, size_t) {
-                      *written = !failure;
-                    });
+      std::make_shared<http::serializer<true, http::string_body, http::fields>>(
+          *request);
+  http::async_write(
+      connection_->socket, *serializer,
+      [serializer, request, connection = connection_, written = written_](
+          const boost::system::error_code& failure, size_t) {
+        *written = !failure;
+      });
 }
 
-asio::awaitable<bool> EndpointAttempt::ReadHead(
-    std::unique_ptr<Parser>* parser,
-    bool is_head) {
+asio::awaitable<bool> EndpointAttempt::ReadHead(std::unique_ptr<Parser>* parser,
+                                                bool is_head) {
   for (int foreign = 0; foreign <= kMaxForeignAnswers;) {
     *parser = std::make_unique<Parser>();
     (*parser)->header_limit(kMaxHeaderBytes);
@@ -202,15 +201,14 @@
   if (endpoint_head_.cold_left)
     endpoint_->ExtendCold(state_->Now() + *endpoint_head_.cold_left);
   const int status = static_cast<int>(parser.get().result_int());
-  const bool not_run =
-      endpoint_head_.not_run || status == kMisdirectedRequest;
+  const bool not_run = endpoint_head_.not_run || status == kMisdirectedRequest;
   if (relay && IsSuccess(status) && !not_run)
     co_return co_await Stream(parser, *relay);
   AttemptResult result;
   if (!co_await ReadWhole(parser, &result.body)) {
     // What was said of the request stands, even if the rest is lost.
-    result.failure =
-        not_run ? AttemptFailure::kRejected : FailureOr(AttemptFailure::kBroken);
+    result.failure = not_run ? AttemptFailure::kRejected
+                             : FailureOr(AttemptFailure::kBroken);
     co_return result;
   }
   if (not_run) {
@@ -291,12 +289,13 @@
 }
 
 void EndpointAttempt::Release(const Parser& parser) {
-  const bool is_clean = parser.keep_alive() && connection_->buffer.size() == 0 &&
-                        *written_ && !guard_->interruption();
+  const bool is_clean = parser.keep_alive() &&
+                        connection_->buffer.size() == 0 && *written_ &&
+                        !guard_->interruption();
   if (!is_clean)
     return;
-  connection_->usable_until = std::chrono::steady_clock::now() +
-                              KeepAliveTime(parser.get().base());
+  connection_->usable_until =
+      std::chrono::steady_clock::now() + KeepAliveTime(parser.get().base());
   connections_->Return(endpoint_->record().id, std::move(connection_));
   connection_ = nullptr;
 }
--- a/src/teaselthread/gateway/endpoint_attempt.h
+++ b/src/teaselthread/gateway/endpoint_attempt.h
@@ -54,8 +54,7 @@
   void StartWrite(std::shared_ptr<const EndpointHttpRequest> request);
   // Reads answers until one belongs to the request.
   asio::awaitable<bool> ReadHead(std::unique_ptr<Parser>* parser, bool is_head);
-  asio::awaitable<AttemptResult> ReadAnswer(Parser& parser,
-                                            StreamRelay* relay);
+  asio::awaitable<AttemptResult> ReadAnswer(Parser& parser, StreamRelay* relay);
   asio::awaitable<bool> ReadWhole(Parser& parser, std::string* body);
   asio::awaitable<AttemptResult> Stream(Parser& parser, StreamRelay& relay);
   // One piece of the body. False on an error.
--- a/src/teaselthread/gateway/front_connection.cc
+++ b/src/teaselthread/gateway/front_connection.cc
@@ -70,7 +70,11 @@
   while (co_await ServeOne()) {
   }
   --state_->connections;
-  socket_.shutdown(tcp::socket::shutdown_send, ignored);
+  // An orderly end could be taken for that of an answer without a length.
+  if (is_broken_off_)
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+  else
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
   socket_.close(ignored);
 }
 
@@ -104,14 +108,15 @@
                    .is_http11 = message.version() == kHttp11,
                    .is_head = message.method() == http::verb::head});
   co_await handler_->Serve(message, state_->Now(), &socket_, &link);
+  is_broken_off_ = link.is_broken_off();
   co_return link.is_usable();
 }
 
 asio::awaitable<bool> FrontConnection::AwaitBytes(Duration timeout) {
   IoTimeout limit(socket_);
   limit.Arm(timeout);
-  auto [failure, count] = co_await socket_.async_read_some(
-      buffer_.prepare(kReadBytes), kAsTuple);
+  auto [failure, count] =
+      co_await socket_.async_read_some(buffer_.prepare(kReadBytes), kAsTuple);
   limit.Disarm();
   buffer_.commit(count);
   co_return !failure;
@@ -141,9 +146,10 @@
     co_return std::nullopt;
   if (limit.expired())
     co_return RefusalReason::kTooSlow;
-  const bool is_transport = failure == http::error::end_of_stream ||
-                            failure == http::error::partial_message ||
-                            failure.category() == asio::error::get_system_category();
+  const bool is_transport =
+      failure == http::error::end_of_stream ||
+      failure == http::error::partial_message ||
+      failure.category() == asio::error::get_system_category();
   if (is_transport) {
     caller_gone_ = true;
     co_return std::nullopt;
--- a/src/teaselthread/gateway/front_connection.h
+++ b/src/teaselthread/gateway/front_connection.h
@@ -40,6 +40,7 @@
   beast::flat_buffer buffer_;
   bool is_idle_ = true;
   bool caller_gone_ = false;
+  bool is_broken_off_ = false;
 };
 
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/gateway.cc
+++ b/src/teaselthread/gateway/gateway.cc
@@ -56,9 +56,8 @@
   store_.set_on_regained([this] { heartbeat_->SendNow(); });
   store_.Start();
   registrar_.Start();
-  state_.timers().Subscribe(kSweepInterval, state_.Now(), [this](Timestamp) {
-    front_.handler().Sweep();
-  });
+  state_.timers().Subscribe(kSweepInterval, state_.Now(),
+                            [this](Timestamp) { front_.handler().Sweep(); });
   LogLine line("started");
   line.Add("node", state_.settings().name())
       .Add("zone", state_.settings().zone())
--- a/src/teaselthread/gateway/gateway_metrics.cc
+++ b/src/teaselthread/gateway/gateway_metrics.cc
@@ -36,8 +36,7 @@
   for (size_t kind = 0; kind < kCount; ++kind) {
     const LatencyHistogram& histogram = histograms[kind];
     const auto counts = histogram.CumulativeCounts();
-    const std::string label =
-        "kind=\"" + std::string(kKindNames[kind]) + "\"";
+    const std::string label = "kind=\"" + std::string(kKindNames[kind]) + "\"";
     for (size_t i = 0; i < counts.size(); ++i) {
       out << "teaselthread_" << name << "_bucket{" << label << ",le=\""
           << LatencyHistogram::kBounds[i] << "\"} " << counts[i] << "\n";
--- a/src/teaselthread/gateway/gateway_settings.cc
+++ b/src/teaselthread/gateway/gateway_settings.cc
@@ -26,8 +26,8 @@
   if (address)
     return *address;
   errors->push_back(
-      {address.last_reason().code, place + " " + std::string(key) + ": " +
-                                       address.last_reason().detail});
+      {address.last_reason().code,
+       place + " " + std::string(key) + ": " + address.last_reason().detail});
   return {};
 }
 
@@ -84,10 +84,11 @@
   log_level_ = reader.Text("log_level", "info");
   if (std::find(std::begin(kLogLevels), std::end(kLogLevels), log_level_) ==
       std::end(kLogLevels)) {
-    errors->push_back({ErrorCode::kBadValue,
-                       place + " log_level: expected debug, info, warn or "
-                               "error, found '" +
-                           log_level_ + "'"});
+    errors->push_back(
+        {ErrorCode::kBadValue, place +
+                                   " log_level: expected debug, info, warn or "
+                                   "error, found '" +
+                                   log_level_ + "'"});
   }
   front_listen_ = ReadAddress(reader, "front_listen", place, errors);
   readiness_listen_ = ReadAddress(reader, "readiness_listen", place, errors);
@@ -128,14 +129,14 @@
       reader.Milliseconds("revocation_ms", 5'000, kMillisecondsRange);
   limits_.retries.ratio = reader.Number("retry_ratio", 0.2, 0, 10);
   limits_.retries.slack = reader.Number("retry_slack", 50, 0, 1e6);
-  limits_.retries.window = std::chrono::seconds(
-      reader.Integer("retry_window_s", 10, {1, 3'600}));
+  limits_.retries.window =
+      std::chrono::seconds(reader.Integer("retry_window_s", 10, {1, 3'600}));
   limits_.drain_bound =
       reader.Milliseconds("drain_ms", 2'000, kMillisecondsRange);
   limits_.cold_over = reader.Number("cold_over", 1.5, 0, 100);
   limits_.cold_slack = reader.Number("cold_slack", 5, 0, 1e6);
-  limits_.leaving_grace = std::chrono::seconds(
-      reader.Integer("leaving_grace_s", 8, {1, 3'600}));
+  limits_.leaving_grace =
+      std::chrono::seconds(reader.Integer("leaving_grace_s", 8, {1, 3'600}));
   reader.RejectUnknownKeys();
 }
 
--- a/src/teaselthread/gateway/listener.cc
+++ b/src/teaselthread/gateway/listener.cc
@@ -23,9 +23,9 @@
   if (!failure)
     acceptor.listen(asio::socket_base::max_listen_connections, failure);
   if (failure) {
-    return Error{ErrorCode::kUnavailable, "cannot listen on " +
-                                              address.ToString() + ": " +
-                                              failure.message()};
+    return Error{
+        ErrorCode::kUnavailable,
+        "cannot listen on " + address.ToString() + ": " + failure.message()};
   }
   std::unique_ptr<Listener> listener(
       new Listener(std::move(acceptor), std::move(on_connection)));
--- a/src/teaselthread/gateway/node_registrar.cc
+++ b/src/teaselthread/gateway/node_registrar.cc
@@ -129,8 +129,8 @@
   std::string target = state_->dialect().ObjectTarget(
       StoreKind::kNodes, state_->settings().name());
   std::string no_body;
-  const int status = co_await Call(http::verb::delete_, std::move(target),
-                                   std::move(no_body));
+  const int status =
+      co_await Call(http::verb::delete_, std::move(target), std::move(no_body));
   if (IsSuccess(status))
     co_return;
   LogLine line("deregistration-failed");
--- a/src/teaselthread/gateway/peer_heartbeat.cc
+++ b/src/teaselthread/gateway/peer_heartbeat.cc
@@ -91,7 +91,8 @@
   const Timestamp now = GatewayState::BootNow();
   wire::GatewayHeartbeat message;
   const auto heard_at = state_->peers().LastSentAt(target);
-  if (!heard_at || beats_ % kBeatsBetweenIntroductions < PeerSet::kBeatsPerRemoteBeat) {
+  if (!heard_at ||
+      beats_ % kBeatsBetweenIntroductions < PeerSet::kBeatsPerRemoteBeat) {
     message.mutable_identity()->set_name(self.name);
     message.mutable_identity()->set_zone(self.zone);
     message.mutable_identity()->set_front_address(
@@ -141,10 +142,9 @@
       state_->metrics().OnUnreadableEntry();
       return;
     }
-    state_->peers().OnIntroduction(
-        {identity.name(), identity.zone(), from, *front_address,
-         message.serving()},
-        state_->Now());
+    state_->peers().OnIntroduction({identity.name(), identity.zone(), from,
+                                    *front_address, message.serving()},
+                                   state_->Now());
   }
   PeerNews news;
   news.serving = message.serving();
--- a/src/teaselthread/gateway/request_checks.cc
+++ b/src/teaselthread/gateway/request_checks.cc
@@ -32,8 +32,8 @@
                ? RefusalReason::kUnknownRoute
                : RefusalReason::kStaleConfiguration;
   }
-  request.service = request.routes->FindService(
-      PickService(*request.route, request.head.id));
+  request.service =
+      request.routes->FindService(PickService(*request.route, request.head.id));
   return std::nullopt;
 }
 
--- a/src/teaselthread/gateway/request_checks.h
+++ b/src/teaselthread/gateway/request_checks.h
@@ -35,8 +35,8 @@
   std::optional<RefusalReason> CheckKnowledge(ClassifiedRequest& request) const;
 
  private:
-  using Check = std::optional<RefusalReason> (RequestChecks::*)(
-      ClassifiedRequest&) const;
+  using Check =
+      std::optional<RefusalReason> (RequestChecks::*)(ClassifiedRequest&) const;
 
   std::optional<RefusalReason> CheckRoute(ClassifiedRequest& request) const;
   std::optional<RefusalReason> CheckKey(ClassifiedRequest& request) const;
--- a/src/teaselthread/gateway/request_guard.cc
+++ b/src/teaselthread/gateway/request_guard.cc
@@ -59,12 +59,12 @@
 }
 
 void RequestGuard::WatchCaller() {
-  caller_->async_wait(tcp::socket::wait_read,
-                      [self = shared_from_this()](
-                          const boost::system::error_code& failure) {
-                        if (!failure && self->active_)
-                          self->OnCallerReadable();
-                      });
+  caller_->async_wait(
+      tcp::socket::wait_read,
+      [self = shared_from_this()](const boost::system::error_code& failure) {
+        if (!failure && self->active_)
+          self->OnCallerReadable();
+      });
 }
 
 void RequestGuard::OnCallerReadable() {
@@ -90,11 +90,11 @@
   if (on_silence_)
     due = std::min(due, judge_at_);
   timer_.expires_at(due);
-  timer_.async_wait([self = shared_from_this()](
-                        const boost::system::error_code& failure) {
-    if (!failure && self->active_)
-      self->OnTimer();
-  });
+  timer_.async_wait(
+      [self = shared_from_this()](const boost::system::error_code& failure) {
+        if (!failure && self->active_)
+          self->OnTimer();
+      });
 }
 
 void RequestGuard::OnTimer() {
--- a/src/teaselthread/gateway/request_handler.cc
+++ b/src/teaselthread/gateway/request_handler.cc
@@ -16,8 +16,8 @@
 
 // In seconds, with fractions.
 std::string RetryAfterText(Duration time) {
-  std::string text = std::to_string(
-      std::chrono::duration<double>(time).count());
+  std::string text =
+      std::to_string(std::chrono::duration<double>(time).count());
   return text.substr(0, text.find('.') + 3);
 }
 
@@ -148,7 +148,8 @@
   exchange.endpoint = endpoint.record().id;
   exchange.attempts.OnStart(endpoint.record().id);
   endpoint.OnSend(state_->Now());
-  const bool is_stream = exchange.request.route->kind == RequestKind::kStreaming;
+  const bool is_stream =
+      exchange.request.route->kind == RequestKind::kStreaming;
   EndpointAttempt attempt(state_, &connections_, selection.endpoint,
                           exchange.guard.get(), &exchange.attempts);
   LogSend(exchange, selection);
@@ -160,9 +161,8 @@
     silent.failure = AttemptFailure::kSilent;
     JudgeEndpoint(endpoint, silent);
   };
-  AttemptResult result =
-      co_await attempt.Run(message, exchange.request.head.id, limits, relay,
-                           std::move(on_silence));
+  AttemptResult result = co_await attempt.Run(
+      message, exchange.request.head.id, limits, relay, std::move(on_silence));
   endpoint.OnEnd();
   JudgeEndpoint(endpoint, result);
   bool is_final = true;
@@ -193,11 +193,10 @@
   const bool can_resume =
       route.is_resumable && exchange.relay.events().last_id().has_value();
   const std::string& service = exchange.request.service->name;
-  const NextStep step = exchange.attempts.OnFailure(
-      failure, relayed, can_resume, [&] {
+  const NextStep step =
+      exchange.attempts.OnFailure(failure, relayed, can_resume, [&] {
         return state_->RetriesOf(service).TryTake(
-            state_->peers().PossiblyAlive(state_->Now()).size(),
-            state_->Now());
+            state_->peers().PossiblyAlive(state_->Now()).size(), state_->Now());
       });
   *is_final = step != NextStep::kRetry;
   state_->metrics().OnAttemptFailure(failure, !*is_final);
--- a/src/teaselthread/gateway/store_controller.cc
+++ b/src/teaselthread/gateway/store_controller.cc
@@ -30,24 +30,27 @@
 
 StoreController::StoreController(GatewayState* state)
     : state_(state),
-      configuration_(state,
-                     StoreKind::kConfiguration,
-                     [this] { return ConfigurationPace(); },
-                     MakeCallbacks(StoreKind::kConfiguration,
-                                   &StoreController::OnConfigurationList,
-                                   &StoreController::OnConfigurationChanges)),
-      endpoints_(state,
-                 StoreKind::kEndpoints,
-                 [this] { return ListPace(EndpointGather()); },
-                 MakeCallbacks(StoreKind::kEndpoints,
-                               &StoreController::OnEndpointList,
-                               &StoreController::OnEndpointChanges)),
-      evacuations_(state,
-                   StoreKind::kEvacuations,
-                   [this] { return ListPace(kEvacuationGather); },
-                   MakeCallbacks(StoreKind::kEvacuations,
-                                 &StoreController::OnEvacuationList,
-                                 &StoreController::OnEvacuationChanges)) {}
+      configuration_(
+          state,
+          StoreKind::kConfiguration,
+          [this] { return ConfigurationPace(); },
+          MakeCallbacks(StoreKind::kConfiguration,
+                        &StoreController::OnConfigurationList,
+                        &StoreController::OnConfigurationChanges)),
+      endpoints_(
+          state,
+          StoreKind::kEndpoints,
+          [this] { return ListPace(EndpointGather()); },
+          MakeCallbacks(StoreKind::kEndpoints,
+                        &StoreController::OnEndpointList,
+                        &StoreController::OnEndpointChanges)),
+      evacuations_(
+          state,
+          StoreKind::kEvacuations,
+          [this] { return ListPace(kEvacuationGather); },
+          MakeCallbacks(StoreKind::kEvacuations,
+                        &StoreController::OnEvacuationList,
+                        &StoreController::OnEvacuationChanges)) {}
 
 void StoreController::Start() {
   configuration_.Start();
@@ -62,16 +65,15 @@
 
 StoreWatcher::Pace StoreController::ConfigurationPace() const {
   const auto age = state_->knowledge().Age(GatewayState::BootNow());
-  const bool asks_often = state_->peers().IsZoneLead(state_->Now()) || !age ||
-                          *age > kAskAfter;
+  const bool asks_often =
+      state_->peers().IsZoneLead(state_->Now()) || !age || *age > kAskAfter;
   return {asks_often ? kLeadWait : kLongWait, Duration::zero(),
           asks_often ? kLeadBackOff : kFollowerBackOff};
 }
 
 Duration StoreController::EndpointGather() const {
   const Duration bound = state_->settings().limits().drain_bound;
-  return Duration(
-      static_cast<Duration::rep>(bound.count() * kGatherShare));
+  return Duration(static_cast<Duration::rep>(bound.count() * kGatherShare));
 }
 
 StoreWatcher::Pace StoreController::ListPace(Duration gather) const {
@@ -108,8 +110,8 @@
     return;
   const Timestamp now = GatewayState::BootNow();
   state_->knowledge().OnPeerProof(*news.echoed_at, *news.proof_age, now);
-  const bool store_is_back = configuration_.is_lost() &&
-                             *news.echoed_at - *news.proof_age > lost_at_;
+  const bool store_is_back =
+      configuration_.is_lost() && *news.echoed_at - *news.proof_age > lost_at_;
   if (store_is_back) {
     lost_at_ = now;
     configuration_.Reconnect();
@@ -171,8 +173,7 @@
 }
 
 bool StoreController::TakeConfiguration(const StoreObject& object) {
-  Result<RouteTableParts> parts =
-      state_->dialect().DecodeConfiguration(object);
+  Result<RouteTableParts> parts = state_->dialect().DecodeConfiguration(object);
   Result<RouteTable> table = parts ? RouteTable::Create(parts.TakeValue())
                                    : Result<RouteTable>(parts.last_reason());
   if (!table) {
--- a/src/teaselthread/gateway/store_controller.h
+++ b/src/teaselthread/gateway/store_controller.h
@@ -52,13 +52,14 @@
   std::optional<EndpointRecord> ReadEndpoint(const StoreObject& object);
   void LogEndpoint(const EndpointRecord& record);
   void SetEvacuated(std::set<std::string> zones);
-  void LogUnreadable(StoreKind kind, const StoreObject& object,
+  void LogUnreadable(StoreKind kind,
+                     const StoreObject& object,
                      const Error& reason);
 
   GatewayState* state_;
   std::function<void()> on_regained_;
   RemovalGrace removal_grace_;
-  Timestamp lost_at_{};  // the latest loss of the store
+  Timestamp lost_at_{};                // the latest loss of the store
   uint64_t newest_heard_version_ = 0;  // by heartbeats
   Timestamp newest_heard_at_{};
   bool asked_for_age_ = false;
--- a/src/teaselthread/gateway/store_watcher.cc
+++ b/src/teaselthread/gateway/store_watcher.cc
@@ -61,8 +61,7 @@
   std::optional<uint64_t> first_revision;
   for (std::string after;;) {
     std::string target = state_->dialect().ListTarget(kind_, after, false);
-    Result<HttpReply> reply =
-        co_await Get(std::move(target), kCallTimeout);
+    Result<HttpReply> reply = co_await Get(std::move(target), kCallTimeout);
     if (!reply)
       co_return OnFailure(Describe(reply.last_reason()));
     Result<StorePage> page = state_->dialect().DecodeList(reply->body);
@@ -146,8 +145,8 @@
   const Duration longest =
       std::min(kMinBackOff * (1 << doublings), pace_().max_back_off);
   std::uniform_real_distribution<double> jitter(0.5, 1.0);
-  const auto time = Duration(static_cast<Duration::rep>(
-      longest.count() * jitter(state_->random())));
+  const auto time = Duration(
+      static_cast<Duration::rep>(longest.count() * jitter(state_->random())));
   if (holds_)
     pause_.expires_at(asio::steady_timer::time_point::max());
   else
--- a/src/teaselthread/gateway/store_watcher.h
+++ b/src/teaselthread/gateway/store_watcher.h
@@ -16,8 +16,8 @@
   // Objects of a whole list, or those that have changed. `asked_at` is the
   // time of the call, on the clock that counts suspension; what the answer
   // says was true then or later.
-  using OnObjects = std::function<
-      void(const std::vector<StoreObject>& objects, Timestamp asked_at)>;
+  using OnObjects = std::function<void(const std::vector<StoreObject>& objects,
+                                       Timestamp asked_at)>;
   struct Callbacks {
     OnObjects on_list;
     OnObjects on_changes;
--- a/src/teaselthread/http_connection.cc
+++ b/src/teaselthread/http_connection.cc
@@ -34,11 +34,10 @@
   socket_->cancel(ignored);
 }
 
-asio::awaitable<Result<HttpReply>> HttpConnection::TryCall(
-    http::verb method,
-    std::string target,
-    std::string body,
-    Duration timeout) {
+asio::awaitable<Result<HttpReply>> HttpConnection::TryCall(http::verb method,
+                                                           std::string target,
+                                                           std::string body,
+                                                           Duration timeout) {
   const bool is_reused = socket_.has_value();
   if (!socket_) {
     Result<tcp::socket> connected = co_await Connect(address_, timeout);
--- a/src/teaselthread/main.cc
+++ b/src/teaselthread/main.cc
@@ -53,8 +53,8 @@
     return ExitCode::kSuccess;
   }
   const platform::PlatformDialect dialect;
-  const Result<int> ended = Gateway::Run(settings.TakeValue(), &dialect,
-                                         command_line.config_file);
+  const Result<int> ended =
+      Gateway::Run(settings.TakeValue(), &dialect, command_line.config_file);
   return ended ? ExitCode::kSuccess
                : ReportAll(ended.reasons(), ExitCode::kUnavailable);
 }
@@ -74,7 +74,8 @@
     return RunGateway(*command_line);
   if (words.size() >= 2 && words[0] == "ctl")
     return RunCtl(*command_line);
-  std::cerr << "teaselthread: expected gateway, node or ctl; see teaselthread --help\n";
+  std::cerr << "teaselthread: expected gateway, node or ctl; see teaselthread "
+               "--help\n";
   return ExitCode::kUsage;
 }
 
--- /dev/null
+++ b/tests/gateway/callers_port_test.cc
@@ -0,0 +1,128 @@
+#include <boost/test/unit_test.hpp>
+
+#include "gateway/gateway_harness.h"
+#include "platform/wire_names.h"
+
+namespace teaselthread {
+namespace {
+
+using std::chrono::milliseconds;
+using test::Field;
+using test::IsWhole;
+using test::MakeAnswer;
+using test::MakeRequest;
+using test::ScriptedEndpoint;
+
+struct CallersPortFixture {
+  CallersPortFixture()
+      : desk(&harness.io(), [](const std::string&, const std::string& id, int) {
+          return ScriptedEndpoint::Reply{MakeAnswer(id, "done")};
+        }) {
+    harness.AddEndpoint("desk-1", "desk", desk);
+  }
+
+  std::string Ask(const std::string& request) {
+    return harness.Exchange(request, IsWhole);
+  }
+  int StatusOf(const std::string& request) {
+    const std::string answer = Ask(request);
+    return answer.size() < 12 ? 0 : std::stoi(answer.substr(9, 3));
+  }
+
+  test::GatewayHarness harness;
+  ScriptedEndpoint desk;
+};
+
+BOOST_FIXTURE_TEST_SUITE(a_callers_request, CallersPortFixture)
+
+BOOST_AUTO_TEST_CASE(is_passed_on_with_what_the_gateway_adds) {
+  const std::string answer = Ask(MakeRequest(
+      "POST", "/order/7?x=1", "id-1", "body",
+      Field(platform::kDeadline, "900") + Field(platform::kTenant, "forged") +
+          Field("X-Own", "kept") +
+          Field(platform::kKvFrom, "192.0.2.1:1/forged")));
+  BOOST_TEST(answer.find("200 OK") != std::string::npos);
+  BOOST_TEST(answer.find("seal-id-1") != std::string::npos);
+  BOOST_REQUIRE(desk.heads().size() == 1u);
+  const std::string& head = desk.heads()[0];
+  BOOST_TEST(head.find("POST /order/7?x=1 HTTP/1.1") == 0u);
+  BOOST_TEST(head.find(Field(platform::kTenant, "office")) !=
+             std::string::npos);
+  BOOST_TEST(head.find(Field(platform::kExpectInstance, "desk-1")) !=
+             std::string::npos);
+  BOOST_TEST(head.find("X-Own: kept") != std::string::npos);
+  BOOST_TEST(head.find("forged") == std::string::npos);
+  BOOST_TEST(head.find("key-1") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(is_refused_for_what_the_configuration_does_not_know) {
+  BOOST_TEST(StatusOf(MakeRequest("GET", "/nowhere/", "id-1")) == 404);
+  std::string request = MakeRequest("GET", "/order/", "id-1");
+  request.replace(request.find("key-1"), 5, "key-9");
+  BOOST_TEST(StatusOf(request) == 401);
+  BOOST_TEST(desk.heads().empty());
+}
+
+BOOST_AUTO_TEST_CASE(is_refused_once_its_key_may_have_been_taken_away) {
+  harness.state().Reload(harness.state().settings());
+  harness.state().knowledge() = KnowledgeAge(milliseconds(30));
+  harness.state().knowledge().OnProof(GatewayState::BootNow());
+  BOOST_TEST(StatusOf(MakeRequest("GET", "/order/", "id-1")) == 200);
+  harness.RunFor(milliseconds(40));
+  const std::string answer = Ask(MakeRequest("GET", "/order/", "id-2"));
+  BOOST_TEST(answer.find("503") == 9u);
+  BOOST_TEST(answer.find("Retry-After: 0.") != std::string::npos);
+  BOOST_TEST(desk.heads().size() == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE(out_of_bounds)
+
+BOOST_FIXTURE_TEST_CASE(gets_413_although_it_sends_ten_megabytes,
+                        CallersPortFixture) {
+  const std::string body(10 << 20, 'x');
+  BOOST_TEST(StatusOf(MakeRequest("POST", "/order/", "id-1", body)) == 413);
+}
+
+BOOST_FIXTURE_TEST_CASE(gets_431_for_its_header, CallersPortFixture) {
+  const std::string field = "X-Long: " + std::string(20'000, 'x') + "\r\n";
+  BOOST_TEST(StatusOf(MakeRequest("GET", "/order/", "id-1", "", field)) == 431);
+}
+
+BOOST_FIXTURE_TEST_CASE(gets_400_without_a_host, CallersPortFixture) {
+  BOOST_TEST(StatusOf("GET /order/ HTTP/1.1\r\n\r\n") == 400);
+}
+
+BOOST_FIXTURE_TEST_CASE(cannot_hide_another_request, CallersPortFixture) {
+  const std::string hidden = MakeRequest("GET", "/order/", "id-hidden");
+  for (const std::string field :
+       {"Transfer-Encoding: xchunked\r\n", "Transfer-Encoding: identity\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
+        "Content-Length: 5\r\nContent-Length: 6\r\n",
+        "Content-Length: +5\r\n"}) {
+    const std::string request =
+        "POST /order/ HTTP/1.1\r\nHost: shop.example\r\n" + field + "\r\n" +
+        hidden;
+    BOOST_TEST_CONTEXT(field)
+    BOOST_TEST(StatusOf(request) == 400);
+  }
+  BOOST_TEST(desk.heads().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(whose_gateway_leaves)
+
+BOOST_FIXTURE_TEST_CASE(is_served_and_told_to_go_elsewhere,
+                        CallersPortFixture) {
+  harness.state().BeginLeaving();
+  const std::string answer = Ask(MakeRequest("GET", "/order/", "id-1"));
+  BOOST_TEST(answer.find("200 OK") != std::string::npos);
+  BOOST_TEST(answer.find("Connection: close") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace teaselthread
--- /dev/null
+++ b/tests/gateway/gateway_harness.cc
@@ -0,0 +1,234 @@
+#include "gateway/gateway_harness.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <sstream>
+
+#include "platform/wire_names.h"
+
+#include "gateway/gateway_fixtures.h"
+
+namespace teaselthread::test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kPatience = seconds(3);
+
+GatewaySettings MakeSettings(uint16_t port) {
+  std::ostringstream text;
+  text << "[gateway]\nname = node-a\nzone = a\nlog_level = error\n";
+  for (const char* key :
+       {"front_listen", "readiness_listen", "directory_listen",
+        "metrics_listen", "peer_listen", "store"}) {
+    text << key << " = 127.0.0.1:" << port << "\n";
+  }
+  return GatewaySettings::Parse(text.str(), "test").TakeValue();
+}
+
+uint16_t FreePort(asio::io_context& io) {
+  tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
+  return acceptor.local_endpoint().port();
+}
+
+std::string FieldOf(const std::string& head, const std::string& name) {
+  const size_t start = head.find("\r\n" + name + ": ");
+  if (start == std::string::npos)
+    return {};
+  const size_t value = start + name.size() + 4;
+  return head.substr(value, head.find("\r\n", value) - value);
+}
+
+}  // namespace
+
+ScriptedEndpoint::ScriptedEndpoint(asio::io_context* io, Script script)
+    : acceptor_(*io, {asio::ip::make_address("127.0.0.1"), 0}),
+      script_(std::move(script)) {
+  asio::co_spawn(*io, Accept(), asio::detached);
+}
+
+SocketAddress ScriptedEndpoint::address() const {
+  return {"127.0.0.1", acceptor_.local_endpoint().port()};
+}
+
+asio::awaitable<void> ScriptedEndpoint::Accept() {
+  for (;;) {
+    auto [failure, socket] = co_await acceptor_.async_accept(kAsTuple);
+    if (failure)
+      co_return;
+    ++connections_;
+    asio::co_spawn(acceptor_.get_executor(), Serve(std::move(socket)),
+                   asio::detached);
+  }
+}
+
+asio::awaitable<void> ScriptedEndpoint::Serve(tcp::socket socket) {
+  std::string buffer;
+  for (;;) {
+    auto [failure, head_size] = co_await asio::async_read_until(
+        socket, asio::dynamic_buffer(buffer), "\r\n\r\n", kAsTuple);
+    if (failure)
+      co_return;
+    const std::string head = buffer.substr(0, head_size);
+    buffer.erase(0, head_size);
+    const std::string id = FieldOf(head, std::string(platform::kRequestId));
+    heads_.push_back(head);
+    const Reply reply = script_(head, id, static_cast<int>(heads_.size()) - 1);
+    const std::string length = FieldOf(head, "Content-Length");
+    const size_t body_size = length.empty() ? 0 : std::stoul(length);
+    if (reply.reads_body && buffer.size() < body_size) {
+      const size_t rest = body_size - buffer.size();
+      co_await asio::async_read(socket, asio::dynamic_buffer(buffer),
+                                asio::transfer_exactly(rest), kAsTuple);
+    }
+    if (reply.reads_body)
+      buffer.erase(0, body_size);
+    co_await asio::async_write(socket, asio::buffer(reply.bytes), kAsTuple);
+    boost::system::error_code ignored;
+    if (reply.resets)
+      socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    // The destructor would not reset it.
+    if (reply.resets)
+      socket.close(ignored);
+    if (reply.resets || reply.closes)
+      co_return;
+    if (!reply.bytes.empty() && IsWhole(reply.bytes))
+      continue;
+    char byte = 0;
+    auto [gone, count] =
+        co_await socket.async_read_some(asio::buffer(&byte, 1), kAsTuple);
+    if (gone)
+      ++abandoned_;
+    co_return;
+  }
+}
+
+GatewayHarness::GatewayHarness()
+    : state_(std::make_unique<GatewayState>(&io_,
+                                            MakeSettings(FreePort(io_)),
+                                            &dialect_)),
+      front_(std::make_unique<FrontServer>(state_.get())) {
+  state_->OfferRoutes(MakeRoutes());
+  state_->knowledge().OnProof(GatewayState::BootNow());
+  state_->set_endpoints_known();
+  front_->Start();
+}
+
+void GatewayHarness::AddEndpoint(const std::string& id,
+                                 const std::string& service,
+                                 const ScriptedEndpoint& endpoint) {
+  EndpointRecord record = MakeDeskRecord(id, "a");
+  record.service = service;
+  record.address = endpoint.address();
+  state_->endpoints().Put(record, state_->Now());
+}
+
+std::string GatewayHarness::Exchange(
+    const std::string& bytes,
+    const std::function<bool(const std::string&)>& complete) {
+  std::string answer;
+  bool ended = false;
+  tcp::socket socket(io_);
+  asio::co_spawn(
+      io_,
+      [&]() -> asio::awaitable<void> {
+        const SocketAddress& address = state_->settings().front_listen();
+        const tcp::endpoint target(asio::ip::make_address(address.host),
+                                   address.port);
+        co_await socket.async_connect(target, kAsTuple);
+        // The gateway may answer before it has read all.
+        asio::async_write(socket, asio::buffer(bytes),
+                          [](const boost::system::error_code&, size_t) {});
+        std::string piece(4'096, '\0');
+        while (!complete(answer)) {
+          auto [failure, count] =
+              co_await socket.async_read_some(asio::buffer(piece), kAsTuple);
+          last_failure_ = failure;
+          if (failure)
+            break;
+          answer.append(piece, 0, count);
+        }
+        ended = true;
+        io_.stop();
+      },
+      asio::detached);
+  io_.restart();
+  io_.run_for(kPatience);
+  boost::system::error_code ignored;
+  socket.close(ignored);
+  if (!ended)
+    RunFor(milliseconds(20));
+  return answer;
+}
+
+void GatewayHarness::SendAndLeave(const std::string& bytes, Duration stay) {
+  tcp::socket socket(io_);
+  const SocketAddress& address = state_->settings().front_listen();
+  socket.connect({asio::ip::make_address(address.host), address.port});
+  asio::write(socket, asio::buffer(bytes));
+  RunFor(stay);
+  socket.close();
+}
+
+void GatewayHarness::RunFor(Duration time) {
+  io_.restart();
+  io_.run_for(time);
+}
+
+std::string Field(std::string_view name, const std::string& value) {
+  return std::string(name) + ": " + value + "\r\n";
+}
+
+std::string MakeRequest(const std::string& method,
+                        const std::string& path,
+                        const std::string& id,
+                        const std::string& body,
+                        const std::string& more_fields) {
+  std::string request = method + " " + path +
+                        " HTTP/1.1\r\nHost: shop.example\r\n" +
+                        Field(platform::kRequestId, id) +
+                        Field(platform::kKey, "key-1") + more_fields;
+  if (!body.empty())
+    request += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  return request + "\r\n" + body;
+}
+
+std::string MakeAnswer(const std::string& id,
+                       const std::string& body,
+                       const std::string& status,
+                       const std::string& more_fields) {
+  return "HTTP/1.1 " + status + "\r\n" + Field(platform::kRequestId, id) +
+         "X-Seal: seal-" + id + "\r\n" + more_fields +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string StreamHead(const std::string& id) {
+  return "HTTP/1.1 200 OK\r\n" + Field(platform::kRequestId, id) +
+         "X-Seal: seal-" + id +
+         "\r\nContent-Type: text/event-stream\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string EventChunk(int id) {
+  const std::string event = "id: " + std::to_string(id) + "\ndata: piece\n\n";
+  std::ostringstream chunk;
+  chunk << std::hex << event.size() << "\r\n" << event << "\r\n";
+  return chunk.str();
+}
+
+bool IsWhole(const std::string& answer) {
+  const size_t head_end = answer.find("\r\n\r\n");
+  if (head_end == std::string::npos)
+    return false;
+  const std::string body = answer.substr(head_end + 4);
+  const std::string length =
+      FieldOf(answer.substr(0, head_end + 2), "Content-Length");
+  if (!length.empty())
+    return body.size() >= std::stoul(length);
+  const std::string last(kLastChunk);
+  return body.size() >= last.size() &&
+         body.compare(body.size() - last.size(), last.size(), last) == 0;
+}
+
+}  // namespace teaselthread::test
