--- a/src/teaselthread/gateway/gateway.h
+++ b/src/teaselthread/gateway/gateway.h
@@ -6,9 +6,9 @@
 
 #include "teaselthread/gateway/admin_server.h"
 #include "teaselthread/gateway/front_server.h"
-#include "teaselthread/gateway/node_registrar.h"
 #include "teaselthread/gateway/peer_heartbeat.h"
-#include "teaselthread/gateway/store_controller.h"
+#include "teaselthread/store/node_registrar.h"
+#include "teaselthread/store/store_controller.h"
 
 namespace teaselthread {
 
--- a/src/teaselthread/gateway/node_registrar.cc
+++ b/src/teaselthread/store/node_registrar.cc
@@ -1,4 +1,4 @@
-#include "teaselthread/gateway/node_registrar.h"
+#include "teaselthread/store/node_registrar.h"
 
 #include <boost/json.hpp>
 
--- a/src/teaselthread/gateway/node_registrar.h
+++ b/src/teaselthread/store/node_registrar.h
@@ -1,5 +1,5 @@
-#ifndef TEASELTHREAD_GATEWAY_NODE_REGISTRAR_H_
-#define TEASELTHREAD_GATEWAY_NODE_REGISTRAR_H_
+#ifndef TEASELTHREAD_STORE_NODE_REGISTRAR_H_
+#define TEASELTHREAD_STORE_NODE_REGISTRAR_H_
 
 #include "teaselthread/gateway/gateway_state.h"
 #include "teaselthread/http_connection.h"
@@ -31,4 +31,4 @@
 
 }  // namespace teaselthread
 
-#endif  // TEASELTHREAD_GATEWAY_NODE_REGISTRAR_H_
+#endif  // TEASELTHREAD_STORE_NODE_REGISTRAR_H_
--- a/src/teaselthread/gateway/store_controller.cc
+++ b/src/teaselthread/store/store_controller.cc
@@ -1,4 +1,4 @@
-#include "teaselthread/gateway/store_controller.h"
+#include "teaselthread/store/store_controller.h"
 
 #include <algorithm>
 
--- a/src/teaselthread/gateway/store_controller.h
+++ b/src/teaselthread/store/store_controller.h
@@ -1,5 +1,5 @@
-#ifndef TEASELTHREAD_GATEWAY_STORE_CONTROLLER_H_
-#define TEASELTHREAD_GATEWAY_STORE_CONTROLLER_H_
+#ifndef TEASELTHREAD_STORE_STORE_CONTROLLER_H_
+#define TEASELTHREAD_STORE_STORE_CONTROLLER_H_
 
 #include <functional>
 #include <set>
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "libteaselthread/endpoints/removal_grace.h"
-#include "teaselthread/gateway/store_watcher.h"
+#include "teaselthread/store/store_watcher.h"
 
 namespace teaselthread {
 
@@ -71,4 +71,4 @@
 
 }  // namespace teaselthread
 
-#endif  // TEASELTHREAD_GATEWAY_STORE_CONTROLLER_H_
+#endif  // TEASELTHREAD_STORE_STORE_CONTROLLER_H_
--- a/src/teaselthread/gateway/store_watcher.cc
+++ b/src/teaselthread/store/store_watcher.cc
@@ -1,4 +1,4 @@
-#include "teaselthread/gateway/store_watcher.h"
+#include "teaselthread/store/store_watcher.h"
 
 #include <algorithm>
 
--- a/src/teaselthread/gateway/store_watcher.h
+++ b/src/teaselthread/store/store_watcher.h
@@ -1,5 +1,5 @@
-#ifndef TEASELTHREAD_GATEWAY_STORE_WATCHER_H_
-#define TEASELTHREAD_GATEWAY_STORE_WATCHER_H_
+#ifndef TEASELTHREAD_STORE_STORE_WATCHER_H_
+#define TEASELTHREAD_STORE_STORE_WATCHER_H_
 
 #include <functional>
 #include <vector>
@@ -69,4 +69,4 @@
 
 }  // namespace teaselthread
 
-#endif  // TEASELTHREAD_GATEWAY_STORE_WATCHER_H_
+#endif  // TEASELTHREAD_STORE_STORE_WATCHER_H_
--- /dev/null
+++ b/tests/platform/request_codec_test.cc
@@ -0,0 +1,124 @@
+#include "platform/request_codec.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include "platform/platform_dialect.h"
+#include "platform/wire_names.h"
+
+namespace teaselthread::platform {
+namespace {
+
+using std::chrono::milliseconds;
+
+void Set(http::fields* fields, std::string_view name, const std::string& value) {
+  fields->insert({name.data(), name.size()}, value);
+}
+
+std::string Value(const http::fields& fields, std::string_view name) {
+  return std::string(fields[{name.data(), name.size()}]);
+}
+
+BOOST_AUTO_TEST_SUITE(a_callers_head)
+
+BOOST_AUTO_TEST_CASE(is_decoded) {
+  http::fields fields;
+  Set(&fields, kRequestId, "id-1");
+  Set(&fields, kDeadline, "12000");
+  Set(&fields, kKey, "key-1");
+  Set(&fields, kPromptPrefix, "5c1e:800, 91bd:410,e440:250");
+  Set(&fields, kLastEventId, "12");
+  const CallerHead head = DecodeCallerHead(fields);
+  BOOST_TEST(head.id == "id-1");
+  BOOST_TEST((*head.time_left == milliseconds(12'000)));
+  BOOST_TEST(head.key == "key-1");
+  BOOST_REQUIRE(head.prompt.size() == 3u);
+  BOOST_TEST((head.prompt[1] == PromptPart{"91bd", 410}));
+  BOOST_TEST(*head.last_event_id == 12u);
+}
+
+BOOST_AUTO_TEST_CASE(without_sense_says_nothing) {
+  http::fields fields;
+  Set(&fields, kDeadline, "-5");
+  Set(&fields, kPromptPrefix, "5c1e:800,91bd");
+  Set(&fields, kLastEventId, "twelve");
+  const CallerHead head = DecodeCallerHead(fields);
+  BOOST_TEST(!head.time_left.has_value());
+  BOOST_TEST(head.prompt.empty());
+  BOOST_TEST(!head.last_event_id.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(of_any_bytes_is_decoded_without_harm) {
+  BOOST_TEST(rc::check([](const std::string& text) {
+    http::fields fields;
+    for (const std::string_view name :
+         {kDeadline, kPromptPrefix, kLastEventId, kServerLoad, kColdRemaining})
+      Set(&fields, name, text);
+    const CallerHead head = DecodeCallerHead(fields);
+    const EndpointHead endpoint = DecodeEndpointHead(fields);
+    RC_ASSERT(!head.time_left || *head.time_left >= Duration::zero());
+    RC_ASSERT(!endpoint.cold_left || *endpoint.cold_left >= Duration::zero());
+  }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_request_on_its_way_to_an_endpoint)
+
+BOOST_AUTO_TEST_CASE(loses_what_concerns_one_connection) {
+  http::fields from;
+  Set(&from, "Connection", "close, X-Mine");
+  Set(&from, "X-Mine", "1");
+  Set(&from, "Keep-Alive", "timeout=5");
+  Set(&from, "X-Own", "kept");
+  EndpointHttpRequest to;
+  EncodeEndpointRequest(from, {"i-1", "office", milliseconds(900), {}, {}, {}},
+                        &to);
+  BOOST_TEST(Value(to, "X-Own") == "kept");
+  BOOST_TEST(Value(to, "X-Mine").empty());
+  BOOST_TEST(Value(to, "Keep-Alive").empty());
+}
+
+BOOST_AUTO_TEST_CASE(loses_what_only_the_gateway_may_set) {
+  http::fields from;
+  for (const std::string_view name :
+       {kKey, kTenant, kExpectInstance, kExpectVersion, kPriority, kDeadline,
+        kKvPin, kKvHold, kKvBackup, kKvFetch, kKvFrom}) {
+    Set(&from, name, "forged");
+  }
+  EndpointHttpRequest to;
+  EncodeEndpointRequest(from, {"i-1", "", milliseconds(900), {}, {}, {}}, &to);
+  for (const auto& field : to)
+    BOOST_TEST(std::string(field.value()) != "forged");
+}
+
+BOOST_AUTO_TEST_CASE(says_who_is_to_run_it_and_how_long) {
+  EndpointHttpRequest to;
+  EncodeEndpointRequest({},
+                        {"i-1", "office", milliseconds(900), 7,
+                         SocketAddress{"192.0.2.5", 80}, 2},
+                        &to);
+  BOOST_TEST(Value(to, kExpectInstance) == "i-1");
+  BOOST_TEST(Value(to, kTenant) == "office");
+  BOOST_TEST(Value(to, kDeadline) == "900");
+  BOOST_TEST(Value(to, kLastEventId) == "7");
+  BOOST_TEST(Value(to, kKvFetch) == "192.0.2.5:80");
+  BOOST_TEST(Value(to, kPriority) == "2");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_directory_call)
+
+BOOST_AUTO_TEST_CASE(names_the_callers_zone_among_others) {
+  const PlatformDialect dialect;
+  BOOST_TEST(dialect.DirectoryZone("/-/lookup?name=a&region=b&zone=c") == "c");
+  BOOST_TEST(dialect.DirectoryZone("/-/lookup?zone=c&name=a") == "c");
+  BOOST_TEST(dialect.DirectoryZone("/-/lookup?timezone=x").empty());
+  BOOST_TEST(dialect.DirectoryZone("/-/lookup").empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace teaselthread::platform
--- /dev/null
+++ b/tests/platform/store_codec_test.cc
@@ -0,0 +1,174 @@
+#include "platform/store_codec.h"
+
+#include <boost/json.hpp>
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+namespace teaselthread::platform {
+namespace {
+
+namespace json = boost::json;
+using std::chrono::milliseconds;
+
+constexpr char kEntry[] = R"({"service":"pool","address":"192.0.2.9:8080",
+  "zone":"palermo","version":"v1","slots":64,"state":"ready",
+  "cold_left_ms":1500,"sequence":4,"born":1700000000123})";
+
+constexpr char kConfiguration[] = R"({"version":7,"routes":[
+  {"name":"r1","host":"shop.example","path_prefix":"/chat/",
+   "kind":"streaming","timeout_ms":12000,"slo_ms":1000,"priority":0,
+   "split":[{"service":"pool","weight":90},{"service":"desk","weight":10}],
+   "max_attempts":2,"public":false,"resumable":true,"gap_slo_ms":600},
+  {"name":"r2","host":"shop.example","path_prefix":"/order/",
+   "kind":"non_idempotent","timeout_ms":800,"service":"desk"}],
+ "services":[{"name":"pool","max_conns":360,"cold_start_s":3.0,
+   "cold_per_s":10.0,"engine":{"slots":64,"kv_capacity":455169}},
+  {"name":"desk","max_conns":100,"cold_start_s":0.0,"cold_per_s":0.0}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
+   "header_timeout_ms":3000,"idle_timeout_ms":15000},
+ "tenants":[{"name":"office","api_keys":["k1","k2"],"priority":1}]})";
+
+StoreObject MakeObject(const std::string& content) {
+  StoreObject object;
+  object.name = "i-1";
+  object.content = json::parse(content);
+  return object;
+}
+
+// Any JSON value that is not of the same kind as `value`.
+json::value OfAnotherType(const json::value& value) {
+  const json::value others[] = {json::value("text"), json::value(true),
+                                json::value(-3), json::array{1, 2},
+                                json::object{{"a", 1}}};
+  const int start = *rc::gen::inRange(0, 5);
+  for (int i = 0; i < 5; ++i) {
+    const json::value& other = others[(start + i) % 5];
+    if (other.kind() != value.kind())
+      return other;
+  }
+  return nullptr;
+}
+
+BOOST_AUTO_TEST_SUITE(an_endpoints_entry)
+
+BOOST_AUTO_TEST_CASE(is_decoded_into_its_record) {
+  const Result<EndpointRecord> record = DecodeServerEntry(MakeObject(kEntry));
+  BOOST_REQUIRE(record.has_value());
+  BOOST_TEST(record->id == "i-1");
+  BOOST_TEST(record->service == "pool");
+  BOOST_TEST(record->address.ToString() == "192.0.2.9:8080");
+  BOOST_TEST(record->zone == "palermo");
+  BOOST_TEST(record->slots == 64u);
+  BOOST_TEST(!record->draining);
+  BOOST_TEST((record->cold_left == milliseconds(1'500)));
+  BOOST_TEST(record->started_at_ms == 1'700'000'000'123u);
+}
+
+BOOST_AUTO_TEST_CASE(names_no_endpoint_with_a_field_missing_or_of_other_type) {
+  BOOST_TEST(rc::check([] {
+    const std::string key = *rc::gen::element<std::string>(
+        "service", "address", "zone", "slots", "state");
+    StoreObject object = MakeObject(kEntry);
+    json::object& fields = object.content.get_object();
+    if (*rc::gen::arbitrary<bool>())
+      fields.erase(key);
+    else
+      fields[key] = OfAnotherType(fields[key]);
+    RC_ASSERT(!DecodeServerEntry(object).has_value());
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(names_no_endpoint_in_an_unknown_state) {
+  for (const char* state : {"gone", "READY", ""}) {
+    StoreObject object = MakeObject(kEntry);
+    object.content.get_object()["state"] = state;
+    BOOST_TEST(!DecodeServerEntry(object).has_value());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(of_any_other_shape_is_no_entry) {
+  for (const char* content : {"null", "[]", "7", "\"text\"", "{}"})
+    BOOST_TEST(!DecodeServerEntry(MakeObject(content)).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_configuration)
+
+BOOST_AUTO_TEST_CASE(is_decoded_into_the_parts_of_a_route_table) {
+  const Result<RouteTableParts> parts =
+      DecodeRoutes(MakeObject(kConfiguration));
+  BOOST_REQUIRE(parts.has_value());
+  BOOST_TEST(parts->version == 7u);
+  BOOST_REQUIRE(parts->routes.size() == 2u);
+  const Route& chat = parts->routes[0];
+  BOOST_TEST((chat.kind == RequestKind::kStreaming));
+  BOOST_TEST(chat.IsRepeatable());
+  BOOST_TEST((chat.objective == milliseconds(1'000)));
+  BOOST_TEST((chat.max_event_gap == milliseconds(600)));
+  BOOST_TEST(chat.services.size() == 2u);
+  BOOST_TEST(!parts->routes[1].IsRepeatable());
+  BOOST_TEST(parts->routes[1].services[0].service == "desk");
+  BOOST_TEST(parts->services[0].engine.has_value());
+  BOOST_TEST(!parts->services[1].engine.has_value());
+  BOOST_TEST((parts->services[0].cold_start == milliseconds(3'000)));
+  BOOST_TEST(parts->customers[0].keys.size() == 2u);
+  BOOST_TEST(parts->bounds.max_body_bytes == 4'194'304u);
+  BOOST_TEST(RouteTable::Create(*parts).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(is_taken_whole_or_not_at_all) {
+  BOOST_TEST(rc::check([] {
+    StoreObject object = MakeObject(kConfiguration);
+    json::object& fields = object.content.get_object();
+    const std::string list =
+        *rc::gen::element<std::string>("routes", "services", "tenants");
+    json::object& entry = fields[list].get_array()[0].get_object();
+    entry["name"] = OfAnotherType(json::value("text"));
+    RC_ASSERT(!DecodeRoutes(object).has_value());
+  }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(answers_of_the_store)
+
+BOOST_AUTO_TEST_CASE(give_objects_and_the_revision_to_go_on_from) {
+  const Result<StorePage> list = DecodeListAnswer(
+      R"({"items":[{"metadata":{"name":"a","revision":5},"spec":{"x":1}}],
+          "has_more":true,"at":530})");
+  BOOST_REQUIRE(list.has_value());
+  BOOST_TEST(list->revision == 530u);
+  BOOST_TEST(list->has_more);
+  BOOST_TEST(list->objects[0].name == "a");
+  const Result<StorePage> watch = DecodeWatchAnswer(
+      R"({"events":[{"removed":true,"object":{"metadata":{"name":"a"}}}],
+          "at":533})");
+  BOOST_REQUIRE(watch.has_value());
+  BOOST_TEST(watch->objects[0].removed);
+}
+
+BOOST_AUTO_TEST_CASE(that_are_torn_or_foreign_are_errors) {
+  const std::string whole =
+      R"({"items":[{"metadata":{"name":"a"},"spec":{}}],"at":530})";
+  for (size_t length = 0; length < whole.size(); ++length)
+    BOOST_TEST(!DecodeListAnswer(whole.substr(0, length)).has_value());
+  BOOST_TEST(rc::check([](const std::string& bytes) {
+    const bool is_list = DecodeListAnswer(bytes).has_value();
+    const bool is_watch = DecodeWatchAnswer(bytes).has_value();
+    RC_ASSERT(!is_list && !is_watch);
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(are_asked_for_by_kind) {
+  BOOST_TEST(MakeListTarget(StoreKind::kEndpoints, "i-7", true) ==
+             "/-/objects/servers?after=i-7&outdated=1");
+  BOOST_TEST(MakeWatchTarget(StoreKind::kConfiguration, 9,
+                             milliseconds(1'500)) ==
+             "/-/objects/config?watch_rev=9&wait_ms=1500");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace teaselthread::platform
