Folders by subject: requests, membership, callers, peers

Cause: libteaselthread held 31 sources and the daemon 28, so that a newcomer had to read names to find a decision. No behaviour changed. Result: unit tests pass.

--- a/bench/core_bench.cc
+++ b/bench/core_bench.cc
@@ -8,10 +8,10 @@
 #include <vector>
 
 #include "libteaselthread/admission_controller.h"
-#include "libteaselthread/idempotency_table.h"
-#include "libteaselthread/owner_index.h"
+#include "libteaselthread/membership/owner_index.h"
+#include "libteaselthread/requests/idempotency_table.h"
 #include "libteaselthread/router.h"
-#include "teaselthread/wire_conversion.h"
+#include "teaselthread/peers/wire_conversion.h"
 
 namespace teaselthread::bench {
 namespace {
--- a/examples/embed/main.cc
+++ b/examples/embed/main.cc
@@ -2,7 +2,7 @@
 // once, and a router that keeps chats at their endpoint.
 #include <iostream>
 
-#include "libteaselthread/idempotency_table.h"
+#include "libteaselthread/requests/idempotency_table.h"
 #include "libteaselthread/router.h"
 
 namespace {
--- a/src/libteaselthread/admission_controller.h
+++ b/src/libteaselthread/admission_controller.h
@@ -8,9 +8,9 @@
 #include <vector>
 
 #include "libteaselthread/endpoint_queue.h"
-#include "libteaselthread/fleet_view.h"
-#include "libteaselthread/owner_index.h"
-#include "libteaselthread/reasons.h"
+#include "libteaselthread/membership/fleet_view.h"
+#include "libteaselthread/membership/owner_index.h"
+#include "libteaselthread/requests/reasons.h"
 #include "libteaselthread/slow_start.h"
 
 namespace teaselthread {
--- a/src/libteaselthread/attempts/retry_after.h
+++ b/src/libteaselthread/attempts/retry_after.h
@@ -1,7 +1,7 @@
 #ifndef TEASELTHREAD_ATTEMPTS_RETRY_AFTER_H_
 #define TEASELTHREAD_ATTEMPTS_RETRY_AFTER_H_
 
-#include "libteaselthread/reasons.h"
+#include "libteaselthread/requests/reasons.h"
 #include "libteaselthread/timestamp.h"
 
 namespace teaselthread {
--- a/src/libteaselthread/fleet_view.cc
+++ b/src/libteaselthread/membership/fleet_view.cc
@@ -1,4 +1,4 @@
-#include "libteaselthread/fleet_view.h"
+#include "libteaselthread/membership/fleet_view.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/libteaselthread/fleet_view.h
+++ b/src/libteaselthread/membership/fleet_view.h
@@ -7,7 +7,7 @@
 #include "libteaselthread/configuration_holder.h"
 #include "libteaselthread/endpoint_directory.h"
 #include "libteaselthread/load_board.h"
-#include "libteaselthread/membership.h"
+#include "libteaselthread/membership/membership.h"
 
 namespace teaselthread {
 
--- a/src/libteaselthread/incarnation.cc
+++ b/src/libteaselthread/membership/incarnation.cc
@@ -1,4 +1,4 @@
-#include "libteaselthread/incarnation.h"
+#include "libteaselthread/membership/incarnation.h"
 
 #include <cctype>
 #include <charconv>
--- a/src/libteaselthread/member.cc
+++ b/src/libteaselthread/membership/member.cc
@@ -1,4 +1,4 @@
-#include "libteaselthread/member.h"
+#include "libteaselthread/membership/member.h"
 
 namespace teaselthread {
 
--- a/src/libteaselthread/member.h
+++ b/src/libteaselthread/membership/member.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <string>
 
-#include "libteaselthread/incarnation.h"
+#include "libteaselthread/membership/incarnation.h"
 
 namespace teaselthread {
 
--- a/src/libteaselthread/membership.cc
+++ b/src/libteaselthread/membership/membership.cc
@@ -1,4 +1,4 @@
-#include "libteaselthread/membership.h"
+#include "libteaselthread/membership/membership.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/libteaselthread/membership.h
+++ b/src/libteaselthread/membership/membership.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "libteaselthread/member.h"
+#include "libteaselthread/membership/member.h"
 #include "libteaselthread/timestamp.h"
 
 namespace teaselthread {
--- a/src/libteaselthread/owner_index.cc
+++ b/src/libteaselthread/membership/owner_index.cc
@@ -1,4 +1,4 @@
-#include "libteaselthread/owner_index.h"
+#include "libteaselthread/membership/owner_index.h"
 
 #include "libteaselthread/rendezvous_hash.h"
 
--- a/src/libteaselthread/owner_index.h
+++ b/src/libteaselthread/membership/owner_index.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "libteaselthread/endpoint.h"
-#include "libteaselthread/membership.h"
+#include "libteaselthread/membership/membership.h"
 
 namespace teaselthread {
 
--- a/src/libteaselthread/metrics.h
+++ b/src/libteaselthread/metrics.h
@@ -12,7 +12,7 @@
 #include <map>
 #include <string>
 
-#include "libteaselthread/outcome.h"
+#include "libteaselthread/requests/outcome.h"
 
 namespace teaselthread {
 
--- a/src/libteaselthread/customer_limiter.cc
+++ b/src/libteaselthread/requests/customer_limiter.cc
@@ -1,4 +1,4 @@
-#include "libteaselthread/customer_limiter.h"
+#include "libteaselthread/requests/customer_limiter.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/libteaselthread/customer_limiter.h
+++ b/src/libteaselthread/requests/customer_limiter.h
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "libteaselthread/configuration.h"
-#include "libteaselthread/outcome.h"
+#include "libteaselthread/requests/outcome.h"
 
 namespace teaselthread {
 
--- a/src/libteaselthread/filter_chain.cc
+++ b/src/libteaselthread/requests/filter_chain.cc
@@ -1,4 +1,4 @@
-#include "libteaselthread/filter_chain.h"
+#include "libteaselthread/requests/filter_chain.h"
 
 namespace teaselthread {
 
--- a/src/libteaselthread/filter_chain.h
+++ b/src/libteaselthread/requests/filter_chain.h
@@ -5,8 +5,8 @@
 #include <optional>
 #include <vector>
 
-#include "libteaselthread/outcome.h"
-#include "libteaselthread/request_context.h"
+#include "libteaselthread/requests/outcome.h"
+#include "libteaselthread/requests/request_context.h"
 
 namespace teaselthread {
 
--- a/src/libteaselthread/idempotency_table.cc
+++ b/src/libteaselthread/requests/idempotency_table.cc
@@ -1,4 +1,4 @@
-#include "libteaselthread/idempotency_table.h"
+#include "libteaselthread/requests/idempotency_table.h"
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
--- a/src/libteaselthread/idempotency_table.h
+++ b/src/libteaselthread/requests/idempotency_table.h
@@ -12,9 +12,9 @@
 #include <unordered_map>
 #include <vector>
 
-#include "libteaselthread/reasons.h"
+#include "libteaselthread/requests/reasons.h"
+#include "libteaselthread/requests/ticket.h"
 #include "libteaselthread/settings.h"
-#include "libteaselthread/ticket.h"
 
 namespace teaselthread {
 
--- a/src/libteaselthread/outcome.cc
+++ b/src/libteaselthread/requests/outcome.cc
@@ -1,4 +1,4 @@
-#include "libteaselthread/outcome.h"
+#include "libteaselthread/requests/outcome.h"
 
 namespace teaselthread {
 
--- a/src/libteaselthread/outcome.h
+++ b/src/libteaselthread/requests/outcome.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <variant>
 
-#include "libteaselthread/reasons.h"
+#include "libteaselthread/requests/reasons.h"
 #include "libteaselthread/timestamp.h"
 
 namespace teaselthread {
--- a/src/libteaselthread/reasons.cc
+++ b/src/libteaselthread/requests/reasons.cc
@@ -1,4 +1,4 @@
-#include "libteaselthread/reasons.h"
+#include "libteaselthread/requests/reasons.h"
 
 #include <array>
 
--- a/src/libteaselthread/request_filters.cc
+++ b/src/libteaselthread/requests/request_filters.cc
@@ -1,4 +1,4 @@
-#include "libteaselthread/request_filters.h"
+#include "libteaselthread/requests/request_filters.h"
 
 #include <algorithm>
 
--- a/src/libteaselthread/request_filters.h
+++ b/src/libteaselthread/requests/request_filters.h
@@ -1,10 +1,10 @@
 #ifndef TEASELTHREAD_REQUEST_FILTERS_H_
 #define TEASELTHREAD_REQUEST_FILTERS_H_
 
-#include "libteaselthread/customer_limiter.h"
-#include "libteaselthread/filter_chain.h"
-#include "libteaselthread/fleet_view.h"
-#include "libteaselthread/ticket.h"
+#include "libteaselthread/membership/fleet_view.h"
+#include "libteaselthread/requests/customer_limiter.h"
+#include "libteaselthread/requests/filter_chain.h"
+#include "libteaselthread/requests/ticket.h"
 
 namespace teaselthread {
 
--- a/src/libteaselthread/retry_budget.cc
+++ b/src/libteaselthread/requests/retry_budget.cc
@@ -1,4 +1,4 @@
-#include "libteaselthread/retry_budget.h"
+#include "libteaselthread/requests/retry_budget.h"
 
 #include <algorithm>
 
--- a/src/libteaselthread/routed_request.h
+++ b/src/libteaselthread/requests/routed_request.h
@@ -8,10 +8,10 @@
 #include <variant>
 #include <vector>
 
-#include "libteaselthread/outcome.h"
-#include "libteaselthread/retry_budget.h"
+#include "libteaselthread/requests/outcome.h"
+#include "libteaselthread/requests/retry_budget.h"
+#include "libteaselthread/requests/sse_assembler.h"
 #include "libteaselthread/router.h"
-#include "libteaselthread/sse_assembler.h"
 
 namespace teaselthread {
 
--- a/src/libteaselthread/sse_assembler.cc
+++ b/src/libteaselthread/requests/sse_assembler.cc
@@ -1,4 +1,4 @@
-#include "libteaselthread/sse_assembler.h"
+#include "libteaselthread/requests/sse_assembler.h"
 
 namespace teaselthread {
 namespace {
--- a/src/libteaselthread/ticket.cc
+++ b/src/libteaselthread/requests/ticket.cc
@@ -1,4 +1,4 @@
-#include "libteaselthread/ticket.h"
+#include "libteaselthread/requests/ticket.h"
 
 #include <charconv>
 
--- a/src/libteaselthread/ticket.h
+++ b/src/libteaselthread/requests/ticket.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-#include "libteaselthread/incarnation.h"
+#include "libteaselthread/membership/incarnation.h"
 #include "libteaselthread/timestamp.h"
 
 namespace teaselthread {
--- a/src/libteaselthread/router.h
+++ b/src/libteaselthread/router.h
@@ -6,9 +6,9 @@
 #include <string>
 #include <variant>
 
-#include "libteaselthread/fleet_view.h"
-#include "libteaselthread/outcome.h"
-#include "libteaselthread/owner_index.h"
+#include "libteaselthread/membership/fleet_view.h"
+#include "libteaselthread/membership/owner_index.h"
+#include "libteaselthread/requests/outcome.h"
 
 namespace teaselthread {
 
--- a/src/teaselthread/answer_sink.h
+++ b/src/teaselthread/callers/answer_sink.h
@@ -3,8 +3,8 @@
 
 #include <string>
 
-#include "libteaselthread/outcome.h"
-#include "libteaselthread/routed_request.h"
+#include "libteaselthread/requests/outcome.h"
+#include "libteaselthread/requests/routed_request.h"
 #include "teaselthread/asio.h"
 
 namespace teaselthread {
--- a/src/teaselthread/caller_request_parser.cc
+++ b/src/teaselthread/callers/caller_request_parser.cc
@@ -1,4 +1,4 @@
-#include "teaselthread/caller_request_parser.h"
+#include "teaselthread/callers/caller_request_parser.h"
 
 #include <boost/json.hpp>
 #include <charconv>
--- a/src/teaselthread/caller_request_parser.h
+++ b/src/teaselthread/callers/caller_request_parser.h
@@ -4,7 +4,7 @@
 #include <string_view>
 
 #include "libteaselthread/error.h"
-#include "libteaselthread/request_context.h"
+#include "libteaselthread/requests/request_context.h"
 #include "teaselthread/asio.h"
 
 namespace teaselthread {
--- a/src/teaselthread/caller_server.cc
+++ b/src/teaselthread/callers/caller_server.cc
@@ -1,12 +1,12 @@
-#include "teaselthread/caller_server.h"
+#include "teaselthread/callers/caller_server.h"
 
 #include <algorithm>
 #include <boost/json.hpp>
 
-#include "teaselthread/caller_request_parser.h"
-#include "teaselthread/http_answer_sink.h"
+#include "teaselthread/callers/caller_request_parser.h"
+#include "teaselthread/callers/http_answer_sink.h"
+#include "teaselthread/callers/problem.h"
 #include "teaselthread/io_timeout.h"
-#include "teaselthread/problem.h"
 
 namespace teaselthread {
 namespace {
--- a/src/teaselthread/http_answer_sink.cc
+++ b/src/teaselthread/callers/http_answer_sink.cc
@@ -1,7 +1,7 @@
-#include "teaselthread/http_answer_sink.h"
+#include "teaselthread/callers/http_answer_sink.h"
 
+#include "teaselthread/callers/problem.h"
 #include "teaselthread/io_timeout.h"
-#include "teaselthread/problem.h"
 
 namespace teaselthread {
 namespace {
--- a/src/teaselthread/http_answer_sink.h
+++ b/src/teaselthread/callers/http_answer_sink.h
@@ -3,7 +3,7 @@
 
 #include <string>
 
-#include "teaselthread/answer_sink.h"
+#include "teaselthread/callers/answer_sink.h"
 
 namespace teaselthread {
 
--- a/src/teaselthread/problem.cc
+++ b/src/teaselthread/callers/problem.cc
@@ -1,4 +1,4 @@
-#include "teaselthread/problem.h"
+#include "teaselthread/callers/problem.h"
 
 #include <boost/json.hpp>
 
--- a/src/teaselthread/problem.h
+++ b/src/teaselthread/callers/problem.h
@@ -3,7 +3,7 @@
 
 #include <string>
 
-#include "libteaselthread/outcome.h"
+#include "libteaselthread/requests/outcome.h"
 #include "teaselthread/asio.h"
 
 namespace teaselthread {
--- a/src/teaselthread/configuration_announcer.cc
+++ b/src/teaselthread/configuration_announcer.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <random>
 
-#include "teaselthread/peer_client.h"
+#include "teaselthread/peers/peer_client.h"
 #include "teaselthread/platform_controller.h"
 #include "teaselthread/platform_json.h"
 
--- a/src/teaselthread/configuration_writer.cc
+++ b/src/teaselthread/configuration_writer.cc
@@ -4,7 +4,7 @@
 #include <random>
 
 #include "libteaselthread/configuration.h"
-#include "libteaselthread/incarnation.h"
+#include "libteaselthread/membership/incarnation.h"
 #include "libteaselthread/section_reader.h"
 #include "teaselthread/platform_controller.h"
 
--- a/src/teaselthread/endpoint_call.h
+++ b/src/teaselthread/endpoint_call.h
@@ -4,9 +4,9 @@
 #include <memory>
 
 #include "libteaselthread/endpoint.h"
-#include "libteaselthread/outcome.h"
+#include "libteaselthread/requests/outcome.h"
 #include "teaselthread/endpoint_pool.h"
-#include "teaselthread/frame_queue.h"
+#include "teaselthread/peers/frame_queue.h"
 
 namespace teaselthread {
 
--- a/src/teaselthread/endpoint_controller.h
+++ b/src/teaselthread/endpoint_controller.h
@@ -8,7 +8,7 @@
 #include "teaselthread/http_connection.h"
 #include "teaselthread/node_state.h"
 #include "teaselthread/owner_service.h"
-#include "teaselthread/peer_client.h"
+#include "teaselthread/peers/peer_client.h"
 
 namespace teaselthread {
 
--- a/src/teaselthread/entry_service.cc
+++ b/src/teaselthread/entry_service.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "teaselthread/wire_conversion.h"
+#include "teaselthread/peers/wire_conversion.h"
 
 namespace teaselthread {
 namespace {
--- a/src/teaselthread/entry_service.h
+++ b/src/teaselthread/entry_service.h
@@ -7,12 +7,12 @@
 #include <string>
 #include <vector>
 
-#include "libteaselthread/request_context.h"
-#include "teaselthread/answer_sink.h"
-#include "teaselthread/frame_queue.h"
+#include "libteaselthread/requests/request_context.h"
+#include "teaselthread/callers/answer_sink.h"
 #include "teaselthread/node_state.h"
 #include "teaselthread/owner_service.h"
-#include "teaselthread/peer_client.h"
+#include "teaselthread/peers/frame_queue.h"
+#include "teaselthread/peers/peer_client.h"
 
 namespace teaselthread {
 
--- a/src/teaselthread/gateway/front_connection.cc
+++ b/src/teaselthread/gateway/front_connection.cc
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 
+#include "teaselthread/callers/problem.h"
 #include "teaselthread/io_timeout.h"
-#include "teaselthread/problem.h"
 
 namespace teaselthread {
 namespace {
--- a/src/teaselthread/gateway/gateway_metrics.h
+++ b/src/teaselthread/gateway/gateway_metrics.h
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "libteaselthread/attempts/request_attempts.h"
-#include "libteaselthread/reasons.h"
+#include "libteaselthread/requests/reasons.h"
 #include "libteaselthread/routes/route.h"
 
 namespace teaselthread {
--- a/src/teaselthread/gateway/request_checks.h
+++ b/src/teaselthread/gateway/request_checks.h
@@ -4,7 +4,7 @@
 #include <optional>
 #include <string>
 
-#include "libteaselthread/reasons.h"
+#include "libteaselthread/requests/reasons.h"
 #include "teaselthread/gateway/gateway_state.h"
 
 namespace teaselthread {
--- a/src/teaselthread/gateway/request_handler.cc
+++ b/src/teaselthread/gateway/request_handler.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "libteaselthread/attempts/retry_after.h"
-#include "teaselthread/problem.h"
+#include "teaselthread/callers/problem.h"
 
 namespace teaselthread {
 namespace {
--- a/src/teaselthread/node.h
+++ b/src/teaselthread/node.h
@@ -4,16 +4,16 @@
 #include <memory>
 
 #include "libteaselthread/error.h"
-#include "teaselthread/caller_server.h"
+#include "teaselthread/callers/caller_server.h"
 #include "teaselthread/endpoint_controller.h"
 #include "teaselthread/entry_service.h"
-#include "teaselthread/membership_controller.h"
 #include "teaselthread/node_state.h"
 #include "teaselthread/owner_service.h"
-#include "teaselthread/peer_client.h"
-#include "teaselthread/peer_server.h"
+#include "teaselthread/peers/membership_controller.h"
+#include "teaselthread/peers/peer_client.h"
+#include "teaselthread/peers/peer_server.h"
+#include "teaselthread/peers/state_fetcher.h"
 #include "teaselthread/platform_controller.h"
-#include "teaselthread/state_fetcher.h"
 
 namespace teaselthread {
 
--- a/src/teaselthread/node_state.cc
+++ b/src/teaselthread/node_state.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "libteaselthread/request_filters.h"
+#include "libteaselthread/requests/request_filters.h"
 
 namespace teaselthread {
 namespace {
--- a/src/teaselthread/node_state.h
+++ b/src/teaselthread/node_state.h
@@ -4,10 +4,10 @@
 #include <random>
 
 #include "libteaselthread/admission_controller.h"
-#include "libteaselthread/filter_chain.h"
-#include "libteaselthread/idempotency_table.h"
 #include "libteaselthread/metrics.h"
-#include "libteaselthread/retry_budget.h"
+#include "libteaselthread/requests/filter_chain.h"
+#include "libteaselthread/requests/idempotency_table.h"
+#include "libteaselthread/requests/retry_budget.h"
 #include "libteaselthread/router.h"
 #include "libteaselthread/settings.h"
 #include "libteaselthread/timer_service.h"
--- a/src/teaselthread/owner_service.cc
+++ b/src/teaselthread/owner_service.cc
@@ -1,7 +1,7 @@
 #include "teaselthread/owner_service.h"
 
 #include "teaselthread/endpoint_call.h"
-#include "teaselthread/wire_conversion.h"
+#include "teaselthread/peers/wire_conversion.h"
 
 namespace teaselthread {
 namespace {
--- a/src/teaselthread/owner_service.h
+++ b/src/teaselthread/owner_service.h
@@ -6,8 +6,8 @@
 #include <optional>
 
 #include "teaselthread/endpoint_pool.h"
-#include "teaselthread/frame_queue.h"
 #include "teaselthread/node_state.h"
+#include "teaselthread/peers/frame_queue.h"
 
 namespace teaselthread {
 
--- a/src/teaselthread/frame_queue.cc
+++ b/src/teaselthread/peers/frame_queue.cc
@@ -1,4 +1,4 @@
-#include "teaselthread/frame_queue.h"
+#include "teaselthread/peers/frame_queue.h"
 
 namespace teaselthread {
 
--- a/src/teaselthread/membership_controller.cc
+++ b/src/teaselthread/peers/membership_controller.cc
@@ -1,6 +1,6 @@
-#include "teaselthread/membership_controller.h"
+#include "teaselthread/peers/membership_controller.h"
 
-#include "teaselthread/wire_conversion.h"
+#include "teaselthread/peers/wire_conversion.h"
 
 namespace teaselthread {
 namespace {
--- a/src/teaselthread/membership_controller.h
+++ b/src/teaselthread/peers/membership_controller.h
@@ -2,9 +2,9 @@
 #define TEASELTHREAD_DAEMON_MEMBERSHIP_CONTROLLER_H_
 
 #include "teaselthread/node_state.h"
-#include "teaselthread/peer_client.h"
-#include "teaselthread/peer_server.h"
-#include "teaselthread/state_fetcher.h"
+#include "teaselthread/peers/peer_client.h"
+#include "teaselthread/peers/peer_server.h"
+#include "teaselthread/peers/state_fetcher.h"
 
 namespace teaselthread {
 
--- a/src/teaselthread/peer_client.cc
+++ b/src/teaselthread/peers/peer_client.cc
@@ -1,4 +1,4 @@
-#include "teaselthread/peer_client.h"
+#include "teaselthread/peers/peer_client.h"
 
 #include <chrono>
 
--- a/src/teaselthread/peer_client.h
+++ b/src/teaselthread/peers/peer_client.h
@@ -14,7 +14,7 @@
 
 #include "libteaselthread/timestamp.h"
 #include "node.grpc.pb.h"
-#include "teaselthread/frame_queue.h"
+#include "teaselthread/peers/frame_queue.h"
 
 namespace teaselthread {
 
--- a/src/teaselthread/peer_server.cc
+++ b/src/teaselthread/peers/peer_server.cc
@@ -1,4 +1,4 @@
-#include "teaselthread/peer_server.h"
+#include "teaselthread/peers/peer_server.h"
 
 #include <atomic>
 #include <deque>
--- a/src/teaselthread/peer_server.h
+++ b/src/teaselthread/peers/peer_server.h
@@ -9,7 +9,7 @@
 
 #include "libteaselthread/error.h"
 #include "node.grpc.pb.h"
-#include "teaselthread/frame_queue.h"
+#include "teaselthread/peers/frame_queue.h"
 
 namespace teaselthread {
 
--- a/src/teaselthread/state_fetcher.cc
+++ b/src/teaselthread/peers/state_fetcher.cc
@@ -1,8 +1,8 @@
-#include "teaselthread/state_fetcher.h"
+#include "teaselthread/peers/state_fetcher.h"
 
 #include <spdlog/spdlog.h>
 
-#include "teaselthread/wire_conversion.h"
+#include "teaselthread/peers/wire_conversion.h"
 
 namespace teaselthread {
 namespace {
--- a/src/teaselthread/state_fetcher.h
+++ b/src/teaselthread/peers/state_fetcher.h
@@ -4,7 +4,7 @@
 #include <string>
 
 #include "teaselthread/node_state.h"
-#include "teaselthread/peer_client.h"
+#include "teaselthread/peers/peer_client.h"
 
 namespace teaselthread {
 
--- a/src/teaselthread/wire_conversion.cc
+++ b/src/teaselthread/peers/wire_conversion.cc
@@ -1,4 +1,4 @@
-#include "teaselthread/wire_conversion.h"
+#include "teaselthread/peers/wire_conversion.h"
 
 #include <algorithm>
 
--- a/src/teaselthread/wire_conversion.h
+++ b/src/teaselthread/peers/wire_conversion.h
@@ -4,9 +4,9 @@
 #include <optional>
 
 #include "libteaselthread/load_board.h"
-#include "libteaselthread/member.h"
-#include "libteaselthread/outcome.h"
-#include "libteaselthread/request_context.h"
+#include "libteaselthread/membership/member.h"
+#include "libteaselthread/requests/outcome.h"
+#include "libteaselthread/requests/request_context.h"
 #include "node.pb.h"
 
 namespace teaselthread {
--- a/src/teaselthread/platform_json.h
+++ b/src/teaselthread/platform_json.h
@@ -6,7 +6,7 @@
 
 #include "libteaselthread/endpoint.h"
 #include "libteaselthread/error.h"
-#include "libteaselthread/member.h"
+#include "libteaselthread/membership/member.h"
 #include "teaselthread/platform_client.h"
 
 namespace teaselthread {
--- a/tests/fleet/admission_test.cc
+++ b/tests/fleet/admission_test.cc
@@ -2,7 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include "libteaselthread/owner_index.h"
+#include "libteaselthread/membership/owner_index.h"
 #include "support/fake_fleet.h"
 
 namespace teaselthread {
--- a/tests/fleet/membership_test.cc
+++ b/tests/fleet/membership_test.cc
@@ -1,9 +1,9 @@
-#include "libteaselthread/membership.h"
+#include "libteaselthread/membership/membership.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 
-#include "libteaselthread/owner_index.h"
+#include "libteaselthread/membership/owner_index.h"
 #include "support/fake_net.h"
 
 namespace teaselthread {
--- a/tests/golden/golden_test.cc
+++ b/tests/golden/golden_test.cc
@@ -4,8 +4,8 @@
 #include <fstream>
 #include <sstream>
 
-#include "libteaselthread/idempotency_table.h"
-#include "libteaselthread/routed_request.h"
+#include "libteaselthread/requests/idempotency_table.h"
+#include "libteaselthread/requests/routed_request.h"
 #include "support/fake_fleet.h"
 
 namespace teaselthread {
--- a/tests/requests/filters_test.cc
+++ b/tests/requests/filters_test.cc
@@ -1,8 +1,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include "libteaselthread/metrics.h"
-#include "libteaselthread/request_filters.h"
-#include "libteaselthread/retry_budget.h"
+#include "libteaselthread/requests/request_filters.h"
+#include "libteaselthread/requests/retry_budget.h"
 #include "libteaselthread/timer_service.h"
 #include "support/fake_fleet.h"
 
--- a/tests/requests/idempotency_test.cc
+++ b/tests/requests/idempotency_test.cc
@@ -1,6 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
-#include "libteaselthread/idempotency_table.h"
+#include "libteaselthread/requests/idempotency_table.h"
 #include "support/fake_fleet.h"
 
 namespace teaselthread {
--- a/tests/requests/routed_request_test.cc
+++ b/tests/requests/routed_request_test.cc
@@ -1,4 +1,4 @@
-#include "libteaselthread/routed_request.h"
+#include "libteaselthread/requests/routed_request.h"
 
 #include <boost/test/unit_test.hpp>
 
