An attempt that sent nothing needs no retry allowance

Ruled out: no other engine; nine were up. Change: the retry limit is asked only if the attempt may have reached the endpoint. Test: needs_no_allowance_after_an_attempt_that_sent_nothing, fails without the change.

--- a/src/libteaselthread/attempts/request_attempts.h
+++ b/src/libteaselthread/attempts/request_attempts.h
@@ -48,8 +48,7 @@
 // answers that are lost after the request has run.
 class RequestAttempts {
  public:
-  // Counters for further sends that an endpoint's rejections may cause beyond
-  // the attempts that run.
+  // Further sends that rejections may cause beyond the attempts that run.
   static constexpr uint32_t kMaxRejectedSends = 2;
 
   RequestAttempts(bool is_repeatable, uint32_t max_attempts);
@@ -59,15 +58,15 @@
   // From now on a byte of the request may have reached the endpoint.
   void OnExposed();
   // `bytes_relayed`: the caller has got a part of the answer. `can_resume`:
-  // the rest can be asked for. `take_retry` is asked once a retry is allowed
-  // by all else; it draws on the retry limit.
+  // the rest can be asked for. `take_retry` draws on the retry limit. It is
+  // asked once a retry is allowed by all else, unless the attempt sent nothing.
   template <typename TakeRetry>
   NextStep OnFailure(AttemptFailure failure,
                      bool bytes_relayed,
                      bool can_resume,
                      TakeRetry take_retry) {
     const NextStep step = Decide(failure, bytes_relayed, can_resume);
-    if (step != NextStep::kRetry || take_retry())
+    if (step != NextStep::kRetry || !exposed_ || take_retry())
       return step;
     return Final(failure, bytes_relayed);
   }
--- a/tests/gateway/request_attempts_test.cc
+++ b/tests/gateway/request_attempts_test.cc
@@ -61,6 +61,14 @@
                    !kAllowed) == NextStep::kRefuse));
 }
 
+// Replays a crowded day on which the retry limit was used up and requests were
+// refused because one endpoint could not be reached, which costs none a call.
+BOOST_AUTO_TEST_CASE(needs_no_allowance_after_an_attempt_that_sent_nothing) {
+  RequestAttempts attempts(false, 1);
+  BOOST_TEST((Fail(attempts, {AttemptFailure::kUnreachable, false}, false,
+                   false, !kAllowed) == NextStep::kRetry));
+}
+
 // 1,000 seeds of failures in any order: "not run" is never said of a request
 // that may have run, and it is never sent again after that.
 BOOST_AUTO_TEST_CASE(is_never_refused_after_it_may_have_run) {
