Store connections: 0.8 s to connect, and the kernel notices silent ones

Ruled out: the removal grace; it had not begun. Change: keep-alive and TCP_USER_TIMEOUT on the store's connections, a timeout of its own for connecting. Tests: has_the_kernel_watch_its_connection, does_not_wait_long_for_its_connection (failed without the change).

--- a/src/teaselthread/http_connection.cc
+++ b/src/teaselthread/http_connection.cc
@@ -1,8 +1,18 @@
 #include "teaselthread/http_connection.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "teaselthread/keep_alive.h"
+
 namespace teaselthread {
+namespace {
+
+// A call may wait long for its answer, but not for its connection: a round trip
+// takes milliseconds.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(800);
+
+}  // namespace
 
 asio::awaitable<Result<HttpReply>> HttpConnection::Get(std::string target,
                                                        Duration timeout) {
@@ -40,10 +50,12 @@
                                                            Duration timeout) {
   const bool is_reused = socket_.has_value();
   if (!socket_) {
-    Result<tcp::socket> connected = co_await Connect(address_, timeout);
+    const Duration connect_timeout = std::min(timeout, kConnectTimeout);
+    Result<tcp::socket> connected = co_await Connect(address_, connect_timeout);
     if (!connected)
       co_return connected.last_reason();
     socket_ = connected.TakeValue();
+    EnableKeepAlive(*socket_);
   }
   Result<HttpExchange> exchange =
       co_await ExchangeOn(*socket_, address_, method, target, body, timeout);
--- a/tests/gateway/http_connection_test.cc
+++ b/tests/gateway/http_connection_test.cc
@@ -1,6 +1,11 @@
 #include "teaselthread/http_connection.h"
 
+#include <netinet/tcp.h>
+
 #include <boost/test/unit_test.hpp>
+#include <list>
+
+#include "teaselthread/keep_alive.h"
 
 namespace teaselthread {
 namespace {
@@ -85,5 +90,79 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// A server that takes no connections: further ones get no answer at all.
+class FullServer {
+ public:
+  explicit FullServer(asio::io_context* io) : acceptor_(*io) {
+    acceptor_.open(tcp::v4());
+    acceptor_.bind({asio::ip::make_address("127.0.0.1"), 0});
+    acceptor_.listen(0);
+    for (int i = 0; i < kFillers; ++i) {
+      fillers_.emplace_back(*io);
+      fillers_.back().async_connect(acceptor_.local_endpoint(),
+                                    [](const boost::system::error_code&) {});
+    }
+  }
+  SocketAddress address() const {
+    return {"127.0.0.1", acceptor_.local_endpoint().port()};
+  }
+
+ private:
+  static constexpr int kFillers = 4;
+
+  tcp::acceptor acceptor_;
+  std::list<tcp::socket> fillers_;
+};
+
+BOOST_AUTO_TEST_SUITE(a_call_that_waits_long)
+
+int TcpOptionOf(tcp::socket& socket, int name) {
+  int value = 0;
+  socklen_t size = sizeof(value);
+  ::getsockopt(socket.native_handle(), IPPROTO_TCP, name, &value, &size);
+  return value;
+}
+
+// Replays a day on which half of all connections went silent and a gateway
+// heard of leaving endpoints only when its watch's time was over.
+BOOST_AUTO_TEST_CASE(has_the_kernel_watch_its_connection) {
+  asio::io_context io;
+  tcp::socket socket(io, tcp::v4());
+  EnableKeepAlive(socket);
+  asio::socket_base::keep_alive keep_alive;
+  socket.get_option(keep_alive);
+  BOOST_TEST(keep_alive.value());
+  const std::chrono::seconds noticed_after(
+      TcpOptionOf(socket, TCP_KEEPIDLE) +
+      TcpOptionOf(socket, TCP_KEEPINTVL) * TcpOptionOf(socket, TCP_KEEPCNT));
+  BOOST_TEST((noticed_after <= kSilenceBound));
+  const milliseconds unacknowledged(TcpOptionOf(socket, TCP_USER_TIMEOUT));
+  BOOST_TEST((unacknowledged > milliseconds::zero()));
+  BOOST_TEST((unacknowledged <= kSilenceBound));
+}
+
+// Replays a day on which gateways that were cut off from the store noticed it
+// after the time for which their watch would have waited.
+BOOST_AUTO_TEST_CASE(does_not_wait_long_for_its_connection) {
+  asio::io_context io;
+  FullServer server(&io);
+  io.run_for(milliseconds(50));
+  HttpConnection connection(server.address());
+  std::optional<Result<HttpReply>> reply;
+  asio::co_spawn(
+      io,
+      [&]() -> asio::awaitable<void> {
+        reply = co_await connection.Get("/watch", seconds(9));
+        io.stop();
+      },
+      asio::detached);
+  io.restart();
+  io.run_for(seconds(2));
+  BOOST_REQUIRE(reply.has_value());
+  BOOST_TEST((reply->last_reason().code == ErrorCode::kUnavailable));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
 }  // namespace teaselthread
