teaselthread explain: the story of a request from several gateways' logs

Cause: an engineer had to put the lines of several logs in order by hand. Change: RequestStory picks the lines of a request, of its endpoints and of the store, and prints them by time; two unused declarations are gone. Test: request_story_test holds the output. No decision changed.

--- a/src/libteaselthread/peers/peer_set.cc
+++ b/src/libteaselthread/peers/peer_set.cc
@@ -127,11 +127,6 @@
   return entry->news.sent_at;
 }
 
-bool PeerSet::IsAlive(const SocketAddress& address, Timestamp now) const {
-  const Entry* entry = FindByAddress(address);
-  return entry && IsAlive(*entry, now);
-}
-
 bool PeerSet::IsZoneLead(Timestamp now) const {
   return std::none_of(entries_.begin(), entries_.end(), [&](const auto& item) {
     const Entry& entry = item.second;
--- a/src/libteaselthread/peers/peer_set.h
+++ b/src/libteaselthread/peers/peer_set.h
@@ -68,7 +68,6 @@
   std::vector<SocketAddress> RemoteTargets(Timestamp now) const;
   // The sender's time of the latest heartbeat from that address.
   std::optional<Timestamp> LastSentAt(const SocketAddress& from) const;
-  bool IsAlive(const SocketAddress& address, Timestamp now) const;
   size_t alive_count(Timestamp now) const;
   // Whether this node is the one of its availability zone that asks the store
   // often, and tells the others of its zone how old the configuration is.
--- a/src/teaselthread/command_line.cc
+++ b/src/teaselthread/command_line.cc
@@ -13,6 +13,8 @@
     "Commands:\n"
     "  gateway --config FILE [--check]  run a gateway on the users' platform, "
     "or only check its settings\n"
+    "  explain ID [LOG...]              tell from gateways' logs what became "
+    "of a request\n"
     "  node --config FILE [--check]     run a node, or only check its "
     "settings\n"
     "  ctl validate FILE                check a configuration document\n"
--- a/src/teaselthread/gateway/endpoint_attempt.h
+++ b/src/teaselthread/gateway/endpoint_attempt.h
@@ -49,7 +49,6 @@
 
  private:
   using Parser = http::response_parser<http::buffer_body>;
-  enum class HeadStatus { kRead, kForeign, kFailed };
 
   asio::awaitable<bool> Connect();
   void StartWrite(std::shared_ptr<const EndpointHttpRequest> request);
--- a/src/teaselthread/main.cc
+++ b/src/teaselthread/main.cc
@@ -1,5 +1,6 @@
 #include <spdlog/spdlog.h>
 
+#include <fstream>
 #include <iostream>
 
 #include "platform/platform_dialect.h"
@@ -8,6 +9,7 @@
 #include "teaselthread/exit_code.h"
 #include "teaselthread/gateway/gateway.h"
 #include "teaselthread/node.h"
+#include "teaselthread/request_story.h"
 
 namespace teaselthread {
 namespace {
@@ -59,6 +61,28 @@
                : ReportAll(ended.reasons(), ExitCode::kUnavailable);
 }
 
+// `words`: "explain", a request's id and logs; standard input without any.
+ExitCode Explain(const std::vector<std::string>& words) {
+  RequestStory story(words[1]);
+  if (words.size() == 2)
+    story.Read(std::cin, "-");
+  for (size_t i = 2; i < words.size(); ++i) {
+    std::ifstream log(words[i]);
+    if (!log) {
+      std::cerr << "teaselthread: " << words[i] << ": cannot be read\n";
+      return ExitCode::kInvalid;
+    }
+    story.Read(log, words[i]);
+  }
+  const std::string text = story.Tell();
+  std::cout << text;
+  if (!text.empty())
+    return ExitCode::kSuccess;
+  std::cerr << "teaselthread: no log line names the request " << words[1]
+            << "\n";
+  return ExitCode::kInvalid;
+}
+
 ExitCode Run(int argc, const char** argv) {
   const Result<CommandLine> command_line = CommandLine::Parse(argc, argv);
   if (!command_line)
@@ -74,7 +98,10 @@
     return RunGateway(*command_line);
   if (words.size() >= 2 && words[0] == "ctl")
     return RunCtl(*command_line);
-  std::cerr << "teaselthread: expected gateway, node or ctl; see teaselthread "
+  if (words.size() >= 2 && words[0] == "explain")
+    return Explain(words);
+  std::cerr << "teaselthread: expected gateway, explain, node or ctl; see "
+               "teaselthread "
                "--help\n";
   return ExitCode::kUsage;
 }
--- /dev/null
+++ b/src/teaselthread/request_story.cc
@@ -0,0 +1,92 @@
+#include "teaselthread/request_story.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace teaselthread {
+namespace {
+
+namespace json = boost::json;
+
+// Fields that stand in front of the others, or in every line.
+constexpr std::string_view kCommonFields[] = {"time", "level", "event", "id"};
+// What happens to gateways and endpoints, as far as it explains a request.
+constexpr std::string_view kStoreEvents[] = {"store-lost", "store-regained",
+                                             "zones-evacuated"};
+constexpr std::string_view kEndpointEvents[] = {
+    "endpoint-ejected", "endpoint-readmitted", "endpoint-removed",
+    "endpoint-changed"};
+
+std::string Text(const json::object& fields, std::string_view name) {
+  const json::value* value = fields.if_contains(name);
+  return value && value->is_string() ? std::string(value->get_string()) : "";
+}
+
+template <size_t kCount>
+bool Contains(const std::string_view (&names)[kCount], std::string_view name) {
+  return std::find(std::begin(names), std::end(names), name) != std::end(names);
+}
+
+}  // namespace
+
+void RequestStory::Read(std::istream& log, const std::string& source) {
+  std::string text;
+  while (std::getline(log, text)) {
+    const size_t start = text.find('{');
+    boost::system::error_code failure;
+    json::value value;
+    if (start != std::string::npos)
+      value = json::parse(std::string_view(text).substr(start), failure);
+    if (failure || !value.is_object()) {
+      ++unreadable_lines_;
+      continue;
+    }
+    lines_.push_back({Text(value.get_object(), "time"), source,
+                      std::move(value.get_object())});
+  }
+}
+
+std::string RequestStory::Tell() const {
+  std::vector<const Line*> ordered;
+  for (const Line& line : lines_)
+    ordered.push_back(&line);
+  std::stable_sort(
+      ordered.begin(), ordered.end(),
+      [](const Line* a, const Line* b) { return a->time < b->time; });
+  std::set<std::string> endpoints;
+  bool is_known = false;
+  for (const Line* line : ordered) {
+    if (Text(line->fields, "id") != id_)
+      continue;
+    is_known = true;
+    endpoints.insert(Text(line->fields, "endpoint"));
+  }
+  if (!is_known)
+    return {};
+  std::ostringstream story;
+  for (const Line* line : ordered) {
+    if (!IsAbout(*line, endpoints))
+      continue;
+    story << line->time << " " << line->source << " "
+          << Text(line->fields, "event");
+    for (const auto& [name, value] : line->fields) {
+      if (!Contains(kCommonFields, {name.data(), name.size()}))
+        story << " " << name << "=" << json::serialize(value);
+    }
+    story << "\n";
+  }
+  return story.str();
+}
+
+bool RequestStory::IsAbout(const Line& line,
+                           const std::set<std::string>& endpoints) const {
+  if (Text(line.fields, "id") == id_)
+    return true;
+  const std::string event = Text(line.fields, "event");
+  if (Contains(kStoreEvents, event))
+    return true;
+  return Contains(kEndpointEvents, event) &&
+         endpoints.contains(Text(line.fields, "endpoint"));
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/tests/gateway/request_story_test.cc
@@ -0,0 +1,58 @@
+#include "teaselthread/request_story.h"
+
+#include <boost/test/unit_test.hpp>
+#include <sstream>
+
+namespace teaselthread {
+namespace {
+
+constexpr char kFirstLog[] =
+    R"({"time":"2026-03-12T16:57:40.744","level":"info","event":"sent","id":"b28a","endpoint":"e-1","load":9,"rank":0}
+{"time":"2026-03-12T16:57:40.800","level":"info","event":"sent","id":"other","endpoint":"e-2","load":3}
+{"time":"2026-03-12T16:57:41.003","level":"info","event":"attempt-failed","id":"b28a","endpoint":"e-1","failure":"broken","retried":false}
+{"time":"2026-03-12T16:57:41.004","level":"info","event":"request-ended","id":"b28a","outcome":"unknown","reason":"connection-lost"}
+not a log line
+{"time":"2026-03-12T16:57:41.050","level":"info","event":"endpoint-ejected","endpoint":"e-1","failure":"broken"}
+{"time":"2026-03-12T16:57:41.060","level":"info","event":"endpoint-ejected","endpoint":"e-2","failure":"silent"}
+)";
+constexpr char kSecondLog[] =
+    R"({"time":"2026-03-12T16:57:40.900","level":"warning","event":"store-lost","kind":"configuration"}
+{"time":"2026-03-12T16:57:53.700","level":"info","event":"endpoint-removed","endpoint":"e-1"}
+)";
+constexpr char kStory[] =
+    R"(2026-03-12T16:57:40.744 entry-1 sent endpoint="e-1" load=9 rank=0
+2026-03-12T16:57:40.900 entry-2 store-lost kind="configuration"
+2026-03-12T16:57:41.003 entry-1 attempt-failed endpoint="e-1" failure="broken" retried=false
+2026-03-12T16:57:41.004 entry-1 request-ended outcome="unknown" reason="connection-lost"
+2026-03-12T16:57:41.050 entry-1 endpoint-ejected endpoint="e-1" failure="broken"
+2026-03-12T16:57:53.700 entry-2 endpoint-removed endpoint="e-1"
+)";
+
+struct StoryFixture {
+  void ReadBoth(RequestStory& story) {
+    std::istringstream second(kSecondLog);
+    std::istringstream first(kFirstLog);
+    story.Read(second, "entry-2");
+    story.Read(first, "entry-1");
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(the_story_of_a_request, StoryFixture)
+
+BOOST_AUTO_TEST_CASE(is_told_from_several_logs_in_order) {
+  RequestStory story("b28a");
+  ReadBoth(story);
+  BOOST_TEST(story.Tell() == kStory);
+  BOOST_TEST(story.unreadable_lines() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(is_empty_if_no_line_names_it) {
+  RequestStory story("nobody");
+  ReadBoth(story);
+  BOOST_TEST(story.Tell().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace teaselthread
