--- a/src/teaselthread/main.cc
+++ b/src/teaselthread/main.cc
@@ -14,7 +14,7 @@
 namespace teaselthread {
 namespace {
 
-constexpr char kVersion[] = "teaselthread 0.2.0";
+constexpr char kVersion[] = "teaselthread 0.1.0";
 
 ExitCode ReportAll(const std::vector<Error>& reasons, ExitCode code) {
   for (const Error& reason : reasons)
