RequestHandler: one place decides how a request ends without another attempt

Cause: RunAttempt said 'give up if it may have run, else refuse' twice, for old knowledge and for no endpoint. Ruled out: a difference between the two. Change: EndUnsent serves both; behaviour and tests are as before.

--- a/src/teaselthread/gateway/request_handler.cc
+++ b/src/teaselthread/gateway/request_handler.cc
@@ -127,20 +127,13 @@
 }
 
 asio::awaitable<bool> RequestHandler::RunAttempt(Exchange& exchange) {
-  const bool may_have_run = exchange.attempts.may_have_run();
   if (const auto refusal = checks_.CheckKnowledge(exchange.request)) {
-    if (may_have_run)
-      co_await GiveUp(exchange, UnknownReason::kConnectionLost);
-    else
-      co_await Refuse(exchange, *refusal);
+    co_await EndUnsent(exchange, *refusal);
     co_return true;
   }
   const SelectionResult selected = Select(exchange);
   if (const auto* reason = std::get_if<NoEndpointReason>(&selected)) {
-    if (may_have_run)
-      co_await GiveUp(exchange, UnknownReason::kConnectionLost);
-    else
-      co_await Refuse(exchange, ToRefusal(*reason));
+    co_await EndUnsent(exchange, ToRefusal(*reason));
     co_return true;
   }
   const Selection& selection = std::get<Selection>(selected);
@@ -347,6 +340,14 @@
   co_await exchange.link->WriteWhole(std::move(head), std::move(body));
 }
 
+asio::awaitable<void> RequestHandler::EndUnsent(Exchange& exchange,
+                                                RefusalReason reason) {
+  if (exchange.attempts.may_have_run())
+    co_await GiveUp(exchange, UnknownReason::kConnectionLost);
+  else
+    co_await Refuse(exchange, reason);
+}
+
 asio::awaitable<void> RequestHandler::GiveUp(Exchange& exchange,
                                              UnknownReason reason) {
   state_->metrics().OnUnknownOutcome();
--- a/src/teaselthread/gateway/request_handler.h
+++ b/src/teaselthread/gateway/request_handler.h
@@ -44,6 +44,8 @@
   void JudgeEndpoint(KnownEndpoint& endpoint, const AttemptResult& result);
 
   asio::awaitable<void> Refuse(Exchange& exchange, RefusalReason reason);
+  // No further attempt can be made. Refuses only what cannot have run.
+  asio::awaitable<void> EndUnsent(Exchange& exchange, RefusalReason reason);
   asio::awaitable<void> GiveUp(Exchange& exchange, UnknownReason reason);
   void LogSend(const Exchange& exchange, const Selection& selection);
   void LogEnd(const Exchange& exchange);
