Spread hot prompt parts, and gateways tell each other of the load

Cause: with 58 gateways each learned of an engine's load every few seconds, from its own answers only. Change: heartbeats carry requests under way by service (own within the zone, the zone's sum across zones) and counts of the 16 busiest endpoints, to six nodes of the zone; a part's share of this node's requests sets over how many engines it is spread.

--- a/src/libteaselthread/endpoints/endpoint_record.h
+++ b/src/libteaselthread/endpoints/endpoint_record.h
@@ -33,6 +33,15 @@
   friend auto operator<=>(const LoadReport&, const LoadReport&) = default;
 };
 
+// An endpoint's load as one node tells it to another.
+struct LoadNews {
+  uint32_t endpoint = 0;  // ShortHash of its id
+  uint32_t requests = 0;  // running and waiting
+  Duration age{};         // since the endpoint counted them
+
+  friend auto operator<=>(const LoadNews&, const LoadNews&) = default;
+};
+
 }  // namespace teaselthread
 
 #endif  // TEASELTHREAD_ENDPOINTS_ENDPOINT_RECORD_H_
--- a/src/libteaselthread/endpoints/endpoint_selector.cc
+++ b/src/libteaselthread/endpoints/endpoint_selector.cc
@@ -16,6 +16,10 @@
 // kLoadSlack. Both stay below the bound that the operators set (cap_x and 3).
 constexpr double kLoadMultiple = 1.8;
 constexpr double kLoadSlack = 3;
+// The share of the room between the mean load and the bound that requests for
+// one part may take. Nodes that see little of a part underestimate it, and
+// their requests meet at the first few engines.
+constexpr double kPartHeadroomShare = 0.25;
 // An endpoint of a plain service counts as busy beyond this share of slots.
 constexpr double kBusyShare = 0.7;
 // An engine that started so much later than another cannot be expected to hold
@@ -29,16 +33,6 @@
   return tokens;
 }
 
-// The longest shared part; the last one if none is shared.
-const PromptPart& HomePart(const std::vector<PromptPart>& prompt) {
-  if (prompt.size() < 2)
-    return prompt.back();
-  return *std::max_element(prompt.begin(), prompt.end() - 1,
-                           [](const PromptPart& a, const PromptPart& b) {
-                             return a.tokens < b.tokens;
-                           });
-}
-
 std::vector<EndpointPtr> InZone(const std::vector<EndpointPtr>& endpoints,
                                 const std::string& zone) {
   std::vector<EndpointPtr> local;
@@ -49,25 +43,51 @@
   return local;
 }
 
+using EndpointIterator = std::vector<EndpointPtr>::iterator;
+
 // Highest rank first.
-void RankFor(const std::string& part, std::vector<EndpointPtr>* endpoints) {
+void RankFor(const std::string& part,
+             EndpointIterator begin,
+             EndpointIterator end) {
   const RendezvousKey key(part);
   std::vector<std::pair<uint64_t, EndpointPtr>> ranked;
-  ranked.reserve(endpoints->size());
-  for (const EndpointPtr& endpoint : *endpoints)
-    ranked.emplace_back(key.WeightOf(endpoint->record().id), endpoint);
+  ranked.reserve(static_cast<size_t>(end - begin));
+  for (auto endpoint = begin; endpoint != end; ++endpoint)
+    ranked.emplace_back(key.WeightOf((*endpoint)->record().id), *endpoint);
   std::sort(ranked.begin(), ranked.end(),
             [](const auto& a, const auto& b) { return a.first > b.first; });
-  for (size_t i = 0; i < ranked.size(); ++i)
-    (*endpoints)[i] = std::move(ranked[i].second);
+  for (auto& [weight, endpoint] : ranked)
+    *begin++ = std::move(endpoint);
+}
+
+// Ranks the first `count` endpoints anew, by a part that few requests share.
+void SpreadOver(size_t count,
+                const std::string& own_part,
+                std::vector<EndpointPtr>* ranked) {
+  if (count < 2)
+    return;
+  const auto end = ranked->begin() + std::min(count, ranked->size());
+  RankFor(own_part, ranked->begin(), end);
 }
 
-double LoadBound(const std::vector<EndpointPtr>& endpoints, Timestamp now) {
+double MeanLoad(const std::vector<EndpointPtr>& endpoints,
+                double service_requests,
+                Timestamp now) {
   double total = 0;
   for (const EndpointPtr& endpoint : endpoints)
     total += endpoint->EstimatedLoad(now);
-  return kLoadMultiple * total / static_cast<double>(endpoints.size()) +
-         kLoadSlack;
+  return std::max(total, service_requests) /
+         static_cast<double>(endpoints.size());
+}
+
+// Over how many engines the requests for one part are spread, so that each
+// has room for its share of them beside its mean load.
+uint32_t EnginesFor(const SelectionQuery& query,
+                  const SelectionView& view,
+                  double headroom) {
+  const double requests = query.home_share * view.service_requests;
+  const double engines = std::ceil(requests / (headroom * kPartHeadroomShare));
+  return static_cast<uint32_t>(std::max(1.0, engines));
 }
 
 const EndpointPtr& LeastLoaded(const std::vector<EndpointPtr>& endpoints,
@@ -85,6 +105,15 @@
 
 }  // namespace
 
+const PromptPart& HomePart(const std::vector<PromptPart>& prompt) {
+  if (prompt.size() < 2)
+    return prompt.back();
+  return *std::max_element(prompt.begin(), prompt.end() - 1,
+                           [](const PromptPart& a, const PromptPart& b) {
+                             return a.tokens < b.tokens;
+                           });
+}
+
 std::string_view ToString(NoEndpointReason reason) {
   switch (reason) {
     case NoEndpointReason::kNoneAvailable:
@@ -102,19 +131,22 @@
 // Chooses among engines that may all be sent to.
 Selection SelectEngine(const std::vector<EndpointPtr>& usable,
                        const SelectionQuery& query,
-                       const std::string& zone,
+                       const SelectionView& view,
                        Timestamp now) {
   std::vector<EndpointPtr> candidates = usable;
   if (SharedTokens(query.prompt) < kRemoteContextTokens) {
-    std::vector<EndpointPtr> local = InZone(usable, zone);
+    std::vector<EndpointPtr> local = InZone(usable, view.zone);
     if (!local.empty())
       candidates = std::move(local);
   }
   Selection selection;
   selection.home_part = HomePart(query.prompt).id;
   selection.shared_tokens = SharedTokens(query.prompt);
-  selection.load_bound = LoadBound(usable, now);
-  RankFor(selection.home_part, &candidates);
+  const double mean = MeanLoad(usable, view.service_requests, now);
+  selection.load_bound = kLoadMultiple * mean + kLoadSlack;
+  RankFor(selection.home_part, candidates.begin(), candidates.end());
+  selection.spread = EnginesFor(query, view, selection.load_bound - mean);
+  SpreadOver(selection.spread, query.prompt.back().id, &candidates);
   for (const EndpointPtr& endpoint : candidates) {
     if (endpoint->EstimatedLoad(now) + 1 <= selection.load_bound) {
       selection.endpoint = endpoint;
@@ -152,7 +184,7 @@
   std::erase_if(running, [&](const EndpointPtr& endpoint) {
     return endpoint->health().ejected() || IsNewerThan(*endpoint, target);
   });
-  RankFor(HomePart(query.prompt).id, &running);
+  RankFor(HomePart(query.prompt).id, running.begin(), running.end());
   const bool target_is_home =
       !running.empty() && running.front().get() == &target;
   const auto source = std::find_if(
@@ -201,7 +233,7 @@
     usable = std::move(healthy);
   Selection selection;
   if (!query.prompt.empty()) {
-    selection = SelectEngine(usable, query, view.zone, now);
+    selection = SelectEngine(usable, query, view, now);
     selection.kv_source = KvSource(table_->Running(query.service->name), query,
                                    *selection.endpoint);
   } else {
--- a/src/libteaselthread/endpoints/endpoint_selector.h
+++ b/src/libteaselthread/endpoints/endpoint_selector.h
@@ -25,8 +25,14 @@
   const ServiceSpec* service = nullptr;
   std::vector<PromptPart> prompt;  // empty for plain services
   std::set<std::string> excluded;  // endpoints that have been tried
+  // Of the service's recent requests, those with the same home part: 0 to 1.
+  double home_share = 0;
 };
 
+// The part of a prompt that decides where it goes: the longest shared one, the
+// last one if none is shared. The prompt must not be empty.
+const PromptPart& HomePart(const std::vector<PromptPart>& prompt);
+
 // Where a request goes.
 struct Selection {
   EndpointPtr endpoint;
@@ -38,6 +44,8 @@
   uint32_t shared_tokens = 0;
   uint32_t rank = 0;
   double load_bound = 0;
+  // Over how many engines requests for that part are spread; 1 unless hot.
+  uint32_t spread = 1;
 };
 
 // Why there is no endpoint now.
@@ -57,6 +65,8 @@
   std::vector<std::string> nodes;  // all that may be alive, the node included
   double cold_over = 1;            // multiple of a service's cold rate
   double cold_slack = 0;           // requests a second beyond it
+  // Requests of the service under way, from all nodes.
+  double service_requests = 0;
 };
 
 // Chooses the endpoint of a request.
--- a/src/libteaselthread/endpoints/endpoint_table.cc
+++ b/src/libteaselthread/endpoints/endpoint_table.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "libteaselthread/rendezvous_hash.h"
+
 namespace teaselthread {
 namespace {
 
@@ -12,6 +14,12 @@
 // Failures that peers have too are not held against an endpoint.
 constexpr double kPeerRateMultiple = 1.5;
 
+// Counts that are passed on are no older; requests of most kinds have ended or
+// begun anew by then.
+constexpr Duration kNewsLifetime = std::chrono::milliseconds(1'500);
+// Fewer requests than the slack of the load bound change no decision.
+constexpr uint32_t kMinNewsRequests = 4;
+
 }  // namespace
 
 void EndpointTable::ReplaceAll(const std::vector<EndpointRecord>& records,
@@ -47,6 +55,7 @@
   const Duration cold = std::max(
       record.cold_left, cold_start > Duration::zero() ? cold_start + kColdMargin
                                                       : Duration::zero());
+  ids_[ShortHash(record.id)] = record.id;
   endpoints_[record.id] = {
       std::make_shared<KnownEndpoint>(record, now, now + cold), false};
 }
@@ -59,7 +68,7 @@
     found->second.removal_pending = true;
     return;
   }
-  endpoints_.erase(found);
+  Forget(found);
 }
 
 void EndpointTable::SetEvacuatedZones(std::set<std::string> zones,
@@ -83,8 +92,14 @@
 void EndpointTable::Sweep(Timestamp now) {
   if (now < defer_until_)
     return;
-  std::erase_if(endpoints_,
-                [](const auto& item) { return item.second.removal_pending; });
+  for (auto entry = endpoints_.begin(); entry != endpoints_.end();)
+    entry = entry->second.removal_pending ? Forget(entry) : std::next(entry);
+}
+
+EndpointTable::Entries::iterator EndpointTable::Forget(
+    Entries::iterator entry) {
+  ids_.erase(ShortHash(entry->first));
+  return endpoints_.erase(entry);
 }
 
 std::vector<EndpointPtr> EndpointTable::Available(
@@ -109,6 +124,42 @@
   return running;
 }
 
+uint32_t EndpointTable::OwnRequests(const std::string& service) const {
+  uint32_t total = 0;
+  for (const auto& [id, entry] : endpoints_) {
+    if (entry.endpoint->record().service == service)
+      total += entry.endpoint->own_requests();
+  }
+  return total;
+}
+
+std::vector<LoadNews> EndpointTable::BusiestEndpoints(size_t most,
+                                                      Timestamp now) const {
+  std::vector<LoadNews> busiest;
+  for (const auto& [id, entry] : endpoints_) {
+    const auto count = entry.endpoint->LatestCount(kNewsLifetime, now);
+    if (count && count->requests >= kMinNewsRequests)
+      busiest.push_back({ShortHash(id), count->requests, now - count->at});
+  }
+  const auto end =
+      busiest.begin() + static_cast<ptrdiff_t>(std::min(most, busiest.size()));
+  std::partial_sort(busiest.begin(), end, busiest.end(),
+                    [](const LoadNews& a, const LoadNews& b) {
+                      return a.requests > b.requests;
+                    });
+  busiest.erase(end, busiest.end());
+  return busiest;
+}
+
+void EndpointTable::OnLoadNews(const LoadNews& news, Timestamp now) {
+  const auto id = ids_.find(news.endpoint);
+  if (id == ids_.end())
+    return;
+  const auto found = endpoints_.find(id->second);
+  if (found != endpoints_.end())
+    found->second.endpoint->OnReport({news.requests, 0}, now - news.age);
+}
+
 bool EndpointTable::MayReceive(const KnownEndpoint& endpoint) const {
   const EndpointRecord& record = endpoint.record();
   const auto found = endpoints_.find(record.id);
--- a/src/libteaselthread/endpoints/endpoint_table.h
+++ b/src/libteaselthread/endpoints/endpoint_table.h
@@ -36,6 +36,12 @@
   std::vector<EndpointPtr> Available(const std::string& service) const;
   // All endpoints of a service that are running, leaving ones included.
   std::vector<EndpointPtr> Running(const std::string& service) const;
+  // This node's own requests under way at endpoints of a service.
+  uint32_t OwnRequests(const std::string& service) const;
+  // The endpoints that are most loaded by recent counts, at most `most`.
+  std::vector<LoadNews> BusiestEndpoints(size_t most, Timestamp now) const;
+  // What another node has told about one; unknown endpoints are passed over.
+  void OnLoadNews(const LoadNews& news, Timestamp now);
   // Whether new work may go to it at this moment.
   bool MayReceive(const KnownEndpoint& endpoint) const;
   const std::set<std::string>& evacuated_zones() const {
@@ -51,9 +57,14 @@
     bool removal_pending = false;
   };
 
+  using Entries = std::map<std::string, Entry>;  // by id
+
   Duration ColdStartOf(const std::string& service) const;
+  // Gives the entry after it.
+  Entries::iterator Forget(Entries::iterator entry);
 
-  std::map<std::string, Entry> endpoints_;  // by id
+  Entries endpoints_;
+  std::map<uint32_t, std::string> ids_;     // by ShortHash
   std::set<std::string> evacuated_zones_;
   std::map<std::string, Duration> cold_starts_;  // by service
   Timestamp defer_until_{};
--- a/src/libteaselthread/endpoints/known_endpoint.cc
+++ b/src/libteaselthread/endpoints/known_endpoint.cc
@@ -27,9 +27,9 @@
 }
 
 double KnownEndpoint::EstimatedLoad(Timestamp now) const {
-  if (!reported_at_)
+  if (!latest_count_)
     return own_requests_;
-  const Duration age = std::min(now - *reported_at_, kReportLifetime);
+  const Duration age = std::min(now - latest_count_->at, kReportLifetime);
   const double weight =
       1 - static_cast<double>(age.count()) / kReportLifetime.count();
   return own_requests_ + others_requests_ * weight;
@@ -46,10 +46,20 @@
     --own_requests_;
 }
 
-void KnownEndpoint::OnReport(const LoadReport& report, Timestamp now) {
-  const double total = static_cast<double>(report.running) + report.waiting;
-  others_requests_ = std::max(0.0, total - own_requests_);
-  reported_at_ = now;
+void KnownEndpoint::OnReport(const LoadReport& report, Timestamp reported_at) {
+  if (latest_count_ && latest_count_->at > reported_at)
+    return;
+  const uint32_t total = report.running + report.waiting;
+  others_requests_ = total > own_requests_ ? total - own_requests_ : 0;
+  latest_count_ = CountedRequests{total, reported_at};
+}
+
+std::optional<KnownEndpoint::CountedRequests> KnownEndpoint::LatestCount(
+    Duration max_age,
+    Timestamp now) const {
+  if (!latest_count_ || now - latest_count_->at > max_age)
+    return std::nullopt;
+  return latest_count_;
 }
 
 }  // namespace teaselthread
--- a/src/libteaselthread/endpoints/known_endpoint.h
+++ b/src/libteaselthread/endpoints/known_endpoint.h
@@ -33,7 +33,15 @@
 
   void OnSend(Timestamp now);
   void OnEnd();
-  void OnReport(const LoadReport& report, Timestamp now);
+  // Takes a count of its requests unless a later one is known.
+  void OnReport(const LoadReport& report, Timestamp reported_at);
+  // The latest count that is younger than `max_age`, with its time.
+  struct CountedRequests {
+    uint32_t requests = 0;
+    Timestamp at{};
+  };
+  std::optional<CountedRequests> LatestCount(Duration max_age,
+                                             Timestamp now) const;
 
  private:
   EndpointRecord record_;
@@ -41,7 +49,7 @@
   Timestamp cold_until_;
   uint32_t own_requests_ = 0;
   double others_requests_ = 0;
-  std::optional<Timestamp> reported_at_;
+  std::optional<CountedRequests> latest_count_;
   EndpointHealth health_;
   ColdStartQuota cold_quota_;
 };
--- a/src/libteaselthread/peers/peer_set.cc
+++ b/src/libteaselthread/peers/peer_set.cc
@@ -12,6 +12,11 @@
 
 }  // namespace
 
+uint32_t PeerSet::RequestsOf(const Entry& entry, uint32_t service) {
+  const auto found = entry.news.requests.find(service);
+  return found == entry.news.requests.end() ? 0 : found->second;
+}
+
 PeerSet::PeerSet(Peer self, Duration heartbeat_timeout)
     : self_(std::move(self)), heartbeat_timeout_(heartbeat_timeout) {}
 
@@ -152,6 +157,34 @@
   return found == entries_.end() ? nullptr : &found->second;
 }
 
+uint32_t PeerSet::ZoneRequests(uint32_t service,
+                               uint32_t own,
+                               Timestamp now) const {
+  uint32_t total = own;
+  for (const auto& [name, entry] : entries_) {
+    if (entry.peer.zone == self_.zone && IsAlive(entry, now))
+      total += RequestsOf(entry, service);
+  }
+  return total;
+}
+
+uint32_t PeerSet::FleetRequests(uint32_t service,
+                                uint32_t own,
+                                Timestamp now) const {
+  std::map<std::string, const Entry*> latest;  // by zone
+  for (const auto& [name, entry] : entries_) {
+    if (entry.peer.zone == self_.zone || !IsAlive(entry, now))
+      continue;
+    const Entry*& known = latest[entry.peer.zone];
+    if (!known || known->heard_at < entry.heard_at)
+      known = &entry;
+  }
+  uint32_t total = ZoneRequests(service, own, now);
+  for (const auto& [zone, entry] : latest)
+    total += RequestsOf(*entry, service);
+  return total;
+}
+
 size_t PeerSet::alive_count(Timestamp now) const {
   return static_cast<size_t>(
       1 + std::count_if(
--- a/src/libteaselthread/peers/peer_set.h
+++ b/src/libteaselthread/peers/peer_set.h
@@ -23,6 +23,9 @@
   friend auto operator<=>(const Peer&, const Peer&) = default;
 };
 
+// Requests under way by service, under ShortHash of its name.
+using ServiceRequests = std::map<uint32_t, uint32_t>;
+
 // What a heartbeat says, beside who sent it. Times of the sender are on its own
 // clock; `echoed_at` is on this node's.
 struct PeerNews {
@@ -33,6 +36,9 @@
   Timestamp sent_at{};
   // When this node sent the latest heartbeat that has reached the sender.
   std::optional<Timestamp> echoed_at;
+  // The sender's own, or those of its whole availability zone if the recipient
+  // is in another.
+  ServiceRequests requests;
 
   friend auto operator<=>(const PeerNews&, const PeerNews&) = default;
 };
@@ -69,6 +75,11 @@
   // The sender's time of the latest heartbeat from that address.
   std::optional<Timestamp> LastSentAt(const SocketAddress& from) const;
   size_t alive_count(Timestamp now) const;
+  // Requests of a service under way from the nodes of this availability zone
+  // that are alive, given this node's own.
+  uint32_t ZoneRequests(uint32_t service, uint32_t own, Timestamp now) const;
+  // From all nodes.
+  uint32_t FleetRequests(uint32_t service, uint32_t own, Timestamp now) const;
   // Whether this node is the one of its availability zone that asks the store
   // often, and tells the others of its zone how old the configuration is.
   bool IsZoneLead(Timestamp now) const;
@@ -80,6 +91,9 @@
   // Heartbeats within the zone for each one that crosses zones, whose bytes
   // are dear.
   static constexpr uint32_t kBeatsPerRemoteBeat = 4;
+  // Nodes of the zone that one heartbeat brings load news to, so that its cost
+  // does not grow with the zone.
+  static constexpr size_t kNewsTargets = 6;
   // Per node of the zone: 50 heartbeats a second, about 3 KB.
   static constexpr Duration kIntervalPerNode = std::chrono::milliseconds(20);
   // Longer than a cut or a restart usually lasts.
@@ -94,6 +108,7 @@
     PeerNews news;
   };
 
+  static uint32_t RequestsOf(const Entry& entry, uint32_t service);
   bool IsAlive(const Entry& entry, Timestamp now) const;
   const Entry* FindByAddress(const SocketAddress& address) const;
 
--- a/src/libteaselthread/rendezvous_hash.h
+++ b/src/libteaselthread/rendezvous_hash.h
@@ -19,6 +19,9 @@
   uint64_t seed_;
 };
 
+// The same on all nodes.
+uint32_t ShortHash(std::string_view text);
+
 }  // namespace teaselthread
 
 #endif  // TEASELTHREAD_RENDEZVOUS_HASH_H_
--- a/src/teaselthread/gateway/gateway_state.cc
+++ b/src/teaselthread/gateway/gateway_state.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <ctime>
 
+#include "libteaselthread/rendezvous_hash.h"
+
 namespace teaselthread {
 namespace {
 
@@ -65,7 +67,8 @@
       .first->second;
 }
 
-SelectionView GatewayState::MakeSelectionView() const {
+SelectionView GatewayState::MakeSelectionView(
+    const std::string& service) const {
   const Timestamp now = Now();
   SelectionView view;
   view.zone = settings_.zone();
@@ -76,6 +79,8 @@
     view.nodes.push_back("assumed-" + std::to_string(i));
   view.cold_over = settings_.limits().cold_over;
   view.cold_slack = settings_.limits().cold_slack;
+  view.service_requests = peers_.FleetRequests(
+      ShortHash(service), endpoints_.OwnRequests(service), now);
   return view;
 }
 
--- a/src/teaselthread/gateway/gateway_state.h
+++ b/src/teaselthread/gateway/gateway_state.h
@@ -9,6 +9,7 @@
 #include "libteaselthread/attempts/retry_allowance.h"
 #include "libteaselthread/endpoints/endpoint_selector.h"
 #include "libteaselthread/endpoints/endpoint_table.h"
+#include "libteaselthread/endpoints/part_demand.h"
 #include "libteaselthread/peers/peer_set.h"
 #include "libteaselthread/routes/knowledge_age.h"
 #include "libteaselthread/routes/route_table.h"
@@ -52,7 +53,8 @@
   const EndpointSelector& selector() const { return selector_; }
   PeerSet& peers() { return peers_; }
   RetryAllowance& RetriesOf(const std::string& service);
-  SelectionView MakeSelectionView() const;
+  SelectionView MakeSelectionView(const std::string& service) const;
+  PartDemand& demand() { return demand_; }
   GatewayMetrics& metrics() { return metrics_; }
   DecisionLog& log() { return log_; }
   TimerService& timers() { return timers_; }
@@ -80,6 +82,7 @@
   KnowledgeAge knowledge_;
   EndpointTable endpoints_;
   EndpointSelector selector_;
+  PartDemand demand_;
   PeerSet peers_;
   std::map<std::string, RetryAllowance> retries_;
   GatewayMetrics metrics_;
--- a/src/teaselthread/gateway/peer_heartbeat.cc
+++ b/src/teaselthread/gateway/peer_heartbeat.cc
@@ -1,8 +1,10 @@
 #include "teaselthread/gateway/peer_heartbeat.h"
 
+#include <algorithm>
 #include <set>
 
 #include "heartbeat.pb.h"
+#include "libteaselthread/rendezvous_hash.h"
 
 namespace teaselthread {
 namespace {
@@ -10,6 +12,10 @@
 // Identities are repeated for nodes that have lost theirs.
 constexpr uint32_t kBeatsBetweenIntroductions = 16;
 
+// Endpoints that one heartbeat tells of: about 100 bytes.
+constexpr size_t kNewsItems = 16;
+constexpr Duration kAgeUnit = std::chrono::milliseconds(10);
+
 uint64_t ToMicroseconds(Timestamp time) {
   return static_cast<uint64_t>(time.time_since_epoch().count());
 }
@@ -71,22 +77,61 @@
   last_sent_at_ = state_->Now();
   state_->peers().SetServing(state_->IsReady());
   const Timestamp now = state_->Now();
-  const std::vector<SocketAddress> zone = state_->peers().ZoneTargets(now);
+  std::vector<SocketAddress> zone = state_->peers().ZoneTargets(now);
   const std::vector<SocketAddress> remote = state_->peers().RemoteTargets(now);
-  std::set<SocketAddress> targets(zone.begin(), zone.end());
-  if (crosses_zones)
-    targets.insert(remote.begin(), remote.end());
+  std::shuffle(zone.begin(), zone.end(), state_->random());
+  LoadReports loads = {OwnRequests(),
+                       state_->endpoints().BusiestEndpoints(kNewsItems, now)};
+  const LoadReports sums_only = {loads.requests, {}};
+  for (size_t i = 0; i < zone.size(); ++i)
+    SendTo(zone[i], i < PeerSet::kNewsTargets ? loads : sums_only);
+  if (crosses_zones) {
+    loads.requests = ZoneRequests(loads.requests);
+    for (const SocketAddress& target : remote)
+      SendTo(target, loads);
+  }
   // Seeds bring nodes together that have no record of each other.
-  if (zone.empty() && remote.empty()) {
-    targets.insert(state_->settings().seeds().begin(),
-                   state_->settings().seeds().end());
+  if (!zone.empty() || !remote.empty())
+    return;
+  std::set<SocketAddress> seeds(state_->settings().seeds().begin(),
+                                state_->settings().seeds().end());
+  seeds.erase(state_->peers().self().peer_address);
+  for (const SocketAddress& target : seeds)
+    SendTo(target, {});
+}
+
+ServiceRequests PeerHeartbeat::OwnRequests() const {
+  ServiceRequests own;
+  if (!state_->routes())
+    return own;
+  for (const ServiceSpec& service : state_->routes()->parts().services) {
+    const uint32_t requests =
+        service.engine ? state_->endpoints().OwnRequests(service.name) : 0;
+    if (requests > 0)
+      own[ShortHash(service.name)] = requests;
+  }
+  return own;
+}
+
+ServiceRequests PeerHeartbeat::ZoneRequests(const ServiceRequests& own) const {
+  ServiceRequests all;
+  if (!state_->routes())
+    return all;
+  for (const ServiceSpec& service : state_->routes()->parts().services) {
+    if (!service.engine)
+      continue;
+    const uint32_t key = ShortHash(service.name);
+    const auto found = own.find(key);
+    const uint32_t requests = state_->peers().ZoneRequests(
+        key, found == own.end() ? 0 : found->second, state_->Now());
+    if (requests > 0)
+      all[key] = requests;
   }
-  targets.erase(state_->peers().self().peer_address);
-  for (const SocketAddress& target : targets)
-    SendTo(target);
+  return all;
 }
 
-void PeerHeartbeat::SendTo(const SocketAddress& target) {
+void PeerHeartbeat::SendTo(const SocketAddress& target,
+                           const LoadReports& loads) {
   const Peer& self = state_->peers().self();
   const Timestamp now = GatewayState::BootNow();
   wire::GatewayHeartbeat message;
@@ -108,6 +153,17 @@
   message.set_sent_at_us(ToMicroseconds(now));
   if (heard_at)
     message.set_echoed_us(ToMicroseconds(*heard_at));
+  for (const auto& [service, count] : loads.requests) {
+    wire::ServiceLoad* load = message.add_loads();
+    load->set_service(service);
+    load->set_requests(count);
+  }
+  for (const LoadNews& item : loads.news) {
+    message.mutable_news()->add_endpoints(item.endpoint);
+    message.mutable_news()->add_requests(item.requests);
+    message.mutable_news()->add_ages(
+        static_cast<uint32_t>(item.age / kAgeUnit));
+  }
   const std::string bytes = message.SerializeAsString();
   // A datagram that cannot be sent counts as lost.
   boost::system::error_code ignored;
@@ -154,8 +210,26 @@
   news.sent_at = ToTimestamp(message.sent_at_us());
   if (message.echoed_us() != 0)
     news.echoed_at = ToTimestamp(message.echoed_us());
+  OnLoads(message, &news);
   if (state_->peers().OnHeartbeat(from, news, state_->Now()) && on_news_)
     on_news_(news);
 }
 
+void PeerHeartbeat::OnLoads(const wire::GatewayHeartbeat& message,
+                            PeerNews* news) {
+  for (const wire::ServiceLoad& load : message.loads())
+    news->requests[load.service()] = load.requests();
+  const wire::LoadNews& counts = message.news();
+  if (counts.requests_size() != counts.endpoints_size() ||
+      counts.ages_size() != counts.endpoints_size()) {
+    state_->metrics().OnUnreadableEntry();
+    return;
+  }
+  for (int i = 0; i < counts.endpoints_size(); ++i) {
+    state_->endpoints().OnLoadNews({counts.endpoints(i), counts.requests(i),
+                                    counts.ages(i) * kAgeUnit},
+                                   state_->Now());
+  }
+}
+
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/peer_heartbeat.h
+++ b/src/teaselthread/gateway/peer_heartbeat.h
@@ -9,6 +9,10 @@
 
 namespace teaselthread {
 
+namespace wire {
+class GatewayHeartbeat;
+}
+
 // Sends this node's state to the others in datagrams, and takes theirs.
 class PeerHeartbeat {
  public:
@@ -28,7 +32,17 @@
   void OnDatagram(const SocketAddress& from, std::string_view bytes);
   void SendIfDue(Timestamp now);
   void Send(bool crosses_zones);
-  void SendTo(const SocketAddress& target);
+  // What the recipients of one heartbeat are told of load.
+  struct LoadReports {
+    ServiceRequests requests;
+    std::vector<LoadNews> news;
+  };
+
+  void SendTo(const SocketAddress& target, const LoadReports& loads);
+  void OnLoads(const wire::GatewayHeartbeat& message, PeerNews* news);
+  // Of services with engines: this node's own, or all of its zone's.
+  ServiceRequests OwnRequests() const;
+  ServiceRequests ZoneRequests(const ServiceRequests& own) const;
 
   GatewayState* state_;
   asio::ip::udp::socket socket_;
--- a/src/teaselthread/gateway/request_handler.cc
+++ b/src/teaselthread/gateway/request_handler.cc
@@ -141,6 +141,9 @@
   exchange.endpoint = endpoint.record().id;
   exchange.attempts.OnStart(endpoint.record().id);
   endpoint.OnSend(state_->Now());
+  const std::string& service = exchange.request.service->name;
+  if (!selection.home_part.empty())
+    state_->demand().OnStart(service, selection.home_part, state_->Now());
   const bool is_stream =
       exchange.request.route->kind == RequestKind::kStreaming;
   EndpointAttempt attempt(state_, &connections_, selection.endpoint,
@@ -157,6 +160,8 @@
   AttemptResult result = co_await attempt.Run(
       message, exchange.request.head.id, limits, relay, std::move(on_silence));
   endpoint.OnEnd();
+  if (!selection.home_part.empty())
+    state_->demand().OnEnd(service, selection.home_part, state_->Now());
   JudgeEndpoint(endpoint, result);
   bool is_final = true;
   if (result.failure) {
@@ -231,11 +236,17 @@
 SelectionResult RequestHandler::Select(const Exchange& exchange) {
   SelectionQuery query;
   query.service = exchange.request.service;
+  const std::string& service = query.service->name;
+  const Timestamp now = state_->Now();
   if (query.service->engine)
     query.prompt = exchange.request.head.prompt;
+  if (!query.prompt.empty()) {
+    query.home_share =
+        state_->demand().ShareOf(service, HomePart(query.prompt).id, now);
+  }
   query.excluded = exchange.attempts.tried();
-  return state_->selector().Select(query, state_->MakeSelectionView(),
-                                   state_->Now());
+  return state_->selector().Select(query, state_->MakeSelectionView(service),
+                                   now);
 }
 
 std::shared_ptr<EndpointHttpRequest> RequestHandler::MakeEndpointRequest(
@@ -377,7 +388,8 @@
     line.Add("part", selection.home_part)
         .Add("shared_tokens", selection.shared_tokens)
         .Add("rank", selection.rank)
-        .AddRounded("load_bound", selection.load_bound);
+        .AddRounded("load_bound", selection.load_bound)
+        .Add("spread", selection.spread);
   }
   if (selection.kv_source)
     line.Add("kv_source", selection.kv_source->ToString());
