--- a/src/libteaselthread/endpoints/endpoint_selector.cc
+++ b/src/libteaselthread/endpoints/endpoint_selector.cc
@@ -14,7 +14,7 @@
 constexpr uint32_t kRemoteContextTokens = 1'000;
 // A home passes requests on beyond this multiple of the mean load, plus
 // kLoadSlack. Both stay below the bound that the operators set (cap_x and 3).
-constexpr double kLoadMultiple = 1.8;
+constexpr double kLoadMultiple = 1.6;
 constexpr double kLoadSlack = 3;
 // The share of the room between the mean load and the bound that requests for
 // one part may take. Nodes that see little of a part underestimate it, and
@@ -70,22 +70,20 @@
   RankFor(own_part, ranked->begin(), end);
 }
 
-double MeanLoad(const std::vector<EndpointPtr>& endpoints,
-                double service_requests,
-                Timestamp now) {
+double ServiceRequests(const std::vector<EndpointPtr>& endpoints,
+                       const SelectionView& view,
+                       Timestamp now) {
+  if (view.service_requests)
+    return *view.service_requests;
   double total = 0;
   for (const EndpointPtr& endpoint : endpoints)
     total += endpoint->EstimatedLoad(now);
-  return std::max(total, service_requests) /
-         static_cast<double>(endpoints.size());
+  return total;
 }
 
 // Over how many engines the requests for one part are spread, so that each
 // has room for its share of them beside its mean load.
-uint32_t EnginesFor(const SelectionQuery& query,
-                  const SelectionView& view,
-                  double headroom) {
-  const double requests = query.home_share * view.service_requests;
+uint32_t EnginesFor(double requests, double headroom) {
   const double engines = std::ceil(requests / (headroom * kPartHeadroomShare));
   return static_cast<uint32_t>(std::max(1.0, engines));
 }
@@ -142,10 +140,12 @@
   Selection selection;
   selection.home_part = HomePart(query.prompt).id;
   selection.shared_tokens = SharedTokens(query.prompt);
-  const double mean = MeanLoad(usable, view.service_requests, now);
+  const double requests = ServiceRequests(usable, view, now);
+  const double mean = requests / static_cast<double>(usable.size());
   selection.load_bound = kLoadMultiple * mean + kLoadSlack;
   RankFor(selection.home_part, candidates.begin(), candidates.end());
-  selection.spread = EnginesFor(query, view, selection.load_bound - mean);
+  selection.spread =
+      EnginesFor(query.home_share * requests, selection.load_bound - mean);
   SpreadOver(selection.spread, query.prompt.back().id, &candidates);
   for (const EndpointPtr& endpoint : candidates) {
     if (endpoint->EstimatedLoad(now) + 1 <= selection.load_bound) {
--- a/src/libteaselthread/endpoints/endpoint_selector.h
+++ b/src/libteaselthread/endpoints/endpoint_selector.h
@@ -65,8 +65,9 @@
   std::vector<std::string> nodes;  // all that may be alive, the node included
   double cold_over = 1;            // multiple of a service's cold rate
   double cold_slack = 0;           // requests a second beyond it
-  // Requests of the service under way, from all nodes.
-  double service_requests = 0;
+  // Requests of the service under way, from all nodes; without it they are
+  // judged by the endpoints' own counts.
+  std::optional<double> service_requests;
 };
 
 // Chooses the endpoint of a request.
--- a/src/libteaselthread/endpoints/endpoint_table.h
+++ b/src/libteaselthread/endpoints/endpoint_table.h
@@ -64,7 +64,7 @@
   Entries::iterator Forget(Entries::iterator entry);
 
   Entries endpoints_;
-  std::map<uint32_t, std::string> ids_;     // by ShortHash
+  std::map<uint32_t, std::string> ids_;  // by ShortHash
   std::set<std::string> evacuated_zones_;
   std::map<std::string, Duration> cold_starts_;  // by service
   Timestamp defer_until_{};
--- a/src/teaselthread/gateway/gateway_metrics.cc
+++ b/src/teaselthread/gateway/gateway_metrics.cc
@@ -93,6 +93,11 @@
   store_failures_ += succeeded ? 0 : 1;
 }
 
+void GatewayMetrics::OnHeartbeatSent(size_t bytes) {
+  ++heartbeats_sent_;
+  heartbeat_bytes_ += bytes;
+}
+
 std::string GatewayMetrics::Render(const GatewayGauges& gauges) const {
   std::ostringstream out;
   ByReason<RefusalReason>(out, "refusals_total", refusals_);
@@ -105,6 +110,8 @@
   Scalar(out, "store_calls_total", "counter", store_calls_);
   Scalar(out, "store_failures_total", "counter", store_failures_);
   Scalar(out, "unreadable_entries_total", "counter", unreadable_entries_);
+  Scalar(out, "heartbeats_sent_total", "counter", heartbeats_sent_);
+  Scalar(out, "heartbeat_bytes_total", "counter", heartbeat_bytes_);
   Scalar(out, "log_lines_dropped_total", "counter", gauges.log_lines_dropped);
   Scalar(out, "configuration_version", "gauge", gauges.configuration_version);
   Scalar(out, "configuration_age_seconds", "gauge",
--- a/src/teaselthread/gateway/gateway_metrics.h
+++ b/src/teaselthread/gateway/gateway_metrics.h
@@ -56,6 +56,7 @@
   void OnBrokenStream() { ++broken_streams_; }
   void OnStoreCall(bool succeeded);
   void OnUnreadableEntry() { ++unreadable_entries_; }
+  void OnHeartbeatSent(size_t bytes);
 
   std::string Render(const GatewayGauges& gauges) const;
 
@@ -72,6 +73,8 @@
   uint64_t store_calls_ = 0;
   uint64_t store_failures_ = 0;
   uint64_t unreadable_entries_ = 0;
+  uint64_t heartbeats_sent_ = 0;
+  uint64_t heartbeat_bytes_ = 0;
 };
 
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/peer_heartbeat.cc
+++ b/src/teaselthread/gateway/peer_heartbeat.cc
@@ -165,6 +165,7 @@
         static_cast<uint32_t>(item.age / kAgeUnit));
   }
   const std::string bytes = message.SerializeAsString();
+  state_->metrics().OnHeartbeatSent(bytes.size());
   // A datagram that cannot be sent counts as lost.
   boost::system::error_code ignored;
   socket_.send_to(asio::buffer(bytes), ToEndpoint(target), 0, ignored);
@@ -226,9 +227,9 @@
     return;
   }
   for (int i = 0; i < counts.endpoints_size(); ++i) {
-    state_->endpoints().OnLoadNews({counts.endpoints(i), counts.requests(i),
-                                    counts.ages(i) * kAgeUnit},
-                                   state_->Now());
+    state_->endpoints().OnLoadNews(
+        {counts.endpoints(i), counts.requests(i), counts.ages(i) * kAgeUnit},
+        state_->Now());
   }
 }
 
--- a/tests/gateway/hot_document_test.cc
+++ b/tests/gateway/hot_document_test.cc
@@ -105,9 +105,9 @@
     gateway->zone = kZones[index % kZoneCount];
     gateway->table.SetServices(routes_);
     for (size_t i = 0; i < shape_.engines; ++i) {
-      gateway->table.Put(MakeEngineRecord(std::to_string(i),
-                                          kZones[i % kZoneCount]),
-                         At(seconds(-30)));
+      gateway->table.Put(
+          MakeEngineRecord(std::to_string(i), kZones[i % kZoneCount]),
+          At(seconds(-30)));
     }
     return gateway;
   }
@@ -128,12 +128,11 @@
 
   std::vector<PromptPart> DrawPrompt(size_t chat_class) {
     const ChatClass& chats = shape_.classes[chat_class];
-    const bool is_hot =
-        std::bernoulli_distribution(chats.hot_share)(random_);
+    const bool is_hot = std::bernoulli_distribution(chats.hot_share)(random_);
     const int document =
-        is_hot && now_ >= kHotFrom ? 0
-               : std::uniform_int_distribution<>(0, chats.documents - 1)(
-                     random_);
+        is_hot && now_ >= kHotFrom
+            ? 0
+            : std::uniform_int_distribution<>(0, chats.documents - 1)(random_);
     const std::string name = std::to_string(chat_class);
     return {{"system-" + name, 300},
             {name + "-" + std::to_string(document), chats.document_tokens},
