Emulator of engines in virtual time, and experiments with placement

Change: libteaselthread/emulator holds an engine (continuous batching, chunked prefill, prefix cache, admission by priority, copies), a fleet of gateways and strategies: the product's selector, round robin, least requests, hash, oracle. Ruled out: none.

--- /dev/null
+++ b/src/libteaselthread/emulator/placement_strategy.cc
@@ -0,0 +1,146 @@
+#include "libteaselthread/emulator/placement_strategy.h"
+
+#include <algorithm>
+
+#include "libteaselthread/rendezvous_hash.h"
+
+namespace teaselthread::emulator {
+namespace {
+
+// Prompt tokens that an engine reads while it makes one for each request; the
+// oracle weighs a waiting request against reading by it.
+constexpr double kTokensPerRequest = 600;
+
+size_t IndexOf(const KnownEndpoint& endpoint) {
+  return std::stoul(endpoint.record().id);
+}
+
+class ProductPlacement : public PlacementStrategy {
+ public:
+  explicit ProductPlacement(const ServiceSpec* service) : service_(service) {}
+
+  std::string_view name() const override { return "product"; }
+
+  Placement Place(EmulatedGateway& gateway,
+                  const std::vector<PromptPart>& prompt,
+                  const std::vector<EnginePtr>& /*engines*/,
+                  Timestamp now) override {
+    SelectionQuery query;
+    query.service = service_;
+    query.prompt = prompt;
+    query.home_share =
+        gateway.demand.ShareOf(service_->name, HomePart(prompt).id, now);
+    SelectionView view;
+    view.zone = gateway.zone;
+    view.node = gateway.name;
+    view.nodes = {gateway.name};
+    view.service_requests = gateway.service_requests;
+    const EndpointSelector selector(&gateway.table);
+    const Selection selection =
+        std::get<Selection>(selector.Select(query, view, now));
+    Placement placement{IndexOf(*selection.endpoint), std::nullopt};
+    if (selection.kv_source)
+      placement.copy_from = selection.kv_source->port;
+    return placement;
+  }
+
+ private:
+  const ServiceSpec* service_;
+};
+
+class RoundRobin : public PlacementStrategy {
+ public:
+  std::string_view name() const override { return "round robin"; }
+
+  Placement Place(EmulatedGateway& gateway,
+                  const std::vector<PromptPart>& /*prompt*/,
+                  const std::vector<EnginePtr>& engines,
+                  Timestamp /*now*/) override {
+    return {gateway.next_engine++ % engines.size(), std::nullopt};
+  }
+};
+
+class LeastRequests : public PlacementStrategy {
+ public:
+  explicit LeastRequests(const ServiceSpec* service) : service_(service) {}
+
+  std::string_view name() const override { return "least requests"; }
+
+  Placement Place(EmulatedGateway& gateway,
+                  const std::vector<PromptPart>& /*prompt*/,
+                  const std::vector<EnginePtr>& /*engines*/,
+                  Timestamp now) override {
+    const std::vector<EndpointPtr> all =
+        gateway.table.Available(service_->name);
+    const auto least =
+        std::min_element(all.begin(), all.end(),
+                         [now](const EndpointPtr& a, const EndpointPtr& b) {
+                           return a->EstimatedLoad(now) < b->EstimatedLoad(now);
+                         });
+    return {IndexOf(**least), std::nullopt};
+  }
+
+ private:
+  const ServiceSpec* service_;
+};
+
+class HomeOnly : public PlacementStrategy {
+ public:
+  std::string_view name() const override { return "hash"; }
+
+  Placement Place(EmulatedGateway& /*gateway*/,
+                  const std::vector<PromptPart>& prompt,
+                  const std::vector<EnginePtr>& engines,
+                  Timestamp /*now*/) override {
+    const RendezvousKey key(HomePart(prompt).id);
+    size_t best = 0;
+    for (size_t i = 1; i < engines.size(); ++i) {
+      if (key.WeightOf(std::to_string(i)) > key.WeightOf(std::to_string(best)))
+        best = i;
+    }
+    return {best, std::nullopt};
+  }
+};
+
+class Oracle : public PlacementStrategy {
+ public:
+  std::string_view name() const override { return "oracle"; }
+
+  Placement Place(EmulatedGateway& /*gateway*/,
+                  const std::vector<PromptPart>& prompt,
+                  const std::vector<EnginePtr>& engines,
+                  Timestamp /*now*/) override {
+    const auto cost = [&](const EnginePtr& engine) {
+      return engine->load() * kTokensPerRequest -
+             static_cast<double>(engine->cache().CachedTokens(prompt));
+    };
+    const auto least =
+        std::min_element(engines.begin(), engines.end(),
+                         [&](const EnginePtr& a, const EnginePtr& b) {
+                           return cost(a) < cost(b);
+                         });
+    const auto holder =
+        std::max_element(engines.begin(), engines.end(),
+                         [&](const EnginePtr& a, const EnginePtr& b) {
+                           return a->cache().CachedTokens(prompt) <
+                                  b->cache().CachedTokens(prompt);
+                         });
+    return {static_cast<size_t>(least - engines.begin()),
+            static_cast<size_t>(holder - engines.begin())};
+  }
+};
+
+}  // namespace
+
+std::vector<std::unique_ptr<PlacementStrategy>> AllStrategies(
+    const ServiceSpec* service) {
+  std::vector<std::unique_ptr<PlacementStrategy>> all;
+  all.push_back(std::make_unique<ProductPlacement>(service));
+  all.push_back(std::make_unique<RoundRobin>());
+  all.push_back(std::make_unique<LeastRequests>(service));
+  all.push_back(std::make_unique<HomeOnly>());
+  all.push_back(std::make_unique<Oracle>());
+  return all;
+}
+
+}  // namespace teaselthread::emulator
--- /dev/null
+++ b/src/libteaselthread/emulator/placement_strategy.h
@@ -0,0 +1,54 @@
+#ifndef TEASELTHREAD_EMULATOR_PLACEMENT_STRATEGY_H_
+#define TEASELTHREAD_EMULATOR_PLACEMENT_STRATEGY_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "libteaselthread/emulator/emulated_engine.h"
+#include "libteaselthread/endpoints/endpoint_selector.h"
+#include "libteaselthread/endpoints/part_demand.h"
+#include "libteaselthread/routes/route_table.h"
+
+namespace teaselthread::emulator {
+
+using EnginePtr = std::unique_ptr<EmulatedEngine>;
+
+// A gateway of the emulated fleet, with what it believes.
+struct EmulatedGateway {
+  std::string name;
+  std::string zone;
+  EndpointTable table;
+  PartDemand demand;
+  double service_requests = 0;  // by the latest sums of all gateways
+  uint32_t next_engine = 0;     // of strategies that take turns
+};
+
+// Where a request goes, by the index of an engine.
+struct Placement {
+  size_t engine = 0;
+  std::optional<size_t> copy_from;
+};
+
+// Chooses engines. Baselines and the product's own decisions stand beside each
+// other, so that experiments can compare them.
+class PlacementStrategy {
+ public:
+  virtual ~PlacementStrategy() = default;
+  virtual std::string_view name() const = 0;
+  virtual Placement Place(EmulatedGateway& gateway,
+                          const std::vector<PromptPart>& prompt,
+                          const std::vector<EnginePtr>& engines,
+                          Timestamp now) = 0;
+};
+
+// The product's EndpointSelector, round robin, least requests by what the
+// gateway knows, hashing without a load bound, and an oracle that sees all
+// loads and caches as they are.
+std::vector<std::unique_ptr<PlacementStrategy>> AllStrategies(
+    const ServiceSpec* service);
+
+}  // namespace teaselthread::emulator
+
+#endif  // TEASELTHREAD_EMULATOR_PLACEMENT_STRATEGY_H_
--- /dev/null
+++ b/src/libteaselthread/emulator/scenario.cc
@@ -0,0 +1,138 @@
+#include "libteaselthread/emulator/scenario.h"
+
+#include <cmath>
+#include <fstream>
+#include <sstream>
+
+#include "libteaselthread/section_reader.h"
+
+namespace teaselthread::emulator {
+namespace {
+
+// What a scenario may reach; beyond it a run takes hours.
+constexpr IntegerRange kGateways = {1, 1'000};
+constexpr IntegerRange kEngines = {1, 10'000};
+constexpr IntegerRange kTokens = {0, 1'000'000};
+constexpr double kLongestSeconds = 3'600;
+constexpr double kLongestMs = 60'000;
+constexpr double kMostPerSecond = 100'000;
+
+uint32_t Count(SectionReader& reader,
+               std::string_view key,
+               int64_t fallback,
+               IntegerRange range) {
+  return static_cast<uint32_t>(reader.Integer(key, fallback, range));
+}
+
+// A key in milliseconds, with fractions.
+Duration FineMilliseconds(SectionReader& reader,
+                          std::string_view key,
+                          double fallback) {
+  const double ms = reader.Number(key, fallback, 0, kLongestMs);
+  return Duration(static_cast<Duration::rep>(std::llround(ms * 1'000)));
+}
+
+Duration Seconds(SectionReader& reader, std::string_view key, double fallback) {
+  const double seconds = reader.Number(key, fallback, 0, kLongestSeconds);
+  return Duration(static_cast<Duration::rep>(std::llround(seconds * 1e6)));
+}
+
+void ReadFleet(SectionReader& reader, Scenario* scenario) {
+  scenario->name = reader.RequiredText("name");
+  scenario->gateways = Count(reader, "gateways", 8, kGateways);
+  scenario->engines = Count(reader, "engines", 16, kEngines);
+  scenario->zones = Count(reader, "zones", 3, {1, 100});
+  scenario->length = Seconds(reader, "length_s", 30);
+}
+
+void ReadEngine(SectionReader& reader, Scenario* scenario) {
+  EngineSpeed& speed = scenario->speed;
+  speed.slots = Count(reader, "slots", speed.slots, {1, 10'000});
+  speed.step = FineMilliseconds(reader, "step_ms", 3);
+  speed.step_per_request = FineMilliseconds(reader, "step_per_request_ms", 0.1);
+  speed.prefill_per_ms =
+      reader.Number("prefill_tokens_per_ms", speed.prefill_per_ms, 0.1, 1e5);
+  speed.prefill_chunk =
+      Count(reader, "prefill_chunk", speed.prefill_chunk, {1, 1'000'000});
+  speed.kv_tokens = static_cast<uint64_t>(
+      reader.Integer("kv_tokens", 400'000, {1, 1'000'000'000}));
+  speed.copy_setup = FineMilliseconds(reader, "copy_setup_ms", 5);
+  speed.copy_per_ms =
+      reader.Number("copy_tokens_per_ms", speed.copy_per_ms, 0.1, 1e6);
+}
+
+void ReadTrouble(SectionReader& reader, Scenario* scenario) {
+  scenario->hot = {Seconds(reader, "hot_from_s", 0),
+                   Seconds(reader, "hot_for_s", 0)};
+  scenario->burst = {Seconds(reader, "burst_from_s", 0),
+                     Seconds(reader, "burst_for_s", 0)};
+  scenario->burst_multiple = reader.Number("burst_multiple", 1, 0.01, 100);
+  scenario->slow_engines = Count(reader, "slow_engines", 0, {0, 10'000});
+  scenario->slowness = reader.Number("slowness", 1, 1, 1'000);
+  scenario->crash = {Seconds(reader, "crash_from_s", 0), Duration::zero()};
+  scenario->crash_share = reader.Number("crash_share", 0, 0, 1);
+}
+
+ChatClass ReadClass(SectionReader& reader, const std::string& name) {
+  ChatClass chat_class;
+  chat_class.name = name;
+  chat_class.per_second = reader.Number("per_second", 1, 0.01, kMostPerSecond);
+  chat_class.documents = Count(reader, "documents", 100, {1, 10'000'000});
+  chat_class.system_tokens = Count(reader, "system_tokens", 0, kTokens);
+  chat_class.document_tokens = Count(reader, "document_tokens", 1'000, kTokens);
+  chat_class.own_tokens = Count(reader, "own_tokens", 300, kTokens);
+  chat_class.output_tokens =
+      Count(reader, "output_tokens", 100, {1, 1'000'000});
+  chat_class.priority = static_cast<int>(reader.Integer("priority", 0, {0, 9}));
+  chat_class.objective = FineMilliseconds(reader, "objective_ms", 1'000);
+  chat_class.hot_share = reader.Number("hot_share", 0, 0, 1);
+  return chat_class;
+}
+
+}  // namespace
+
+Result<Scenario> Scenario::Parse(const std::string& text,
+                                 const std::string& source) {
+  const Result<IniDocument> document = IniDocument::Parse(text, source);
+  if (!document)
+    return document.reasons();
+  std::vector<Error> errors;
+  Scenario scenario;
+  for (const IniSection& section : document->sections()) {
+    SectionReader reader(section, source, &errors);
+    if (section.Title() == "fleet") {
+      ReadFleet(reader, &scenario);
+    } else if (section.Title() == "engine") {
+      ReadEngine(reader, &scenario);
+    } else if (section.Title() == "trouble") {
+      ReadTrouble(reader, &scenario);
+    } else if (section.kind == "class" && !section.name.empty()) {
+      scenario.classes.push_back(ReadClass(reader, section.name));
+    } else {
+      errors.push_back(
+          {ErrorCode::kUnknownSection,
+           source + ": [" + section.Title() + "]: no such section"});
+      continue;
+    }
+    reader.RejectUnknownKeys();
+  }
+  if (scenario.classes.empty()) {
+    errors.push_back(
+        {ErrorCode::kMissingKey, source + ": no [class NAME] section"});
+  }
+  if (!errors.empty())
+    return errors;
+  return scenario;
+}
+
+Result<Scenario> Scenario::Load(const std::string& file_name) {
+  std::ifstream file(file_name);
+  std::ostringstream text;
+  if (!file || !(text << file.rdbuf())) {
+    return Error{ErrorCode::kUnreadableFile,
+                 file_name + ": cannot be read or is empty"};
+  }
+  return Parse(text.str(), file_name);
+}
+
+}  // namespace teaselthread::emulator
--- a/src/teaselthread/command_line.cc
+++ b/src/teaselthread/command_line.cc
@@ -15,6 +15,8 @@
     "or only check its settings\n"
     "  explain ID [LOG...]              tell from gateways' logs what became "
     "of a request\n"
+    "  experiment SCENARIO...           compare placement strategies on "
+    "emulated engines\n"
     "  node --config FILE [--check]     run a node, or only check its "
     "settings\n"
     "  ctl validate FILE                check a configuration document\n"
--- a/src/teaselthread/main.cc
+++ b/src/teaselthread/main.cc
@@ -3,6 +3,7 @@
 #include <fstream>
 #include <iostream>
 
+#include "libteaselthread/emulator/experiment.h"
 #include "platform/platform_dialect.h"
 #include "teaselthread/command_line.h"
 #include "teaselthread/ctl_command.h"
@@ -15,6 +16,8 @@
 namespace {
 
 constexpr char kVersion[] = "teaselthread 0.1.0";
+// Runs of a scenario whose figures tell how far chance moves them.
+constexpr uint64_t kExperimentSeeds = 3;
 
 ExitCode ReportAll(const std::vector<Error>& reasons, ExitCode code) {
   for (const Error& reason : reasons)
@@ -83,6 +86,23 @@
   return ExitCode::kInvalid;
 }
 
+// `words`: "experiment" and scenarios. Prints a table.
+ExitCode Experiment(const std::vector<std::string>& words) {
+  std::vector<emulator::ExperimentRow> rows;
+  for (size_t i = 1; i < words.size(); ++i) {
+    const Result<emulator::Scenario> scenario =
+        emulator::Scenario::Load(words[i]);
+    if (!scenario)
+      return ReportAll(scenario.reasons(), ExitCode::kInvalid);
+    for (uint64_t seed = 1; seed <= kExperimentSeeds; ++seed) {
+      for (auto& row : emulator::RunExperiment(*scenario, seed))
+        rows.push_back(std::move(row));
+    }
+  }
+  std::cout << emulator::ToTable(rows);
+  return ExitCode::kSuccess;
+}
+
 ExitCode Run(int argc, const char** argv) {
   const Result<CommandLine> command_line = CommandLine::Parse(argc, argv);
   if (!command_line)
@@ -100,9 +120,10 @@
     return RunCtl(*command_line);
   if (words.size() >= 2 && words[0] == "explain")
     return Explain(words);
-  std::cerr << "teaselthread: expected gateway, explain, node or ctl; see "
-               "teaselthread "
-               "--help\n";
+  if (words.size() >= 2 && words[0] == "experiment")
+    return Experiment(words);
+  std::cerr << "teaselthread: expected gateway, explain, experiment, node "
+               "or ctl; see teaselthread --help\n";
   return ExitCode::kUsage;
 }
 
