--- a/src/teaselthread/command_line.cc
+++ b/src/teaselthread/command_line.cc
@@ -41,6 +41,7 @@
 Result<CommandLine> CommandLine::Parse(int argc, const char** argv) {
   int version = 0;
   int check = 0;
+  int print_settings = 0;
   char* config_file = nullptr;
   char* platform = nullptr;
   char* node = nullptr;
@@ -51,6 +52,8 @@
        "the node's settings, an INI file", "FILE"},
       {"check", 0, POPT_ARG_NONE, &check, 0, "check the settings and exit",
        nullptr},
+      {"print-settings", 0, POPT_ARG_NONE, &print_settings, 0,
+       "print a gateway's settings in force and exit", nullptr},
       {"platform", 'p', POPT_ARG_STRING, &platform, 0,
        "the platform's object API, 127.0.0.1:7000 unless given", "ADDRESS"},
       {"node", 'n', POPT_ARG_STRING, &node, 0, "a node's address for callers",
@@ -70,6 +73,7 @@
   CommandLine parsed;
   parsed.version = version != 0;
   parsed.check = check != 0;
+  parsed.print_settings = print_settings != 0;
   if (config_file)
     parsed.config_file = config_file;
   if (platform)
--- a/src/teaselthread/command_line.h
+++ b/src/teaselthread/command_line.h
@@ -12,6 +12,7 @@
 struct CommandLine {
   bool version = false;
   bool check = false;
+  bool print_settings = false;
   std::string config_file;
   std::string platform = "127.0.0.1:7000";
   std::string node;
--- a/src/teaselthread/gateway/gateway_settings.cc
+++ b/src/teaselthread/gateway/gateway_settings.cc
@@ -31,6 +31,14 @@
   return {};
 }
 
+int64_t InMilliseconds(Duration time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+int64_t InSeconds(Duration time) {
+  return std::chrono::duration_cast<std::chrono::seconds>(time).count();
+}
+
 std::string PlaceOf(const IniSection& section, const std::string& source) {
   return source + ": [" + section.kind + "]";
 }
@@ -74,6 +82,36 @@
   return Parse(text.str(), file_name);
 }
 
+std::string GatewaySettings::ToText() const {
+  std::vector<std::string> seeds;
+  for (const SocketAddress& seed : seeds_)
+    seeds.push_back(seed.ToString());
+  std::ostringstream out;
+  out << "[gateway]\n"
+      << "name = " << name_ << "\nzone = " << zone_
+      << "\nfront_listen = " << front_listen_.ToString()
+      << "\nreadiness_listen = " << readiness_listen_.ToString()
+      << "\ndirectory_listen = " << directory_listen_.ToString()
+      << "\nmetrics_listen = " << metrics_listen_.ToString()
+      << "\npeer_listen = " << peer_listen_.ToString()
+      << "\nstore = " << store_.ToString()
+      << "\naddress_ttl_ms = " << InMilliseconds(address_ttl_)
+      << "\nlog_level = " << log_level_ << "\n\n[peers]\n"
+      << "seeds = " << JoinList(seeds)
+      << "\nheartbeat_interval_ms = " << InMilliseconds(heartbeat_interval_)
+      << "\nheartbeat_timeout_ms = " << InMilliseconds(heartbeat_timeout_)
+      << "\n\n[limits]\n"
+      << "revocation_ms = " << InMilliseconds(limits_.revocation_bound)
+      << "\ndrain_ms = " << InMilliseconds(limits_.drain_bound)
+      << "\nretry_ratio = " << limits_.retries.ratio
+      << "\nretry_slack = " << limits_.retries.slack
+      << "\nretry_window_s = " << InSeconds(limits_.retries.window)
+      << "\ncold_over = " << limits_.cold_over
+      << "\ncold_slack = " << limits_.cold_slack
+      << "\nleaving_grace_s = " << InSeconds(limits_.leaving_grace) << "\n";
+  return out.str();
+}
+
 void GatewaySettings::ReadNode(const IniSection& section,
                                const std::string& source,
                                std::vector<Error>* errors) {
--- a/src/teaselthread/gateway/gateway_settings.h
+++ b/src/teaselthread/gateway/gateway_settings.h
@@ -31,6 +31,9 @@
                                        std::string source);
   static Result<GatewaySettings> Load(const std::string& file_name);
 
+  // INI text with every key and its value in force. Parse reads it back.
+  std::string ToText() const;
+
   const std::string& name() const { return name_; }
   const std::string& zone() const { return zone_; }
   const std::string& log_level() const { return log_level_; }
--- a/src/teaselthread/main.cc
+++ b/src/teaselthread/main.cc
@@ -57,6 +57,10 @@
     std::cout << command_line.config_file << ": valid\n";
     return ExitCode::kSuccess;
   }
+  if (command_line.print_settings) {
+    std::cout << settings->ToText();
+    return ExitCode::kSuccess;
+  }
   const platform::PlatformDialect dialect;
   const Result<int> ended =
       Gateway::Run(settings.TakeValue(), &dialect, command_line.config_file);
--- /dev/null
+++ b/tests/gateway/gateway_settings_test.cc
@@ -0,0 +1,130 @@
+#include <boost/test/unit_test.hpp>
+
+#include <fstream>
+#include <map>
+#include <regex>
+#include <sstream>
+#include <string>
+
+#include "teaselthread/gateway/gateway_settings.h"
+
+namespace teaselthread {
+namespace {
+
+constexpr char kRequired[] =
+    "[gateway]\n"
+    "name = edge-1\n"
+    "zone = a\n"
+    "front_listen = 192.0.2.1:8000\n"
+    "readiness_listen = 192.0.2.1:8001\n"
+    "directory_listen = 192.0.2.1:8002\n"
+    "metrics_listen = 192.0.2.1:8003\n"
+    "peer_listen = 192.0.2.1:8004\n"
+    "store = 192.0.2.9:7000\n";
+
+std::string ReadSourceFile(const std::string& name) {
+  std::ifstream file(std::string(TEASELTHREAD_SOURCE_DIR) + "/" + name);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+// Values by "section key".
+using Values = std::map<std::string, std::string>;
+
+Values ValuesOf(const std::string& text) {
+  Values values;
+  const auto document = IniDocument::Parse(text, "settings");
+  BOOST_REQUIRE(document);
+  for (const IniSection& section : document->sections()) {
+    for (const IniEntry& entry : section.entries)
+      values[section.Title() + " " + entry.key] = entry.value;
+  }
+  return values;
+}
+
+Values DocumentedDefaults() {
+  Values values;
+  const std::string page = ReadSourceFile("docs/SETTINGS.md");
+  const std::regex row(R"(\n\| (\w+) \| `(\w+)` \| ([^|]+) \|)");
+  for (std::sregex_iterator found(page.begin(), page.end(), row), end;
+       found != end; ++found) {
+    values[(*found)[1].str() + " " + (*found)[2].str()] = (*found)[3];
+  }
+  return values;
+}
+
+BOOST_AUTO_TEST_SUITE(settings_of_a_gateway)
+
+BOOST_AUTO_TEST_CASE(are_read_back_as_they_are_printed) {
+  const auto settings = GatewaySettings::Parse(
+      std::string(kRequired) +
+          "log_level = warn\naddress_ttl_ms = 900\n"
+          "[peers]\nseeds = 192.0.2.2:8004, 192.0.2.3:8004\n"
+          "heartbeat_interval_ms = 125\n"
+          "[limits]\nretry_ratio = 0.15\nleaving_grace_s = 11\n",
+      "test");
+  BOOST_REQUIRE(settings);
+  const auto again = GatewaySettings::Parse(settings->ToText(), "printed");
+  BOOST_REQUIRE(again);
+  BOOST_TEST(again->ToText() == settings->ToText());
+  BOOST_TEST(again->seeds().size() == 2u);
+  BOOST_TEST((again->limits() == settings->limits()));
+  BOOST_TEST((again->heartbeat_interval() == settings->heartbeat_interval()));
+}
+
+BOOST_AUTO_TEST_CASE(are_all_documented_with_their_defaults) {
+  const auto settings = GatewaySettings::Parse(kRequired, "test");
+  BOOST_REQUIRE(settings);
+  const Values printed = ValuesOf(settings->ToText());
+  const Values documented = DocumentedDefaults();
+  BOOST_TEST(printed.size() == documented.size());
+  for (const auto& [key, value] : printed) {
+    BOOST_TEST_CONTEXT(key) {
+      BOOST_REQUIRE(documented.contains(key));
+      const std::string& text = documented.at(key);
+      if (text != "required")
+        BOOST_TEST(text == (value.empty() ? "none" : value));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE(name_every_error_at_once)
+
+BOOST_AUTO_TEST_CASE(missing_misspelt_and_out_of_range) {
+  const auto settings = GatewaySettings::Parse(
+      "[gateway]\nname = edge-1\nzone = a\nfront_listen = nowhere\n"
+      "readiness_listen = 192.0.2.1:8001\ndirectory_listen = 192.0.2.1:8002\n"
+      "metrics_listen = 192.0.2.1:8003\npeer_listen = 192.0.2.1:8004\n"
+      "log_level = loud\n"
+      "[limits]\nretry_ratio = -1\nretries = 7\n"
+      "[weather]\nrain = yes\n",
+      "test");
+  BOOST_REQUIRE(!settings);
+  // The section, the store, the address, the level, the ratio, the key.
+  BOOST_TEST(settings.reasons().size() == 6u);
+}
+
+BOOST_AUTO_TEST_CASE(of_the_platforms_template_none) {
+  std::string text = ReadSourceFile("deploy/gateway.ini.template");
+  const std::map<std::string, std::string> fills = {
+      {"bounds[.][a-z_]+", "8"},
+      {"ip", "192.0.2.1"},
+      {"port_range[.]0", "8003"},
+      {"seeds", "192.0.2.1:8004,192.0.2.2:8004"},
+      {"node_name|zone", "a"},
+      {"bind[.][a-z_]+|platform[.]address", "192.0.2.1:8000"}};
+  for (const auto& [name, value] : fills) {
+    const std::regex place("\\{\\{(" + name + ")\\}\\}");
+    text = std::regex_replace(text, place, value);
+  }
+  const auto settings = GatewaySettings::Parse(text, "template");
+  BOOST_TEST(settings.has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace teaselthread
