Heartbeats say how far apart they are; sums go with the load news

Cause: a zone of 59 gateways sends each other a heartbeat every 1.2 s, and one that was lost made its sender drop out of the directory after 1.3 s. Sums of requests in every heartbeat would take 15 KB a second at the target size. Ruled out: a time-out by the recipient's own interval, which depends on whom it takes for alive. Change: heartbeats carry their interval, and a sender is silent after three of them if that is longer than the setting; sums go to the six that get news, and the earlier ones hold meanwhile. Watches of the store wait 25 s, not 8.

--- a/src/libteaselthread/peers/peer_set.cc
+++ b/src/libteaselthread/peers/peer_set.cc
@@ -9,12 +9,16 @@
 
 // Heartbeats cross zones less often, and get lost more often on the way.
 constexpr int kRemoteTimeoutMultiple = 3;
+// Two may get lost.
+constexpr int kMissedHeartbeats = 3;
+// Of a zone of 500 nodes; a sender that names a longer one is mistaken.
+constexpr Duration kLongestInterval = PeerSet::kIntervalPerNode * 500;
 
 }  // namespace
 
 uint32_t PeerSet::RequestsOf(const Entry& entry, uint32_t service) {
-  const auto found = entry.news.requests.find(service);
-  return found == entry.news.requests.end() ? 0 : found->second;
+  const auto found = entry.requests.find(service);
+  return found == entry.requests.end() ? 0 : found->second;
 }
 
 PeerSet::PeerSet(Peer self, Duration heartbeat_timeout)
@@ -39,6 +43,8 @@
     entry.heard_at = now;
     entry.heard = true;
     entry.news = news;
+    if (news.requests)
+      entry.requests = *news.requests;
     return true;
   }
   return false;
@@ -87,10 +93,12 @@
 
 bool PeerSet::IsAlive(const Entry& entry, Timestamp now) const {
   const bool is_remote = entry.peer.zone != self_.zone;
-  const Duration timeout = is_remote
-                               ? heartbeat_timeout_ * kRemoteTimeoutMultiple
-                               : heartbeat_timeout_;
-  return entry.heard && now - entry.heard_at <= timeout;
+  const Duration timeout = std::max(
+      heartbeat_timeout_,
+      std::min(entry.news.interval, kLongestInterval) * kMissedHeartbeats);
+  return entry.heard &&
+         now - entry.heard_at <=
+             (is_remote ? timeout * kRemoteTimeoutMultiple : timeout);
 }
 
 std::vector<SocketAddress> PeerSet::ZoneTargets(Timestamp now) const {
--- a/src/libteaselthread/peers/peer_set.h
+++ b/src/libteaselthread/peers/peer_set.h
@@ -36,9 +36,11 @@
   Timestamp sent_at{};
   // When this node sent the latest heartbeat that has reached the sender.
   std::optional<Timestamp> echoed_at;
+  // Between two heartbeats of the sender within its zone.
+  Duration interval{};
   // The sender's own, or those of its whole availability zone if the recipient
-  // is in another.
-  ServiceRequests requests;
+  // is in another. Without them the earlier ones hold.
+  std::optional<ServiceRequests> requests;
 
   friend auto operator<=>(const PeerNews&, const PeerNews&) = default;
 };
@@ -91,8 +93,8 @@
   // Heartbeats within the zone for each one that crosses zones, whose bytes
   // are dear.
   static constexpr uint32_t kBeatsPerRemoteBeat = 4;
-  // Nodes of the zone that one heartbeat brings load news to, so that its cost
-  // does not grow with the zone.
+  // Nodes of the zone that one heartbeat tells of load, so that its cost does
+  // not grow with the zone.
   static constexpr size_t kNewsTargets = 6;
   // Per node of the zone: 50 heartbeats a second, about 3 KB.
   static constexpr Duration kIntervalPerNode = std::chrono::milliseconds(20);
@@ -106,6 +108,7 @@
     Timestamp heard_at{};      // by its own heartbeat
     bool heard = false;
     PeerNews news;
+    ServiceRequests requests;  // the latest that it has told
   };
 
   static uint32_t RequestsOf(const Entry& entry, uint32_t service);
--- a/src/teaselthread/gateway/peer_heartbeat.cc
+++ b/src/teaselthread/gateway/peer_heartbeat.cc
@@ -62,12 +62,15 @@
     : state_(state), socket_(std::move(socket)) {}
 
 void PeerHeartbeat::SendIfDue(Timestamp now) {
-  const Duration interval = state_->peers().HeartbeatInterval(
-      state_->settings().heartbeat_interval(), now);
-  if (now - last_sent_at_ >= interval)
+  if (now - last_sent_at_ >= Interval())
     Send(beats_ % PeerSet::kBeatsPerRemoteBeat == 0);
 }
 
+Duration PeerHeartbeat::Interval() const {
+  return state_->peers().HeartbeatInterval(
+      state_->settings().heartbeat_interval(), state_->Now());
+}
+
 void PeerHeartbeat::SendNow() {
   Send(true);
 }
@@ -82,13 +85,12 @@
   std::shuffle(zone.begin(), zone.end(), state_->random());
   LoadReports loads = {OwnRequests(),
                        state_->endpoints().BusiestEndpoints(kNewsItems, now)};
-  const LoadReports sums_only = {loads.requests, {}};
   for (size_t i = 0; i < zone.size(); ++i)
-    SendTo(zone[i], i < PeerSet::kNewsTargets ? loads : sums_only);
+    SendTo(zone[i], i < PeerSet::kNewsTargets ? &loads : nullptr);
   if (crosses_zones) {
     loads.requests = ZoneRequests(loads.requests);
     for (const SocketAddress& target : remote)
-      SendTo(target, loads);
+      SendTo(target, &loads);
   }
   // Seeds bring nodes together that have no record of each other.
   if (!zone.empty() || !remote.empty())
@@ -97,7 +99,7 @@
                                 state_->settings().seeds().end());
   seeds.erase(state_->peers().self().peer_address);
   for (const SocketAddress& target : seeds)
-    SendTo(target, {});
+    SendTo(target, nullptr);
 }
 
 ServiceRequests PeerHeartbeat::OwnRequests() const {
@@ -131,7 +133,7 @@
 }
 
 void PeerHeartbeat::SendTo(const SocketAddress& target,
-                           const LoadReports& loads) {
+                           const LoadReports* loads) {
   const Peer& self = state_->peers().self();
   const Timestamp now = GatewayState::BootNow();
   wire::GatewayHeartbeat message;
@@ -150,20 +152,14 @@
     message.set_proof_age_ms(static_cast<uint32_t>(
         std::chrono::ceil<std::chrono::milliseconds>(*age).count()));
   }
+  message.set_interval_ms(static_cast<uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(Interval())
+          .count()));
   message.set_sent_at_us(ToMicroseconds(now));
   if (heard_at)
     message.set_echoed_us(ToMicroseconds(*heard_at));
-  for (const auto& [service, count] : loads.requests) {
-    wire::ServiceLoad* load = message.add_loads();
-    load->set_service(service);
-    load->set_requests(count);
-  }
-  for (const LoadNews& item : loads.news) {
-    message.mutable_news()->add_endpoints(item.endpoint);
-    message.mutable_news()->add_requests(item.requests);
-    message.mutable_news()->add_ages(
-        static_cast<uint32_t>(item.age / kAgeUnit));
-  }
+  if (loads)
+    Encode(*loads, message.mutable_load());
   const std::string bytes = message.SerializeAsString();
   state_->metrics().OnHeartbeatSent(bytes.size());
   // A datagram that cannot be sent counts as lost.
@@ -208,29 +204,44 @@
   news.configuration_version = message.configuration_version();
   if (message.has_proof_age_ms())
     news.proof_age = std::chrono::milliseconds(message.proof_age_ms());
+  news.interval = std::chrono::milliseconds(message.interval_ms());
   news.sent_at = ToTimestamp(message.sent_at_us());
   if (message.echoed_us() != 0)
     news.echoed_at = ToTimestamp(message.echoed_us());
-  OnLoads(message, &news);
+  if (message.has_load())
+    news.requests = OnLoadReport(message.load());
   if (state_->peers().OnHeartbeat(from, news, state_->Now()) && on_news_)
     on_news_(news);
 }
 
-void PeerHeartbeat::OnLoads(const wire::GatewayHeartbeat& message,
-                            PeerNews* news) {
-  for (const wire::ServiceLoad& load : message.loads())
-    news->requests[load.service()] = load.requests();
-  const wire::LoadNews& counts = message.news();
-  if (counts.requests_size() != counts.endpoints_size() ||
-      counts.ages_size() != counts.endpoints_size()) {
+void PeerHeartbeat::Encode(const LoadReports& loads, wire::LoadReport* report) {
+  for (const auto& [service, count] : loads.requests) {
+    wire::ServiceLoad* load = report->add_services();
+    load->set_service(service);
+    load->set_requests(count);
+  }
+  for (const LoadNews& item : loads.news) {
+    report->add_endpoints(item.endpoint);
+    report->add_requests(item.requests);
+    report->add_ages(static_cast<uint32_t>(item.age / kAgeUnit));
+  }
+}
+
+ServiceRequests PeerHeartbeat::OnLoadReport(const wire::LoadReport& report) {
+  ServiceRequests requests;
+  for (const wire::ServiceLoad& load : report.services())
+    requests[load.service()] = load.requests();
+  if (report.requests_size() != report.endpoints_size() ||
+      report.ages_size() != report.endpoints_size()) {
     state_->metrics().OnUnreadableEntry();
-    return;
+    return requests;
   }
-  for (int i = 0; i < counts.endpoints_size(); ++i) {
+  for (int i = 0; i < report.endpoints_size(); ++i) {
     state_->endpoints().OnLoadNews(
-        {counts.endpoints(i), counts.requests(i), counts.ages(i) * kAgeUnit},
+        {report.endpoints(i), report.requests(i), report.ages(i) * kAgeUnit},
         state_->Now());
   }
+  return requests;
 }
 
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/peer_heartbeat.h
+++ b/src/teaselthread/gateway/peer_heartbeat.h
@@ -10,7 +10,7 @@
 namespace teaselthread {
 
 namespace wire {
-class GatewayHeartbeat;
+class LoadReport;
 }
 
 // Sends this node's state to the others in datagrams, and takes theirs.
@@ -31,6 +31,7 @@
   asio::awaitable<void> ReceiveLoop();
   void OnDatagram(const SocketAddress& from, std::string_view bytes);
   void SendIfDue(Timestamp now);
+  Duration Interval() const;
   void Send(bool crosses_zones);
   // What the recipients of one heartbeat are told of load.
   struct LoadReports {
@@ -38,8 +39,11 @@
     std::vector<LoadNews> news;
   };
 
-  void SendTo(const SocketAddress& target, const LoadReports& loads);
-  void OnLoads(const wire::GatewayHeartbeat& message, PeerNews* news);
+  // `loads` may be null.
+  void SendTo(const SocketAddress& target, const LoadReports* loads);
+  static void Encode(const LoadReports& loads, wire::LoadReport* report);
+  // Takes the news of endpoints; gives the requests by service.
+  ServiceRequests OnLoadReport(const wire::LoadReport& report);
   // Of services with engines: this node's own, or all of its zone's.
   ServiceRequests OwnRequests() const;
   ServiceRequests ZoneRequests(const ServiceRequests& own) const;
--- a/src/teaselthread/store/store_controller.cc
+++ b/src/teaselthread/store/store_controller.cc
@@ -11,7 +11,7 @@
 // this is well below the revocation bound.
 constexpr Duration kLeadWait = milliseconds(600);
 // Changes come at once in any case.
-constexpr Duration kLongWait = milliseconds(8'000);
+constexpr Duration kLongWait = milliseconds(25'000);
 // A gateway asks for itself once it has had no proof for so long: a lead's wait
 // and two heartbeats.
 constexpr Duration kAskAfter = milliseconds(2'000);
--- a/tests/gateway/knowledge_test.cc
+++ b/tests/gateway/knowledge_test.cc
@@ -101,6 +101,34 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(requests_of_the_fleet, PeerFixture)
+
+BOOST_AUTO_TEST_CASE(are_those_of_each_node_here_and_of_whole_zones_elsewhere) {
+  constexpr uint32_t kService = 7;
+  const Peer second_remote = MakePeer("b-2", "b", 4);
+  const auto hear = [&](const Peer& peer, uint32_t requests, Timestamp now) {
+    Hear(peer, now);
+    PeerNews news;
+    news.serving = true;
+    news.requests = ServiceRequests{{kService, requests}};
+    peers.OnHeartbeat(peer.peer_address, news, now);
+  };
+  hear(other, 5, At(seconds(0)));
+  hear(remote, 40, At(seconds(0)));
+  hear(second_remote, 43, At(milliseconds(100)));
+  BOOST_TEST(peers.ZoneRequests(kService, 3, At(seconds(1))) == 8u);
+  // The later of the two counts of the other zone.
+  BOOST_TEST(peers.FleetRequests(kService, 3, At(seconds(1))) == 51u);
+  BOOST_TEST(peers.FleetRequests(kService + 1, 3, At(seconds(1))) == 3u);
+  // A heartbeat that does not tell them changes nothing.
+  Hear(other, At(seconds(1)));
+  BOOST_TEST(peers.ZoneRequests(kService, 3, At(seconds(2))) == 8u);
+  // Whoever has fallen silent has none.
+  BOOST_TEST(peers.ZoneRequests(kService, 3, At(seconds(9))) == 3u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(limits_are_shared_among_nodes, PeerFixture)
 
 BOOST_AUTO_TEST_CASE(also_with_one_that_is_cut_off) {
@@ -112,6 +140,17 @@
 
 BOOST_FIXTURE_TEST_SUITE(heartbeats, PeerFixture)
 
+// Replays a zone of 59 gateways, which send each other one every 1.2 s.
+BOOST_AUTO_TEST_CASE(of_a_large_zone_may_be_as_far_apart_as_they_say) {
+  peers.OnIntroduction(other, At(seconds(0)));
+  PeerNews news;
+  news.serving = true;
+  news.interval = milliseconds(1'200);
+  peers.OnHeartbeat(other.peer_address, news, At(seconds(0)));
+  BOOST_TEST(peers.ServingFor("a", At(milliseconds(3'500))).size() == 2u);
+  BOOST_TEST(peers.ServingFor("a", At(milliseconds(3'700))).size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(reach_all_of_the_zone_and_a_few_of_each_other) {
   for (uint16_t i = 0; i < 20; ++i) {
     peers.OnRecord(MakePeer("a-x" + std::to_string(i), "a", 100 + i),
