--- a/src/teaselthread/gateway/request_handler.cc
+++ b/src/teaselthread/gateway/request_handler.cc
@@ -384,8 +384,7 @@
       .Add("endpoint", endpoint.record().id)
       .AddRounded("load", endpoint.EstimatedLoad(state_->Now()))
       .Add("cold", endpoint.IsCold(state_->Now()));
-  if (const auto count =
-          endpoint.LatestCount(Duration::max(), state_->Now())) {
+  if (const auto count = endpoint.LatestCount(Duration::max(), state_->Now())) {
     line.AddTime("load_age", state_->Now() - count->at);
   }
   if (!selection.home_part.empty()) {
--- a/platform/soak/caller.py
+++ b/tests/soak/caller.py
@@ -8,6 +8,7 @@
 import endpoint as endpoints
 import http_wire
 import ledger as ledgers
+import platform_wire as wire
 
 CONNECT_S = 1.0
 LOOKUP_S = 2.0
@@ -107,19 +108,19 @@
     def _message(self, sent):
         left_ms = int((sent.deadline_at - time.monotonic()) * 1000)
         fields = {"Host": self._fleet.host,
-                  "X-Teaselthread-Request-Id": sent.id,
-                  "X-Teaselthread-Request-Deadline": str(max(left_ms, 1)),
-                  "X-Teaselthread-Key": sent.key}
+                  wire.REQUEST_ID: sent.id,
+                  wire.DEADLINE_MS: str(max(left_ms, 1)),
+                  wire.KEY: sent.key}
         if sent.kind == "safe":
             target = f"GET /look/item?order={sent.order}"
             return http_wire.message(f"{target} HTTP/1.1", fields)
         if sent.kind == "unsafe":
             return http_wire.message("POST /order/new HTTP/1.1", fields,
                                      f"order={sent.order}".encode())
-        fields["X-Teaselthread-Model"] = "m"
-        fields["X-Teaselthread-Token-Usage"] = f"1500,{sent.events * 10}"
+        fields[wire.MODEL] = "m"
+        fields[wire.TOKEN_USAGE] = f"1500,{sent.events * 10}"
         topic = self._random.randint(0, 9)
-        fields["X-Teaselthread-Prompt-Prefix"] = \
+        fields[wire.PROMPT_PARTS] = \
             f"aa{topic}:1200,{zlib.crc32(sent.order.encode()):x}:300"
         return http_wire.message("POST /chat/new HTTP/1.1", fields,
                                  f"order={sent.order} events={sent.events}".encode())
@@ -139,7 +140,7 @@
                     body.decode() != endpoints.answer_text(sent.order):
                 self._ledger.break_promise("whole-answer", f"{sent}: {body}")
         if status == 200 and \
-                head.fields.get("x-teaselthread-request-id") != sent.id:
+                head.fields.get(wire.REQUEST_ID) != sent.id:
             self._ledger.break_promise("own-answer", f"{sent}: {head.fields}")
         sent.status = status
         return head.keeps_connection()
@@ -175,8 +176,8 @@
         reader, writer = await asyncio.open_connection(host, int(port))
         try:
             writer.write(http_wire.message(
-                f"GET /-/lookup?name={self._fleet.host}&region=r"
-                f"&zone={self.zone} HTTP/1.1", {"Host": directory}))
+                f"GET {wire.lookup_target(self._fleet.host, self.zone)} "
+                "HTTP/1.1", {"Host": directory}))
             head = await http_wire.read_head(reader)
             if not head or head.status != 200:
                 raise http_wire.Broken("no addresses")
--- a/platform/soak/endpoint.py
+++ b/tests/soak/endpoint.py
@@ -7,6 +7,7 @@
 
 import http_wire
 import ledger as ledgers
+import platform_wire as wire
 
 EVENT_PAUSE_S = 0.04
 WORK_S = 0.01
@@ -42,7 +43,7 @@
         self.mode = "pass"
         self.is_draining = False
         self._ledger = ledger
-        self._born_ms = int(time.time() * 1000)
+        self._started_ms = int(time.time() * 1000)
         self._writers = set()
         self._running = 0
         self._server = None
@@ -56,10 +57,9 @@
             writer.transport.abort()
 
     def record(self):
-        return {"service": self.service, "address": self.public_address,
-                "zone": self.zone, "version": "1", "slots": SLOTS,
-                "state": "draining" if self.is_draining else "ready",
-                "cold_left_ms": 0, "sequence": 1, "born": self._born_ms}
+        return wire.endpoint_record(self.service, self.public_address,
+                                    self.zone, SLOTS, self.is_draining,
+                                    self._started_ms)
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
@@ -81,8 +81,8 @@
             self._writers.discard(writer)
 
     async def _answer(self, head, body, writer):
-        request_id = head.fields.get("x-teaselthread-request-id", "")
-        expected = head.fields.get("x-teaselthread-expect-instance")
+        request_id = head.fields.get(wire.REQUEST_ID, "")
+        expected = head.fields.get(wire.EXPECTED_ENDPOINT)
         if not request_id:
             return await self._refuse(400, request_id, writer)
         if expected != self.name:
@@ -92,7 +92,7 @@
         order = re.search(r"order=(\S+)", body or head.start[1])[1]
         self._ledger.on_run(ledgers.Run(
             request_id, order, self.name, self.zone,
-            head.fields.get("x-teaselthread-tenant", ""), time.monotonic()))
+            head.fields.get(wire.CUSTOMER, ""), time.monotonic()))
         if self.mode == "silent":
             await asyncio.sleep(SILENCE_S)
             raise http_wire.Broken("silent")
@@ -108,14 +108,14 @@
         return base * (SLOW_FACTOR if self.mode == "slow" else 1)
 
     def _fields(self, request_id):
-        return {"X-Teaselthread-Request-Id": request_id,
-                "X-Teaselthread-Server-Seal": f"seal.{self.name}",
-                "X-Teaselthread-Server-Load": f"{self._running},0,{SLOTS}",
+        return {wire.REQUEST_ID: request_id,
+                wire.SEAL: f"seal.{self.name}",
+                wire.LOAD: f"{self._running},0,{SLOTS}",
                 "Keep-Alive": f"timeout={IDLE_S}"}
 
     async def _refuse(self, status, request_id, writer):
         fields = self._fields(request_id)
-        fields["X-Teaselthread-Not-Executed"] = "1"
+        fields[wire.NOT_RUN] = "1"
         writer.write(http_wire.message(f"HTTP/1.1 {status} R", fields))
         await writer.drain()
 
@@ -131,13 +131,13 @@
         await writer.drain()
 
     async def _stream(self, head, order, events, writer):
-        fields = self._fields(head.fields["x-teaselthread-request-id"])
+        fields = self._fields(head.fields[wire.REQUEST_ID])
         fields["Content-Type"] = "text/event-stream"
         fields["Transfer-Encoding"] = "chunked"
         lines = "".join(f"{name}: {value}\r\n"
                         for name, value in fields.items())
         writer.write(f"HTTP/1.1 200 S\r\n{lines}\r\n".encode())
-        first = int(head.fields.get("last-event-id", "0")) + 1
+        first = int(head.fields.get(wire.RESUME_AFTER, "0")) + 1
         for number in range(first, events + 1):
             await asyncio.sleep(self._time(EVENT_PAUSE_S))
             if self.mode == "silent":
--- a/platform/soak/faults.py
+++ b/tests/soak/faults.py
@@ -5,6 +5,7 @@
 import time
 
 import ledger as ledgers
+import platform_wire as wire
 from endpoint import Endpoint
 from fleet import HEARTBEATS_MISSED_S, REUSE_AFTER_S, ZONES
 from proxy import Proxy
@@ -98,7 +99,7 @@
         lapsed = [slot.endpoint for slot in fleet.slots
                   if random.random() < 0.5 and not slot.endpoint.is_draining]
         for endpoint in lapsed:
-            fleet.store.remove("servers", endpoint.name)
+            fleet.store.remove(wire.ENDPOINTS, endpoint.name)
         fleet.store.set_mode("pass")
         await asyncio.sleep(random.uniform(0.1, LAPSED_S))
         for slot in fleet.slots:
@@ -158,12 +159,12 @@
     if fleet.ledger.evacuated and fleet.ledger.evacuated[-1][2] is None:
         return
     zone = random.choice(ZONES)
-    fleet.store.put("evacuations", zone, {})
+    fleet.store.put(wire.EVACUATIONS, zone, {})
     begun = time.monotonic()
     fleet.ledger.evacuated.append((zone, begun, None))
     await asyncio.sleep(ledgers.EVACUATE_S + draw_time(random))
     fleet.ledger.evacuated[-1] = (zone, begun, time.monotonic())
-    fleet.store.remove("evacuations", zone)
+    fleet.store.remove(wire.EVACUATIONS, zone)
 
 
 FAULTS = (pause_gateway, kill_gateway, terminate_gateway, reload_gateways,
--- a/platform/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -8,7 +8,8 @@
 import time
 
 import http_wire
-from endpoint import Endpoint
+import platform_wire as wire
+from endpoint import SLOTS, Endpoint
 from proxy import Proxy
 from store import Store
 
@@ -126,11 +127,11 @@
         self.register()
 
     def register(self):
-        self._fleet.store.put("servers", self.endpoint.name,
+        self._fleet.store.put(wire.ENDPOINTS, self.endpoint.name,
                               self.endpoint.record())
 
     def deregister(self):
-        self._fleet.store.remove("servers", self.endpoint.name)
+        self._fleet.store.remove(wire.ENDPOINTS, self.endpoint.name)
 
 
 class Fleet:
@@ -174,28 +175,15 @@
 
     def write_configuration(self):
         self._version += 3
-        routes = [("look", "idempotent", "desk", 1500),
-                  ("order", "non_idempotent", "desk", 1500),
-                  ("chat", "streaming", "pool", 6000)]
-        self.store.put("config", "main", {
-            "version": self._version,
-            "routes": [{"name": name, "host": self.host, "kind": kind,
-                        "path_prefix": f"/{name}/", "service": service,
-                        "timeout_ms": timeout_ms, "slo_ms": 500,
-                        "gap_slo_ms": 300, "priority": 1,
-                        "max_attempts": 2, "public": False,
-                        "resumable": kind == "streaming",
-                        "session_affinity": kind == "streaming"}
-                       for name, kind, service, timeout_ms in routes],
-            "services": [
-                {"name": "desk", "max_conns": 400},
-                {"name": "pool", "max_conns": 400, "cold_start_s": 0,
-                 "cold_per_s": 8,
-                 "engine": {"slots": 24, "kv_capacity": 400000}}],
-            "tenants": [{"name": f"customer-of-{key}", "api_keys": [key]}
-                        for key in self.keys],
-            "limits": {"max_header_bytes": 16384, "max_body_bytes": 1 << 20,
-                       "header_timeout_ms": 3000, "idle_timeout_ms": 5000}})
+        routes = [
+            wire.route("look", self.host, "idempotent", "desk", 1500),
+            wire.route("order", self.host, "non_idempotent", "desk", 1500),
+            wire.route("chat", self.host, "streaming", "pool", 6000)]
+        services = [wire.service("desk"), wire.service("pool", SLOTS)]
+        keys = {f"customer-of-{key}": [key] for key in self.keys}
+        self.store.put(wire.CONFIGURATION, wire.CONFIGURATION_NAME,
+                       wire.configuration(self._version, routes, services,
+                                          keys))
 
     def revoke_oldest_key(self):
         oldest = self.keys.pop(0)
--- a/platform/soak/store.py
+++ b/tests/soak/store.py
@@ -5,9 +5,9 @@
 from urllib.parse import parse_qs, urlsplit
 
 import http_wire
+import platform_wire as wire
 
 PAGE_ITEMS = 20
-PREFIX = "/-/objects/"
 SLOW_S = 0.4
 
 
@@ -45,11 +45,10 @@
     def put(self, kind, name, spec):
         """The operator's or an endpoint's own write."""
         current = self._objects.get((kind, name))
-        if current and current["spec"] == spec:
+        if current and wire.name_and_content(current)[1] == spec:
             return
         self._revision += 1
-        changed = {"metadata": {"name": name, "revision": self._revision},
-                   "spec": spec}
+        changed = wire.stored(name, self._revision, spec)
         self._objects[kind, name] = changed
         self._record(kind, changed, False)
 
@@ -57,8 +56,8 @@
         removed = self._objects.pop((kind, name), None)
         if removed:
             self._revision += 1
-            removed = {"metadata": {"name": name, "revision": self._revision},
-                       "spec": removed["spec"]}
+            removed = wire.stored(name, self._revision,
+                                  wire.name_and_content(removed)[1])
             self._record(kind, removed, True)
 
     def forget_history(self):
@@ -67,8 +66,8 @@
         self._notify()
 
     def _record(self, kind, changed, removed):
-        event = {"object": changed, "removed": removed}
-        self._history.append((self._revision, kind, event))
+        self._history.append((self._revision, kind,
+                              wire.change(changed, removed)))
         self._notify()
 
     def _notify(self):
@@ -101,35 +100,35 @@
         if self.mode == "unavailable":
             return 503, {}
         url = urlsplit(head.start[1])
-        if not url.path.startswith(PREFIX):
+        if not url.path.startswith(wire.OBJECTS_PATH):
             return 404, {}
-        kind, _, name = url.path[len(PREFIX):].partition("/")
+        kind, _, name = url.path[len(wire.OBJECTS_PATH):].partition("/")
         query = {key: values[0] for key, values in parse_qs(url.query).items()}
         return await self._operate(head.start[0], kind, name, query, body)
 
     async def _operate(self, method, kind, name, query, body):
-        if method == "GET" and "watch_rev" in query:
-            return await self._watch(kind, int(query["watch_rev"]),
-                                     int(query.get("wait_ms", "0")) / 1000)
+        if method == "GET" and wire.WATCH_FROM in query:
+            wait_ms = int(query.get(wire.WATCH_WAIT_MS, "0"))
+            return await self._watch(kind, int(query[wire.WATCH_FROM]),
+                                     wait_ms / 1000)
         if method == "GET":
-            return self._list(kind, query.get("after", ""))
+            return self._list(kind, query.get(wire.LIST_AFTER, ""))
         if method == "DELETE":
             self.remove(kind, name)
             return 200, {}
-        written = json.loads(body)
-        name = name or written["metadata"]["name"]
+        named, content = wire.name_and_content(json.loads(body))
+        name = name or named
         if method == "POST" and (kind, name) in self._objects:
             return 409, self._objects[kind, name]
-        self.put(kind, name, written["spec"])
+        self.put(kind, name, content)
         return 200, self._objects[kind, name]
 
     def _list(self, kind, after):
         names = sorted(name for its_kind, name in self._objects
                        if its_kind == kind and name > after)
         page = names[:PAGE_ITEMS]
-        return 200, {"items": [self._objects[kind, name] for name in page],
-                     "has_more": len(names) > len(page),
-                     "at": self._revision}
+        return 200, wire.page([self._objects[kind, name] for name in page],
+                              len(names) > len(page), self._revision)
 
     async def _watch(self, kind, revision, wait_s):
         ends_at = asyncio.get_running_loop().time() + wait_s
@@ -140,7 +139,7 @@
                       if at > revision and its_kind == kind]
             left = ends_at - asyncio.get_running_loop().time()
             if events or left <= 0 or self.mode != "pass":
-                return 200, {"events": events, "at": self._revision}
+                return 200, wire.changes(events, self._revision)
             try:
                 await asyncio.wait_for(self._changed.wait(), left)
             except asyncio.TimeoutError:
