--- a/src/libteaselthread/endpoints/endpoint_table.cc
+++ b/src/libteaselthread/endpoints/endpoint_table.cc
@@ -24,9 +24,13 @@
 
 void EndpointTable::ReplaceAll(const std::vector<EndpointRecord>& records,
                                Timestamp now) {
+  const bool is_first = endpoints_.empty();
   std::set<std::string> listed;
   for (const EndpointRecord& record : records) {
-    Put(record, now);
+    if (is_first)
+      Add(record, record.cold_left, now);
+    else
+      Put(record, now);
     listed.insert(record.id);
   }
   std::vector<std::string> missing;
@@ -51,13 +55,17 @@
     if (record.started_at_ms < known.started_at_ms)
       return;
   }
-  const Duration cold_start = ColdStartOf(record.service);
-  const Duration cold = std::max(
-      record.cold_left, cold_start > Duration::zero() ? cold_start + kColdMargin
-                                                      : Duration::zero());
+  Add(record, std::max(record.cold_left, ColdStartOf(record.service)), now);
+}
+
+void EndpointTable::Add(const EndpointRecord& record,
+                        Duration cold,
+                        Timestamp now) {
+  const Timestamp cold_until =
+      cold > Duration::zero() ? now + cold + kColdMargin : now;
   ids_[ShortHash(record.id)] = record.id;
   endpoints_[record.id] = {
-      std::make_shared<KnownEndpoint>(record, now, now + cold), false};
+      std::make_shared<KnownEndpoint>(record, now, cold_until), false};
 }
 
 void EndpointTable::Remove(const std::string& id, Timestamp now) {
--- a/src/libteaselthread/endpoints/endpoint_table.h
+++ b/src/libteaselthread/endpoints/endpoint_table.h
@@ -21,7 +21,8 @@
 // removals are put off for a while after its return.
 class EndpointTable {
  public:
-  // A whole list. What it does not name is removed.
+  // A whole list. What it does not name is removed. Endpoints of the first list
+  // were there before; only those that say so are cold.
   void ReplaceAll(const std::vector<EndpointRecord>& records, Timestamp now);
   void Put(const EndpointRecord& record, Timestamp now);
   void Remove(const std::string& id, Timestamp now);
@@ -59,6 +60,7 @@
 
   using Entries = std::map<std::string, Entry>;  // by id
 
+  void Add(const EndpointRecord& record, Duration cold, Timestamp now);
   Duration ColdStartOf(const std::string& service) const;
   // Gives the entry after it.
   Entries::iterator Forget(Entries::iterator entry);
--- a/tests/gateway/endpoint_table_test.cc
+++ b/tests/gateway/endpoint_table_test.cc
@@ -37,6 +37,33 @@
   BOOST_TEST(available() == 1u);
 }
 
+BOOST_AUTO_TEST_SUITE(a_cold_endpoint)
+
+// Replays a day on which all gateways restarted at once and took every engine
+// for a cold one.
+BOOST_FIXTURE_TEST_CASE(is_told_from_others_by_its_entry_in_the_first_list,
+                        TableFixture) {
+  EndpointRecord cold = MakeEngineRecord("e2", "a");
+  cold.cold_left = seconds(2);
+  table.ReplaceAll({MakeEngineRecord("e1", "a"), cold}, At(seconds(0)));
+  const auto engines = table.Available("pool");
+  BOOST_TEST(!engines[0]->IsCold(At(milliseconds(1'500))));
+  BOOST_TEST(engines[1]->IsCold(At(milliseconds(1'500))));
+}
+
+BOOST_FIXTURE_TEST_CASE(is_any_that_comes_later, TableFixture) {
+  table.ReplaceAll({MakeEngineRecord("e1", "a")}, At(seconds(0)));
+  table.Put(MakeEngineRecord("e2", "a"), At(seconds(5)));
+  table.ReplaceAll({MakeEngineRecord("e1", "a"), MakeEngineRecord("e2", "a"),
+                    MakeEngineRecord("e3", "a")},
+                   At(seconds(6)));
+  const auto engines = table.Available("pool");
+  BOOST_TEST(engines[1]->IsCold(At(seconds(8))));
+  BOOST_TEST(engines[2]->IsCold(At(seconds(9))));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(an_endpoint_that_leaves)
 
 BOOST_FIXTURE_TEST_CASE(gets_no_new_work_but_serves_copies, TableFixture) {
