Heartbeats never go to the node itself

Cause: since the load news, heartbeats go to every record of the zone without leaving out this node's own address. The record of a node that was replaced at the same address brought a gateway its own heartbeats, so that it took the old node for alive; two records of one address brought it two. Ruled out: the store's records (they are right to stay until removed). Figures: the new test failed before and passes.

--- a/src/libteaselthread/peers/peer_set.cc
+++ b/src/libteaselthread/peers/peer_set.cc
@@ -1,6 +1,7 @@
 #include "libteaselthread/peers/peer_set.h"
 
 #include <algorithm>
+#include <set>
 
 #include "libteaselthread/rendezvous_hash.h"
 
@@ -101,13 +102,18 @@
              (is_remote ? timeout * kRemoteTimeoutMultiple : timeout);
 }
 
+bool PeerSet::IsTarget(const Entry& entry, Timestamp now) const {
+  return now - entry.mentioned_at <= kMemory &&
+         entry.peer.peer_address != self_.peer_address;
+}
+
 std::vector<SocketAddress> PeerSet::ZoneTargets(Timestamp now) const {
-  std::vector<SocketAddress> targets;
+  std::set<SocketAddress> targets;
   for (const auto& [name, entry] : entries_) {
-    if (entry.peer.zone == self_.zone && now - entry.mentioned_at <= kMemory)
-      targets.push_back(entry.peer.peer_address);
+    if (entry.peer.zone == self_.zone && IsTarget(entry, now))
+      targets.insert(entry.peer.peer_address);
   }
-  return targets;
+  return {targets.begin(), targets.end()};
 }
 
 std::vector<SocketAddress> PeerSet::RemoteTargets(Timestamp now) const {
@@ -116,7 +122,7 @@
   std::map<std::string, std::map<uint64_t, SocketAddress>> by_zone;
   const RendezvousKey key(self_.name);
   for (const auto& [name, entry] : entries_) {
-    if (entry.peer.zone == self_.zone || now - entry.mentioned_at > kMemory)
+    if (entry.peer.zone == self_.zone || !IsTarget(entry, now))
       continue;
     by_zone[entry.peer.zone].emplace(key.WeightOf(name),
                                      entry.peer.peer_address);
--- a/src/libteaselthread/peers/peer_set.h
+++ b/src/libteaselthread/peers/peer_set.h
@@ -70,7 +70,8 @@
   // All nodes that may be alive, this one included. A node that fell silent
   // counts for kMemory more, since it may only be cut off.
   std::vector<std::string> PossiblyAlive(Timestamp now) const;
-  // Where heartbeats go: to every node of the own availability zone.
+  // Where heartbeats go: to every node of the own availability zone, and never
+  // to this node itself, whose address an older record may name.
   std::vector<SocketAddress> ZoneTargets(Timestamp now) const;
   // To kRemoteTargets nodes in each other availability zone, less often.
   std::vector<SocketAddress> RemoteTargets(Timestamp now) const;
@@ -113,6 +114,7 @@
 
   static uint32_t RequestsOf(const Entry& entry, uint32_t service);
   bool IsAlive(const Entry& entry, Timestamp now) const;
+  bool IsTarget(const Entry& entry, Timestamp now) const;
   const Entry* FindByAddress(const SocketAddress& address) const;
 
   Peer self_;
--- a/tests/gateway/knowledge_test.cc
+++ b/tests/gateway/knowledge_test.cc
@@ -140,6 +140,15 @@
 
 BOOST_FIXTURE_TEST_SUITE(heartbeats, PeerFixture)
 
+// A node that was replaced may have left its record behind, with this node's
+// address.
+BOOST_AUTO_TEST_CASE(never_go_to_the_sender_itself) {
+  peers.OnRecord(MakePeer("a-0", "a", 1), At(seconds(0)));
+  peers.OnRecord(MakePeer("b-0", "b", 1), At(seconds(0)));
+  BOOST_TEST(peers.ZoneTargets(At(seconds(0))).empty());
+  BOOST_TEST(peers.RemoteTargets(At(seconds(0))).empty());
+}
+
 // Replays a zone of 59 gateways, which send each other one every 1.2 s.
 BOOST_AUTO_TEST_CASE(of_a_large_zone_may_be_as_far_apart_as_they_say) {
   peers.OnIntroduction(other, At(seconds(0)));
