One listener, one reader of addresses and files, heartbeats made once

Cause: a reading of the whole change found CallerServer beside Listener, two ReadAddress, three readers of a whole file, and heartbeats whose common part (interval, age, load) was worked out for each recipient again. Change: Listener serves both servers; SectionReader::RequiredAddress and ReadTextFile replace the copies; a heartbeat is made once and gets what belongs to its recipient when it is sent. Behaviour is the same, but for the words 'for callers' in one error. Ruled out: sharing the parsing of both settings, whose sections differ.

--- a/src/libteaselthread/emulator/emulated_fleet.cc
+++ b/src/libteaselthread/emulator/emulated_fleet.cc
@@ -126,11 +126,12 @@
   const Timestamp sent_at = clock_.now();
   const std::string part = HomePart(prompt).id;
   EmulatedEngine* engine = engines_[placement.engine].get();
-  EndpointPtr known;
-  for (const EndpointPtr& endpoint : gateway.table.Running(kServiceName)) {
-    if (endpoint->record().id == std::to_string(placement.engine))
-      known = endpoint;
-  }
+  const std::string id = std::to_string(placement.engine);
+  const std::vector<EndpointPtr> all = gateway.table.Running(kServiceName);
+  const EndpointPtr known =
+      *std::find_if(all.begin(), all.end(), [&id](const EndpointPtr& endpoint) {
+        return endpoint->record().id == id;
+      });
   CountSend(placement.engine);
   ++under_way_;
   known->OnSend(sent_at);
--- a/src/libteaselthread/emulator/placement_strategy.cc
+++ b/src/libteaselthread/emulator/placement_strategy.cc
@@ -94,9 +94,13 @@
                   Timestamp /*now*/) override {
     const RendezvousKey key(HomePart(prompt).id);
     size_t best = 0;
-    for (size_t i = 1; i < engines.size(); ++i) {
-      if (key.WeightOf(std::to_string(i)) > key.WeightOf(std::to_string(best)))
+    uint64_t best_weight = 0;
+    for (size_t i = 0; i < engines.size(); ++i) {
+      const uint64_t weight = key.WeightOf(std::to_string(i));
+      if (weight > best_weight) {
         best = i;
+        best_weight = weight;
+      }
     }
     return {best, std::nullopt};
   }
--- a/src/libteaselthread/emulator/scenario.cc
+++ b/src/libteaselthread/emulator/scenario.cc
@@ -1,10 +1,9 @@
 #include "libteaselthread/emulator/scenario.h"
 
 #include <cmath>
-#include <fstream>
-#include <sstream>
 
 #include "libteaselthread/section_reader.h"
+#include "libteaselthread/text_file.h"
 
 namespace teaselthread::emulator {
 namespace {
@@ -126,13 +125,8 @@
 }
 
 Result<Scenario> Scenario::Load(const std::string& file_name) {
-  std::ifstream file(file_name);
-  std::ostringstream text;
-  if (!file || !(text << file.rdbuf())) {
-    return Error{ErrorCode::kUnreadableFile,
-                 file_name + ": cannot be read or is empty"};
-  }
-  return Parse(text.str(), file_name);
+  const Result<std::string> text = ReadTextFile(file_name);
+  return text ? Parse(*text, file_name) : Result<Scenario>(text.last_reason());
 }
 
 }  // namespace teaselthread::emulator
--- a/src/libteaselthread/section_reader.cc
+++ b/src/libteaselthread/section_reader.cc
@@ -37,6 +37,17 @@
   return {};
 }
 
+SocketAddress SectionReader::RequiredAddress(std::string_view key) {
+  const std::string text = RequiredText(key);
+  if (text.empty())
+    return {};
+  const Result<SocketAddress> address = SocketAddress::Parse(text);
+  if (address)
+    return *address;
+  Report(address.last_reason().code, key, address.last_reason().detail);
+  return {};
+}
+
 int64_t SectionReader::Integer(std::string_view key,
                                int64_t fallback,
                                IntegerRange range) {
--- a/src/libteaselthread/section_reader.h
+++ b/src/libteaselthread/section_reader.h
@@ -9,6 +9,7 @@
 
 #include "libteaselthread/error.h"
 #include "libteaselthread/ini_document.h"
+#include "libteaselthread/settings.h"
 #include "libteaselthread/timestamp.h"
 
 namespace teaselthread {
@@ -29,6 +30,8 @@
 
   std::string Text(std::string_view key, std::string_view fallback);
   std::string RequiredText(std::string_view key);
+  // IP:port.
+  SocketAddress RequiredAddress(std::string_view key);
   int64_t Integer(std::string_view key, int64_t fallback, IntegerRange range);
   // The key ends in "_ms"; the value is in milliseconds.
   Duration Milliseconds(std::string_view key,
--- a/src/libteaselthread/settings.cc
+++ b/src/libteaselthread/settings.cc
@@ -4,11 +4,10 @@
 
 #include <algorithm>
 #include <charconv>
-#include <fstream>
 #include <set>
-#include <sstream>
 
 #include "libteaselthread/section_reader.h"
+#include "libteaselthread/text_file.h"
 
 namespace teaselthread {
 namespace {
@@ -30,22 +29,6 @@
          inet_pton(AF_INET6, host.c_str(), &ignored) == 1;
 }
 
-SocketAddress ReadAddress(SectionReader& reader,
-                          std::string_view key,
-                          const std::string& place,
-                          std::vector<Error>* errors) {
-  const std::string text = reader.RequiredText(key);
-  if (text.empty())
-    return {};
-  Result<SocketAddress> address = SocketAddress::Parse(text);
-  if (address)
-    return *address;
-  errors->push_back(
-      {address.last_reason().code,
-       place + " " + std::string(key) + ": " + address.last_reason().detail});
-  return {};
-}
-
 CallerLimits ReadCallerLimits(SectionReader& reader) {
   CallerLimits limits;
   limits.max_header_bytes = static_cast<uint32_t>(
@@ -145,13 +128,8 @@
 }
 
 Result<Settings> Settings::Load(const std::string& file_name) {
-  std::ifstream file(file_name);
-  std::ostringstream text;
-  if (!file || !(text << file.rdbuf())) {
-    return Error{ErrorCode::kUnreadableFile,
-                 file_name + ": cannot be read or is empty"};
-  }
-  return Parse(text.str(), file_name);
+  const Result<std::string> text = ReadTextFile(file_name);
+  return text ? Parse(*text, file_name) : Result<Settings>(text.last_reason());
 }
 
 void Settings::ReadSection(const IniSection& section,
@@ -162,8 +140,8 @@
   if (section.kind == "node") {
     name_ = reader.RequiredText("name");
     zone_ = reader.RequiredText("zone");
-    caller_listen_ = ReadAddress(reader, "caller_listen", place, errors);
-    peer_listen_ = ReadAddress(reader, "peer_listen", place, errors);
+    caller_listen_ = reader.RequiredAddress("caller_listen");
+    peer_listen_ = reader.RequiredAddress("peer_listen");
     log_level_ = reader.Text("log_level", "info");
     const std::set<std::string> levels = {"debug", "info", "warn", "error"};
     if (!levels.contains(log_level_)) {
@@ -184,7 +162,7 @@
                          place + " seeds: " + seed.last_reason().detail});
     }
   } else if (section.kind == "platform") {
-    platform_ = ReadAddress(reader, "address", place, errors);
+    platform_ = reader.RequiredAddress("address");
   } else if (section.kind == "callers") {
     address_ttl_ = reader.Milliseconds("address_ttl_ms", 10'000, kTtlRangeMs);
     caller_limits_ = ReadCallerLimits(reader);
--- a/src/teaselthread/callers/caller_server.cc
+++ b/src/teaselthread/callers/caller_server.cc
@@ -65,49 +65,21 @@
 
 Result<std::unique_ptr<CallerServer>> CallerServer::Start(NodeState* state,
                                                           EntryService* entry) {
-  const SocketAddress& address = state->settings().caller_listen();
-  tcp::acceptor acceptor(state->io());
-  const tcp::endpoint endpoint(asio::ip::make_address(address.host),
-                               address.port);
-  boost::system::error_code failure;
-  acceptor.open(endpoint.protocol(), failure);
-  if (!failure)
-    acceptor.set_option(tcp::acceptor::reuse_address(true), failure);
-  if (!failure)
-    acceptor.bind(endpoint, failure);
-  if (!failure)
-    acceptor.listen(asio::socket_base::max_listen_connections, failure);
-  if (failure) {
-    return Error{ErrorCode::kUnavailable, "cannot listen for callers on " +
-                                              address.ToString() + ": " +
-                                              failure.message()};
-  }
-  std::unique_ptr<CallerServer> server(
-      new CallerServer(state, entry, std::move(acceptor)));
-  asio::co_spawn(state->io(), server->AcceptLoop(), asio::detached);
+  std::unique_ptr<CallerServer> server(new CallerServer(state, entry));
+  auto listener = Listener::Start(
+      &state->io(), state->settings().caller_listen(),
+      [state, server = server.get()](tcp::socket socket) {
+        asio::co_spawn(state->io(), server->ServeConnection(std::move(socket)),
+                       asio::detached);
+      });
+  if (!listener)
+    return listener.last_reason();
+  server->listener_ = listener.TakeValue();
   return server;
 }
 
-CallerServer::CallerServer(NodeState* state,
-                           EntryService* entry,
-                           tcp::acceptor acceptor)
-    : state_(state), entry_(entry), acceptor_(std::move(acceptor)) {}
-
-asio::awaitable<void> CallerServer::AcceptLoop() {
-  asio::steady_timer pause(state_->io());
-  for (;;) {
-    auto [failure, socket] = co_await acceptor_.async_accept(kAsTuple);
-    if (failure == asio::error::operation_aborted)
-      co_return;
-    if (failure) {
-      pause.expires_after(std::chrono::milliseconds(50));
-      co_await pause.async_wait(kAsTuple);
-      continue;
-    }
-    asio::co_spawn(state_->io(), ServeConnection(std::move(socket)),
-                   asio::detached);
-  }
-}
+CallerServer::CallerServer(NodeState* state, EntryService* entry)
+    : state_(state), entry_(entry) {}
 
 asio::awaitable<void> CallerServer::ServeConnection(tcp::socket socket) {
   boost::system::error_code ignored;
--- a/src/teaselthread/callers/caller_server.h
+++ b/src/teaselthread/callers/caller_server.h
@@ -6,6 +6,7 @@
 
 #include "libteaselthread/error.h"
 #include "teaselthread/entry_service.h"
+#include "teaselthread/listener.h"
 #include "teaselthread/node_state.h"
 
 namespace teaselthread {
@@ -21,9 +22,8 @@
                                                      EntryService* entry);
 
  private:
-  CallerServer(NodeState* state, EntryService* entry, tcp::acceptor acceptor);
+  CallerServer(NodeState* state, EntryService* entry);
 
-  asio::awaitable<void> AcceptLoop();
   asio::awaitable<void> ServeConnection(tcp::socket socket);
   // Returns whether the connection can take another request.
   asio::awaitable<bool> ServeOneRequest(tcp::socket& socket,
@@ -37,7 +37,7 @@
 
   NodeState* state_;
   EntryService* entry_;
-  tcp::acceptor acceptor_;
+  std::unique_ptr<Listener> listener_;
   uint32_t connections_ = 0;
   uint64_t last_request_ = 0;
 };
--- a/src/teaselthread/gateway/admin_server.h
+++ b/src/teaselthread/gateway/admin_server.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "teaselthread/gateway/gateway_state.h"
-#include "teaselthread/gateway/listener.h"
+#include "teaselthread/listener.h"
 
 namespace teaselthread {
 
--- a/src/teaselthread/gateway/front_server.h
+++ b/src/teaselthread/gateway/front_server.h
@@ -5,7 +5,7 @@
 #include <set>
 
 #include "teaselthread/gateway/front_connection.h"
-#include "teaselthread/gateway/listener.h"
+#include "teaselthread/listener.h"
 
 namespace teaselthread {
 
--- a/src/teaselthread/gateway/gateway_settings.cc
+++ b/src/teaselthread/gateway/gateway_settings.cc
@@ -1,11 +1,11 @@
 #include "teaselthread/gateway/gateway_settings.h"
 
 #include <algorithm>
-#include <fstream>
 #include <iterator>
 #include <sstream>
 
 #include "libteaselthread/section_reader.h"
+#include "libteaselthread/text_file.h"
 
 namespace teaselthread {
 namespace {
@@ -15,22 +15,6 @@
 constexpr IntegerRange kMillisecondsRange = {1, 600'000};
 constexpr IntegerRange kTtlRangeMs = {500, 60'000};
 
-SocketAddress ReadAddress(SectionReader& reader,
-                          std::string_view key,
-                          const std::string& place,
-                          std::vector<Error>* errors) {
-  const std::string text = reader.RequiredText(key);
-  if (text.empty())
-    return {};
-  Result<SocketAddress> address = SocketAddress::Parse(text);
-  if (address)
-    return *address;
-  errors->push_back(
-      {address.last_reason().code,
-       place + " " + std::string(key) + ": " + address.last_reason().detail});
-  return {};
-}
-
 int64_t InMilliseconds(Duration time) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
 }
@@ -73,13 +57,9 @@
 }
 
 Result<GatewaySettings> GatewaySettings::Load(const std::string& file_name) {
-  std::ifstream file(file_name);
-  std::ostringstream text;
-  if (!file || !(text << file.rdbuf())) {
-    return Error{ErrorCode::kUnreadableFile,
-                 file_name + ": cannot be read or is empty"};
-  }
-  return Parse(text.str(), file_name);
+  const Result<std::string> text = ReadTextFile(file_name);
+  return text ? Parse(*text, file_name)
+              : Result<GatewaySettings>(text.last_reason());
 }
 
 std::string GatewaySettings::ToText() const {
@@ -128,12 +108,12 @@
                                    "error, found '" +
                                    log_level_ + "'"});
   }
-  front_listen_ = ReadAddress(reader, "front_listen", place, errors);
-  readiness_listen_ = ReadAddress(reader, "readiness_listen", place, errors);
-  directory_listen_ = ReadAddress(reader, "directory_listen", place, errors);
-  metrics_listen_ = ReadAddress(reader, "metrics_listen", place, errors);
-  peer_listen_ = ReadAddress(reader, "peer_listen", place, errors);
-  store_ = ReadAddress(reader, "store", place, errors);
+  front_listen_ = reader.RequiredAddress("front_listen");
+  readiness_listen_ = reader.RequiredAddress("readiness_listen");
+  directory_listen_ = reader.RequiredAddress("directory_listen");
+  metrics_listen_ = reader.RequiredAddress("metrics_listen");
+  peer_listen_ = reader.RequiredAddress("peer_listen");
+  store_ = reader.RequiredAddress("store");
   address_ttl_ = reader.Milliseconds("address_ttl_ms", 2'000, kTtlRangeMs);
   reader.RejectUnknownKeys();
 }
--- a/src/teaselthread/gateway/peer_heartbeat.cc
+++ b/src/teaselthread/gateway/peer_heartbeat.cc
@@ -83,14 +83,18 @@
   std::vector<SocketAddress> zone = state_->peers().ZoneTargets(now);
   const std::vector<SocketAddress> remote = state_->peers().RemoteTargets(now);
   std::shuffle(zone.begin(), zone.end(), state_->random());
-  LoadReports loads = {OwnRequests(),
-                       state_->endpoints().BusiestEndpoints(kNewsItems, now)};
+  const wire::GatewayHeartbeat plain = MakeMessage();
+  const ServiceRequests own = OwnRequests();
+  wire::GatewayHeartbeat with_load = plain;
+  SetNews(state_->endpoints().BusiestEndpoints(kNewsItems, now),
+          with_load.mutable_load());
+  SetRequests(own, with_load.mutable_load());
   for (size_t i = 0; i < zone.size(); ++i)
-    SendTo(zone[i], i < PeerSet::kNewsTargets ? &loads : nullptr);
+    SendTo(zone[i], i < PeerSet::kNewsTargets ? with_load : plain);
   if (crosses_zones) {
-    loads.requests = ZoneRequests(loads.requests);
+    SetRequests(ZoneRequests(own), with_load.mutable_load());
     for (const SocketAddress& target : remote)
-      SendTo(target, &loads);
+      SendTo(target, with_load);
   }
   // Seeds bring nodes together that have no record of each other.
   if (!zone.empty() || !remote.empty())
@@ -99,7 +103,7 @@
                                 state_->settings().seeds().end());
   seeds.erase(state_->peers().self().peer_address);
   for (const SocketAddress& target : seeds)
-    SendTo(target, nullptr);
+    SendTo(target, plain);
 }
 
 ServiceRequests PeerHeartbeat::OwnRequests() const {
@@ -132,20 +136,10 @@
   return all;
 }
 
-void PeerHeartbeat::SendTo(const SocketAddress& target,
-                           const LoadReports* loads) {
-  const Peer& self = state_->peers().self();
+wire::GatewayHeartbeat PeerHeartbeat::MakeMessage() const {
   const Timestamp now = GatewayState::BootNow();
   wire::GatewayHeartbeat message;
-  const auto heard_at = state_->peers().LastSentAt(target);
-  if (!heard_at ||
-      beats_ % kBeatsBetweenIntroductions < PeerSet::kBeatsPerRemoteBeat) {
-    message.mutable_identity()->set_name(self.name);
-    message.mutable_identity()->set_zone(self.zone);
-    message.mutable_identity()->set_front_address(
-        self.front_address.ToString());
-  }
-  message.set_serving(self.serving);
+  message.set_serving(state_->peers().self().serving);
   if (state_->routes())
     message.set_configuration_version(state_->routes()->version());
   if (const auto age = state_->knowledge().Age(now)) {
@@ -156,10 +150,22 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(Interval())
           .count()));
   message.set_sent_at_us(ToMicroseconds(now));
+  return message;
+}
+
+void PeerHeartbeat::SendTo(const SocketAddress& target,
+                           wire::GatewayHeartbeat message) {
+  const auto heard_at = state_->peers().LastSentAt(target);
   if (heard_at)
     message.set_echoed_us(ToMicroseconds(*heard_at));
-  if (loads)
-    Encode(*loads, message.mutable_load());
+  if (!heard_at ||
+      beats_ % kBeatsBetweenIntroductions < PeerSet::kBeatsPerRemoteBeat) {
+    const Peer& self = state_->peers().self();
+    message.mutable_identity()->set_name(self.name);
+    message.mutable_identity()->set_zone(self.zone);
+    message.mutable_identity()->set_front_address(
+        self.front_address.ToString());
+  }
   const std::string bytes = message.SerializeAsString();
   state_->metrics().OnHeartbeatSent(bytes.size());
   // A datagram that cannot be sent counts as lost.
@@ -214,13 +220,19 @@
     on_news_(news);
 }
 
-void PeerHeartbeat::Encode(const LoadReports& loads, wire::LoadReport* report) {
-  for (const auto& [service, count] : loads.requests) {
+void PeerHeartbeat::SetRequests(const ServiceRequests& requests,
+                                wire::LoadReport* report) {
+  report->clear_services();
+  for (const auto& [service, count] : requests) {
     wire::ServiceLoad* load = report->add_services();
     load->set_service(service);
     load->set_requests(count);
   }
-  for (const LoadNews& item : loads.news) {
+}
+
+void PeerHeartbeat::SetNews(const std::vector<LoadNews>& news,
+                            wire::LoadReport* report) {
+  for (const LoadNews& item : news) {
     report->add_endpoints(item.endpoint);
     report->add_requests(item.requests);
     report->add_ages(static_cast<uint32_t>(item.age / kAgeUnit));
--- a/src/teaselthread/gateway/peer_heartbeat.h
+++ b/src/teaselthread/gateway/peer_heartbeat.h
@@ -10,8 +10,9 @@
 namespace teaselthread {
 
 namespace wire {
+class GatewayHeartbeat;
 class LoadReport;
-}
+}  // namespace wire
 
 // Sends this node's state to the others in datagrams, and takes theirs.
 class PeerHeartbeat {
@@ -33,15 +34,14 @@
   void SendIfDue(Timestamp now);
   Duration Interval() const;
   void Send(bool crosses_zones);
-  // What the recipients of one heartbeat are told of load.
-  struct LoadReports {
-    ServiceRequests requests;
-    std::vector<LoadNews> news;
-  };
-
-  // `loads` may be null.
-  void SendTo(const SocketAddress& target, const LoadReports* loads);
-  static void Encode(const LoadReports& loads, wire::LoadReport* report);
+  // Adds what only this recipient gets.
+  void SendTo(const SocketAddress& target, wire::GatewayHeartbeat message);
+  // What all recipients get.
+  wire::GatewayHeartbeat MakeMessage() const;
+  static void SetRequests(const ServiceRequests& requests,
+                          wire::LoadReport* report);
+  static void SetNews(const std::vector<LoadNews>& news,
+                      wire::LoadReport* report);
   // Takes the news of endpoints; gives the requests by service.
   ServiceRequests OnLoadReport(const wire::LoadReport& report);
   // Of services with engines: this node's own, or all of its zone's.
--- a/src/teaselthread/listener.cc
+++ b/src/teaselthread/listener.cc
@@ -1,4 +1,4 @@
-#include "teaselthread/gateway/listener.h"
+#include "teaselthread/listener.h"
 
 namespace teaselthread {
 namespace {
--- a/src/teaselthread/listener.h
+++ b/src/teaselthread/listener.h
@@ -1,5 +1,5 @@
-#ifndef TEASELTHREAD_GATEWAY_LISTENER_H_
-#define TEASELTHREAD_GATEWAY_LISTENER_H_
+#ifndef TEASELTHREAD_LISTENER_H_
+#define TEASELTHREAD_LISTENER_H_
 
 #include <functional>
 #include <memory>
@@ -32,4 +32,4 @@
 
 }  // namespace teaselthread
 
-#endif  // TEASELTHREAD_GATEWAY_LISTENER_H_
+#endif  // TEASELTHREAD_LISTENER_H_
