A check of the system packages that the build uses

Cause: nothing compared what `build` opens with the list, and all machines that had built it so far held the packages of the tests as well. Evidence: with only the listed packages installed, a fresh clone stops at find_package(Boost ... unit_test_framework); with that taken out and no make on the path it stops at "unable to find a build program corresponding to Unix Makefiles". Both end with the lines above. Change: build_packages_test runs `build` under strace in a copy of the checkout without its tests, with nothing in the environment but PATH, HOME, TMPDIR and TZ. Each file that a process read or ran, links on the way included, must come from a listed package, from one that those depend on, or from an essential one; recommended packages do not count. It fails as well when the build writes outside its folder or calls an internet address. packages_check_test is the test of the check. Ruled out: a build on a machine without these packages as the check, since it says nothing where the tests' packages are installed.

--- /dev/null
+++ b/tests/packages/packages_check_test.py
@@ -0,0 +1,135 @@
+#!/usr/bin/env python3
+"""The check of the build's packages reads traces and packages aright."""
+
+import os
+import tempfile
+import unittest
+
+import build_packages_test as check
+import build_trace
+import system_packages
+from system_packages import Package
+
+
+class TraceOfOneProcessTest(unittest.TestCase):
+    """What strace writes of one process."""
+
+    def read(self, *lines):
+        return build_trace.read_lines(lines)
+
+    def test_a_file_that_is_read_counts_by_its_name_and_by_its_own_path(self):
+        trace = self.read('openat(AT_FDCWD</b>, "/lib/liba.so", O_RDONLY) '
+                          '= 3</usr/lib/liba.so.1>')
+        self.assertEqual(trace.read, {"/lib/liba.so", "/usr/lib/liba.so.1"})
+
+    def test_a_relative_path_starts_at_the_folder_of_its_descriptor(self):
+        trace = self.read(
+            'openat(AT_FDCWD</b/c>, "../a.h", O_RDONLY) = 3</b/a.h>',
+            'openat(7</usr/include>, "d.h", O_RDONLY) = 3</usr/include/d.h>')
+        self.assertEqual(trace.read, {"/b/a.h", "/usr/include/d.h"})
+
+    def test_a_program_that_is_run_counts(self):
+        trace = self.read('execve("/usr/bin/make", ["make", "(x) = 3"], '
+                          '0x7f /* 9 vars */) = 0')
+        self.assertEqual(trace.read, {"/usr/bin/make"})
+
+    def test_a_call_that_failed_used_nothing(self):
+        trace = self.read(
+            'openat(AT_FDCWD</b>, "/a.h", O_RDONLY) = -1 ENOENT (No such file '
+            'or directory)', 'execve("/bin/ccache", ["x"], 0x1 /* 2 vars */) '
+            '= -1 ENOENT (No such file or directory)')
+        self.assertEqual(trace, (set(), set(), set()))
+
+    def test_a_file_that_is_written_is_kept_apart(self):
+        trace = self.read('openat(AT_FDCWD</b>, "/etc/x", '
+                          'O_WRONLY|O_CREAT|O_CLOEXEC, 0666) = 3</etc/x>')
+        self.assertEqual(trace.written, {"/etc/x"})
+        self.assertFalse(trace.read)
+
+    def test_an_internet_address_counts_even_when_it_does_not_answer(self):
+        trace = self.read(
+            'connect(3<socket:[9]>, {sa_family=AF_UNIX, sun_path="/x"}, 110) '
+            '= -1 ENOENT (No such file or directory)',
+            'connect(3<socket:[9]>, {sa_family=AF_INET, sin_port=htons(80)}, '
+            '16) = -1 EINPROGRESS (Operation now in progress)')
+        self.assertEqual(len(trace.internet), 1)
+
+    def test_a_script_needs_its_interpreter(self):
+        with tempfile.NamedTemporaryFile("w") as script:
+            script.write("#! /usr/bin/perl -w\n")
+            script.flush()
+            self.assertEqual(build_trace.interpreter(script.name),
+                             "/usr/bin/perl")
+
+
+class CleanMachineTest(unittest.TestCase):
+    """What a machine holds that started clean."""
+
+    packages = {
+        "base": Package(True, {"base-library"}),
+        "base-library": Package(False, set()),
+        "compiler": Package(False, {"linker"}),
+        "linker": Package(False, {"compiler", "absent"}),
+        "extra": Package(False, {"linker"}),
+    }
+
+    def test_it_holds_the_listed_their_dependencies_and_the_essential(self):
+        self.assertEqual(
+            system_packages.on_clean_machine(["compiler"], self.packages),
+            {"base", "base-library", "compiler", "linker"})
+
+    def test_of_alternatives_the_first_is_there(self):
+        self.assertEqual(
+            system_packages.first_alternatives(
+                "libc6-dev (>= 2.36) | libc-dev, perl:any,, gcc-12"),
+            {"libc6-dev", "perl", "gcc-12"})
+
+
+class OwnersTest(unittest.TestCase):
+    """Which package a file comes from."""
+
+    def test_a_file_may_be_listed_below_either_merged_folder(self):
+        self.assertEqual(system_packages.merged_names("/usr/lib/x.so"),
+                         ["/usr/lib/x.so", "/lib/x.so"])
+        self.assertEqual(system_packages.merged_names("/bin/x"),
+                         ["/bin/x", "/usr/bin/x"])
+
+    def test_a_diversion_owns_nothing(self):
+        owners = system_packages.parse_owners(
+            "diversion by dash from: /bin/sh\ndash: /bin/sh\n"
+            "libc6:amd64, libc6:i386: /usr/share/doc/libc6\n")
+        self.assertEqual(owners, {"/bin/sh": {"dash"},
+                                  "/usr/share/doc/libc6": {"libc6"}})
+
+    def test_each_link_on_the_way_to_a_file_is_looked_up(self):
+        with tempfile.TemporaryDirectory() as folder:
+            folder = os.path.realpath(folder)
+            paths = [f"{folder}/{name}" for name in ("cc", "gcc", "gcc-12")]
+            os.symlink("gcc", paths[0])
+            os.symlink(paths[2], paths[1])
+            open(paths[2], "w").close()
+            self.assertEqual(system_packages.link_chain(paths[0]), paths)
+
+
+class VerdictTest(unittest.TestCase):
+    """What the check says of the files that were used."""
+
+    def complaints(self, **owners):
+        return check.complaints_of_files(
+            {f"/usr/{name}": names for name, names in owners.items()},
+            {"g++", "libc6"})
+
+    def test_files_of_listed_packages_are_fine(self):
+        self.assertEqual(self.complaints(a={"g++"}, b={"libc6", "other"}), [])
+
+    def test_a_package_that_is_not_listed_is_named_once(self):
+        lines = self.complaints(a={"make"}, b={"make"}, c={"g++"})
+        self.assertEqual(len(lines), 1)
+        self.assertIn("not listed: make (2 files: /usr/a /usr/b", lines[0])
+
+    def test_a_file_that_no_package_brought_is_named(self):
+        self.assertEqual(self.complaints(a=set()), ["of no package: /usr/a"])
+
+
+if __name__ == "__main__":
+    unittest.main()
