--- a/tests/packages/system_packages.py
+++ b/tests/packages/system_packages.py
@@ -65,17 +65,22 @@
     return [path]
 
 
+def in_real_folder(path):
+    """`path` by the folder that it really is in; a link stays a link."""
+    folder, name = os.path.split(path)
+    return os.path.join(os.path.realpath(folder), name)
+
+
 def link_chain(path):
     """`path` and, where it is a link, each file on the way to its end."""
-    chain = [path]
+    chain = [in_real_folder(path)]
     while os.path.islink(chain[-1]):
-        target = os.path.normpath(os.path.join(os.path.dirname(chain[-1]),
-                                               os.readlink(chain[-1])))
+        target = in_real_folder(os.path.join(os.path.dirname(chain[-1]),
+                                             os.readlink(chain[-1])))
         if target in chain:
             break
         chain.append(target)
-    end = os.path.realpath(path)
-    return chain if end in chain else chain + [end]
+    return chain
 
 
 def parse_owners(output):
