Removals count within the contact bound of a cut's end

What callers saw: nothing; an endpoint that had left got a request 2.48 s later (bound 2 s), which it happened to serve. Cause: after the store was away, removals are put off for 2.3 s from the first call that succeeds. It is bound again from 27.5 on. The cut still lasted when that call was made. store-regained says how long ago it was. Ruled out: shorter pauses between failing calls, which cost calls to the store; no grace at all, which loses engines whose entries lapsed during an outage.

--- a/src/libteaselthread/endpoints/removal_grace.cc
+++ b/src/libteaselthread/endpoints/removal_grace.cc
@@ -1,5 +1,7 @@
 #include "libteaselthread/endpoints/removal_grace.h"
 
+#include <algorithm>
+
 namespace teaselthread {
 namespace {
 
@@ -7,6 +9,8 @@
 constexpr Duration kReturnGrace = std::chrono::milliseconds(2'300);
 // A second call on a new connection succeeds sooner if the store was not away.
 constexpr Duration kMinOutage = std::chrono::milliseconds(400);
+// Removals take effect with the next sweep, and requests are on their way.
+constexpr Duration kEffectMargin = std::chrono::milliseconds(300);
 
 }  // namespace
 
@@ -15,14 +19,16 @@
     lost_at_ = now;
 }
 
-std::optional<Timestamp> RemovalGrace::OnRegained(Timestamp now) {
+std::optional<Timestamp> RemovalGrace::OnRegained(Timestamp last_failed_call_at,
+                                                  Timestamp now) {
   if (!lost_at_)
     return std::nullopt;
   const bool was_away = now - *lost_at_ >= kMinOutage;
   lost_at_.reset();
   if (!was_away)
     return std::nullopt;
-  return now + kReturnGrace;
+  return std::min(now + kReturnGrace,
+                  last_failed_call_at + contact_bound_ - kEffectMargin);
 }
 
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/gateway_settings.cc
+++ b/src/teaselthread/gateway/gateway_settings.cc
@@ -83,6 +83,7 @@
       << "\n\n[limits]\n"
       << "revocation_ms = " << InMilliseconds(limits_.revocation_bound)
       << "\ndrain_ms = " << InMilliseconds(limits_.drain_bound)
+      << "\ncontact_ms = " << InMilliseconds(limits_.contact_bound)
       << "\nretry_ratio = " << limits_.retries.ratio
       << "\nretry_slack = " << limits_.retries.slack
       << "\nretry_window_s = " << InSeconds(limits_.retries.window)
@@ -151,6 +152,8 @@
       std::chrono::seconds(reader.Integer("retry_window_s", 10, {1, 3'600}));
   limits_.drain_bound =
       reader.Milliseconds("drain_ms", 2'000, kMillisecondsRange);
+  limits_.contact_bound =
+      reader.Milliseconds("contact_ms", 3'000, kMillisecondsRange);
   limits_.cold_over = reader.Number("cold_over", 1.5, 0, 100);
   limits_.cold_slack = reader.Number("cold_slack", 5, 0, 1e6);
   limits_.leaving_grace =
--- a/src/teaselthread/gateway/gateway_settings.h
+++ b/src/teaselthread/gateway/gateway_settings.h
@@ -16,6 +16,8 @@
 struct GatewayLimits {
   Duration revocation_bound{};  // until a key that is taken away stops working
   Duration drain_bound{};       // until a leaving endpoint gets no new work
+  Duration contact_bound{};     // from the end of a disruption of a gateway's
+                                // links until the other bounds hold again
   RetryLimit retries;           // of all nodes together
   double cold_over = 1;         // multiple of a service's cold rate
   double cold_slack = 0;        // requests a second beyond it
--- a/src/teaselthread/store/store_controller.cc
+++ b/src/teaselthread/store/store_controller.cc
@@ -30,6 +30,7 @@
 
 StoreController::StoreController(GatewayState* state)
     : state_(state),
+      removal_grace_(state->settings().limits().contact_bound),
       configuration_(
           state,
           StoreKind::kConfiguration,
@@ -139,7 +140,9 @@
     return;
   }
   if (reachable) {
-    if (const auto until = removal_grace_.OnRegained(state_->Now()))
+    const auto until = removal_grace_.OnRegained(
+        configuration_.last_failed_call_at(), state_->Now());
+    if (until)
       state_->endpoints().DeferRemovals(*until);
   } else {
     removal_grace_.OnLost(state_->Now());
--- a/src/teaselthread/store/store_watcher.cc
+++ b/src/teaselthread/store/store_watcher.cc
@@ -110,6 +110,7 @@
 // Fails with kNotFound if the history that was asked for is gone.
 asio::awaitable<Result<HttpReply>> StoreWatcher::Get(std::string target,
                                                      Duration timeout) {
+  called_at_ = state_->Now();
   Result<HttpReply> reply =
       co_await connection_.Get(std::move(target), timeout);
   state_->metrics().OnStoreCall(reply && reply->status == kOk);
@@ -121,6 +122,7 @@
 }
 
 StoreWatcher::Step StoreWatcher::OnFailure(const std::string& detail) {
+  last_failed_call_at_ = called_at_;
   if (failures_++ == 0) {
     LogLine line("store-lost");
     line.Add("kind", ToString(kind_)).Add("detail", detail);
@@ -133,7 +135,9 @@
 void StoreWatcher::OnSuccess() {
   if (failures_ > 0) {
     LogLine line("store-regained");
-    line.Add("kind", ToString(kind_)).Add("failures", failures_);
+    line.Add("kind", ToString(kind_))
+        .Add("failures", failures_)
+        .AddTime("last_failed_call", state_->Now() - last_failed_call_at_);
     state_->log().Info(line);
     callbacks_.on_reachable(true);
   }
--- a/src/teaselthread/store/store_watcher.h
+++ b/src/teaselthread/store/store_watcher.h
@@ -44,6 +44,8 @@
   // No calls are made after the next failure until Reconnect is called.
   void HoldAfterFailure(bool hold) { holds_ = hold; }
   bool is_lost() const { return failures_ > 0; }
+  // When the latest call that failed was made.
+  Timestamp last_failed_call_at() const { return last_failed_call_at_; }
 
  private:
   enum class Step { kDone, kListAgain, kFailed };
@@ -64,6 +66,8 @@
   uint64_t revision_ = 0;
   asio::steady_timer pause_;
   uint32_t failures_ = 0;  // in a row
+  Timestamp called_at_{};
+  Timestamp last_failed_call_at_{};
   bool holds_ = false;
 };
 
--- a/tests/gateway/endpoint_table_test.cc
+++ b/tests/gateway/endpoint_table_test.cc
@@ -13,6 +13,9 @@
 using test::MakeEngineRecord;
 using test::MakeRoutes;
 
+constexpr Duration kContactBound = seconds(3);
+constexpr Duration kSweepInterval = milliseconds(200);
+
 struct TableFixture {
   TableFixture() { table.SetServices(MakeRoutes()); }
 
@@ -144,32 +147,65 @@
 // watches of three kinds answered 12.2, 16.0 and 17.7 s into the day, and each
 // began the grace anew.
 BOOST_AUTO_TEST_CASE(watches_that_answer_late_do_not_prolong_the_grace) {
-  RemovalGrace grace;
+  RemovalGrace grace(kContactBound);
   grace.OnLost(At(milliseconds(2'558)));
   grace.OnLost(At(milliseconds(2'559)));
   grace.OnLost(At(milliseconds(2'560)));
-  const auto first = grace.OnRegained(At(milliseconds(12'200)));
+  const auto first =
+      grace.OnRegained(At(milliseconds(12'100)), At(milliseconds(12'200)));
   BOOST_REQUIRE(first.has_value());
   BOOST_TEST((*first <= At(milliseconds(14'600))));
-  BOOST_TEST(!grace.OnRegained(At(milliseconds(16'000))).has_value());
-  BOOST_TEST(!grace.OnRegained(At(milliseconds(17'700))).has_value());
+  BOOST_TEST(
+      !grace.OnRegained(At(milliseconds(12'100)), At(milliseconds(16'000)))
+           .has_value());
+  BOOST_TEST(
+      !grace.OnRegained(At(milliseconds(12'100)), At(milliseconds(17'700)))
+           .has_value());
 }
 
 BOOST_AUTO_TEST_CASE(another_outage_begins_another_grace) {
-  RemovalGrace grace;
-  BOOST_TEST(!grace.OnRegained(At(seconds(1))).has_value());
+  RemovalGrace grace(kContactBound);
+  BOOST_TEST(!grace.OnRegained(At(seconds(0)), At(seconds(1))).has_value());
   grace.OnLost(At(seconds(1)));
-  BOOST_TEST(grace.OnRegained(At(seconds(2))).has_value());
+  BOOST_TEST(grace.OnRegained(At(seconds(2)), At(seconds(2))).has_value());
   grace.OnLost(At(seconds(5)));
-  BOOST_TEST(grace.OnRegained(At(seconds(9))).has_value());
+  BOOST_TEST(grace.OnRegained(At(seconds(9)), At(seconds(9))).has_value());
+}
+
+// Replays a day on which a gateway's links were cut until 24.5 s: its last call
+// that failed was made at 24.3 s, and the next one succeeded at 25.07 s. An
+// endpoint that had left at 25.02 s got a request at 27.50 s, as its removal
+// was put off until 27.37 s and the next sweep.
+BOOST_AUTO_TEST_CASE(removals_count_within_the_contact_bound_of_the_cut) {
+  const Timestamp cut_ended = At(milliseconds(24'500));
+  RemovalGrace grace(kContactBound);
+  grace.OnLost(At(milliseconds(16'566)));
+  const auto until =
+      grace.OnRegained(At(milliseconds(24'300)), At(milliseconds(25'070)));
+  BOOST_REQUIRE(until.has_value());
+  BOOST_TEST((*until + kSweepInterval < cut_ended + kContactBound));
+  // Entries that lapsed are back by then.
+  BOOST_TEST((*until >= cut_ended + seconds(2)));
+}
+
+// A longer bound leaves the whole time for entries to come back.
+BOOST_AUTO_TEST_CASE(a_long_contact_bound_does_not_prolong_the_grace) {
+  RemovalGrace grace(seconds(8));
+  grace.OnLost(At(seconds(10)));
+  const auto until =
+      grace.OnRegained(At(milliseconds(19'800)), At(seconds(20)));
+  BOOST_REQUIRE(until.has_value());
+  BOOST_TEST((*until <= At(milliseconds(22'500))));
 }
 
 // Replays a day on which a gateway's own new call for the configuration passed
 // for an outage, and a removal took effect 3.0 s late.
 BOOST_AUTO_TEST_CASE(one_lost_connection_is_no_outage) {
-  RemovalGrace grace;
+  RemovalGrace grace(kContactBound);
   grace.OnLost(At(milliseconds(19'291)));
-  BOOST_TEST(!grace.OnRegained(At(milliseconds(19'680))).has_value());
+  BOOST_TEST(
+      !grace.OnRegained(At(milliseconds(19'291)), At(milliseconds(19'680)))
+           .has_value());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
