A watch that is asked again waits by the pace of that time

Cause: the store took calls and answered none from 18 to 26 s. Gateways that are not their zone's lead noticed at 19 s that nobody proved the configuration's age, and had their watch made again on a new connection, but with the 25 s wait that it had been planned with. Those calls were never answered. Once the lead proved the age again nothing moved them: 45 of 58 gateways heard of no endpoint from 16.7 until 34 s, when a newer configuration was heard of. Evidence: the logs' last endpoint-changed and endpoint-removed of each gateway.

--- a/src/libteaselthread/error.cc
+++ b/src/libteaselthread/error.cc
@@ -5,11 +5,11 @@
 namespace teaselthread {
 namespace {
 
-constexpr std::array<std::string_view, 14> kNames = {
+constexpr std::array<std::string_view, 15> kNames = {
     "syntax",          "unknown-section", "unknown-key",     "missing-key",
     "out-of-range",    "bad-value",       "unreadable-file", "malformed",
     "oversized",       "conflict",        "not-found",       "unavailable",
-    "connection-lost", "timeout"};
+    "connection-lost", "timeout",         "superseded"};
 
 }  // namespace
 
--- a/src/libteaselthread/error.h
+++ b/src/libteaselthread/error.h
@@ -25,6 +25,7 @@
   kUnavailable,     // nothing was sent
   kConnectionLost,  // after something was sent
   kTimeout,
+  kSuperseded,  // given up, to be made again
 };
 
 std::string_view ToString(ErrorCode code);
--- a/src/teaselthread/http_connection.cc
+++ b/src/teaselthread/http_connection.cc
@@ -26,22 +26,24 @@
                                                         std::string body,
                                                         Duration timeout) {
   busy_ = true;
+  superseded_ = false;
   Result<HttpReply> reply =
       co_await TryCall(method, std::move(target), std::move(body), timeout);
   busy_ = false;
+  if (superseded_ && !reply)
+    co_return Error{ErrorCode::kSuperseded, reply.last_reason().detail};
   co_return reply;
 }
 
 void HttpConnection::Reconnect() {
-  if (!socket_)
-    return;
   if (!busy_) {
     socket_.reset();
     return;
   }
-  reconnects_ = true;
+  superseded_ = true;
   boost::system::error_code ignored;
-  socket_->cancel(ignored);
+  if (socket_)
+    socket_->cancel(ignored);
 }
 
 asio::awaitable<Result<HttpReply>> HttpConnection::TryCall(http::verb method,
@@ -57,10 +59,11 @@
     socket_ = connected.TakeValue();
     EnableKeepAlive(*socket_);
   }
+  if (superseded_)
+    co_return Error{ErrorCode::kSuperseded, address_.ToString()};
   Result<HttpExchange> exchange =
       co_await ExchangeOn(*socket_, address_, method, target, body, timeout);
   if (exchange) {
-    reconnects_ = false;
     if (!exchange->keep_alive)
       socket_.reset();
     co_return exchange->reply;
@@ -69,8 +72,7 @@
   // The other side may have closed a connection that was idle.
   const bool may_have_idled_out =
       is_reused && exchange.last_reason().code == ErrorCode::kConnectionLost;
-  const bool is_to_reconnect = std::exchange(reconnects_, false);
-  if (method == http::verb::get && (may_have_idled_out || is_to_reconnect)) {
+  if (method == http::verb::get && may_have_idled_out && !superseded_) {
     co_return co_await TryCall(method, std::move(target), std::move(body),
                                timeout);
   }
--- a/src/teaselthread/http_connection.h
+++ b/src/teaselthread/http_connection.h
@@ -23,8 +23,8 @@
                                           std::string target,
                                           std::string body,
                                           Duration timeout);
-  // A call in progress is made again on a new connection if it is a GET, and
-  // fails otherwise.
+  // The next call is made on a new connection. A call in progress ends with
+  // kSuperseded.
   void Reconnect();
 
  private:
@@ -36,7 +36,7 @@
   SocketAddress address_;
   std::optional<tcp::socket> socket_;
   bool busy_ = false;
-  bool reconnects_ = false;  // the call in progress was cancelled for it
+  bool superseded_ = false;  // the call in progress
 };
 
 }  // namespace teaselthread
--- a/src/teaselthread/store/store_watcher.cc
+++ b/src/teaselthread/store/store_watcher.cc
@@ -47,11 +47,10 @@
       step = co_await Watch();
     else
       step = co_await List();
-    if (step == Step::kFailed) {
+    if (step == Step::kFailed)
       co_await BackOff();
-      continue;
-    }
-    is_listed = step == Step::kDone;
+    else if (step != Step::kAskAgain)
+      is_listed = step == Step::kDone;
   }
 }
 
@@ -63,7 +62,7 @@
     std::string target = state_->dialect().ListTarget(kind_, after, false);
     Result<HttpReply> reply = co_await Get(std::move(target), kCallTimeout);
     if (!reply)
-      co_return OnFailure(Describe(reply.last_reason()));
+      co_return OnNoAnswer(reply.last_reason());
     Result<StorePage> page = state_->dialect().DecodeList(reply->body);
     if (!page)
       co_return OnFailure(Describe(page.last_reason()));
@@ -92,7 +91,7 @@
   if (!reply) {
     if (reply.last_reason().code == ErrorCode::kNotFound)
       co_return Step::kListAgain;
-    co_return OnFailure(Describe(reply.last_reason()));
+    co_return OnNoAnswer(reply.last_reason());
   }
   Result<StorePage> page = state_->dialect().DecodeWatch(reply->body);
   if (!page)
@@ -113,7 +112,10 @@
   called_at_ = state_->Now();
   Result<HttpReply> reply =
       co_await connection_.Get(std::move(target), timeout);
-  state_->metrics().OnStoreCall(reply && reply->status == kOk);
+  const bool is_superseded =
+      !reply && reply.last_reason().code == ErrorCode::kSuperseded;
+  state_->metrics().OnStoreCall(is_superseded ||
+                                (reply && reply->status == kOk));
   if (!reply || reply->status == kOk)
     co_return reply;
   const ErrorCode code =
@@ -121,6 +123,12 @@
   co_return Error{code, "the store answered " + std::to_string(reply->status)};
 }
 
+StoreWatcher::Step StoreWatcher::OnNoAnswer(const Error& reason) {
+  if (reason.code == ErrorCode::kSuperseded)
+    return Step::kAskAgain;
+  return OnFailure(Describe(reason));
+}
+
 StoreWatcher::Step StoreWatcher::OnFailure(const std::string& detail) {
   last_failed_call_at_ = called_at_;
   if (failures_++ == 0) {
--- a/src/teaselthread/store/store_watcher.h
+++ b/src/teaselthread/store/store_watcher.h
@@ -39,7 +39,8 @@
 
   void Start();
   // Another connection to the store has failed, and this one may have gone
-  // silent; or there is news of a change. A pause after a failure ends.
+  // silent; or there is news of a change. A call in progress is made again, by
+  // the pace of now. A pause after a failure ends.
   void Reconnect();
   // No calls are made after the next failure until Reconnect is called.
   void HoldAfterFailure(bool hold) { holds_ = hold; }
@@ -48,13 +49,15 @@
   Timestamp last_failed_call_at() const { return last_failed_call_at_; }
 
  private:
-  enum class Step { kDone, kListAgain, kFailed };
+  enum class Step { kDone, kAskAgain, kListAgain, kFailed };
 
   asio::awaitable<void> Run();
   asio::awaitable<Step> List();
   asio::awaitable<Step> Watch();
   asio::awaitable<Result<HttpReply>> Get(std::string target, Duration timeout);
   asio::awaitable<void> BackOff();
+  // What comes after a call that gave no answer.
+  Step OnNoAnswer(const Error& reason);
   Step OnFailure(const std::string& detail);
   void OnSuccess();
 
--- a/tests/gateway/gateway_harness.cc
+++ b/tests/gateway/gateway_harness.cc
@@ -16,17 +16,6 @@
 
 constexpr Duration kPatience = seconds(3);
 
-GatewaySettings MakeSettings(uint16_t port) {
-  std::ostringstream text;
-  text << "[gateway]\nname = node-a\nzone = a\nlog_level = error\n";
-  for (const char* key :
-       {"front_listen", "readiness_listen", "directory_listen",
-        "metrics_listen", "peer_listen", "store"}) {
-    text << key << " = 127.0.0.1:" << port << "\n";
-  }
-  return GatewaySettings::Parse(text.str(), "test").TakeValue();
-}
-
 uint16_t FreePort(asio::io_context& io) {
   tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
   return acceptor.local_endpoint().port();
@@ -42,6 +31,17 @@
 
 }  // namespace
 
+GatewaySettings MakeSettings(uint16_t port) {
+  std::ostringstream text;
+  text << "[gateway]\nname = node-a\nzone = a\nlog_level = error\n";
+  for (const char* key :
+       {"front_listen", "readiness_listen", "directory_listen",
+        "metrics_listen", "peer_listen", "store"}) {
+    text << key << " = 127.0.0.1:" << port << "\n";
+  }
+  return GatewaySettings::Parse(text.str(), "test").TakeValue();
+}
+
 ScriptedEndpoint::ScriptedEndpoint(asio::io_context* io, Script script)
     : acceptor_(*io, {asio::ip::make_address("127.0.0.1"), 0}),
       script_(std::move(script)) {
--- a/tests/gateway/gateway_harness.h
+++ b/tests/gateway/gateway_harness.h
@@ -11,6 +11,9 @@
 
 namespace teaselthread::test {
 
+// Settings with all addresses on one port of 127.0.0.1.
+GatewaySettings MakeSettings(uint16_t port);
+
 // An endpoint that answers with the bytes that a script gives for each request,
 // and keeps what it has read.
 class ScriptedEndpoint {
