Starting gateways share limits as in the largest fleet until they know it

Cause: a gateway that starts took the fleet for one of 8 until it had read the records of the others, 0.6 s after it had written its own. In a fleet of 58 it took 2 requests a second of each cold engine for its share, where the share is 1 for 16 gateways and 0 for the others. 18 gateways of a zone came back together, with all engines of the zone cold. Its share of the retry limit was worse: all of it until it knew of others. Change: PeerSet knows whether all records have been read once. Until then limits are shared among 410, the size the product is made for; for 4 s after it among 8 at least, as before. Both limits use it. Figures: the new test failed before (18, 48 and 116 where 17 are allowed, with 1, 18 and 58 gateways restarted) and passes. Ruled out: waiting for the records before serving, which delays all requests of a restart.

--- a/src/libteaselthread/peers/peer_set.cc
+++ b/src/libteaselthread/peers/peer_set.cc
@@ -15,6 +15,11 @@
 // Of a zone of 500 nodes; a sender that names a longer one is mistaken.
 constexpr Duration kLongestInterval = PeerSet::kIntervalPerNode * 500;
 
+// Nodes that started together with this one may have had no record yet when it
+// read them. A small fleet has that many, and they are all there by then.
+constexpr size_t kNodesOfAStart = 8;
+constexpr Duration kDiscoveryTime = std::chrono::milliseconds(4'000);
+
 }  // namespace
 
 uint32_t PeerSet::RequestsOf(const Entry& entry, uint32_t service) {
@@ -33,6 +38,11 @@
   entry.mentioned_at = now;
 }
 
+void PeerSet::OnRecordsRead(Timestamp now) {
+  if (!records_read_at_)
+    records_read_at_ = now;
+}
+
 bool PeerSet::OnHeartbeat(const SocketAddress& from,
                           const PeerNews& news,
                           Timestamp now) {
@@ -92,6 +102,20 @@
   return names;
 }
 
+std::vector<std::string> PeerSet::LimitSharers(Timestamp now) const {
+  std::vector<std::string> names = PossiblyAlive(now);
+  const size_t fewest = FewestSharers(now);
+  while (names.size() < fewest)
+    names.push_back("unknown-" + std::to_string(names.size()));
+  return names;
+}
+
+size_t PeerSet::FewestSharers(Timestamp now) const {
+  if (!records_read_at_)
+    return kLargestFleet;
+  return now - *records_read_at_ < kDiscoveryTime ? kNodesOfAStart : 1;
+}
+
 bool PeerSet::IsAlive(const Entry& entry, Timestamp now) const {
   const bool is_remote = entry.peer.zone != self_.zone;
   const Duration timeout = std::max(
--- a/src/libteaselthread/peers/peer_set.h
+++ b/src/libteaselthread/peers/peer_set.h
@@ -63,6 +63,8 @@
                    Timestamp now);
   // A node's record in the store.
   void OnRecord(const Peer& peer, Timestamp now);
+  // The records of all nodes have been read.
+  void OnRecordsRead(Timestamp now);
 
   // Nodes that take new callers, this one included if it does. Only nodes of
   // `zone` if it has at least kMinZoneNodes of them.
@@ -70,6 +72,13 @@
   // All nodes that may be alive, this one included. A node that fell silent
   // counts for kMemory more, since it may only be cut off.
   std::vector<std::string> PossiblyAlive(Timestamp now) const;
+  // Those that share the limits of the fleet with this one: all that may be
+  // alive, and nameless ones while this node cannot know of all, so that its
+  // own share is not too large.
+  //
+  // Load pattern: an availability zone, or the fleet, comes back and serves
+  // before its nodes have found the others.
+  std::vector<std::string> LimitSharers(Timestamp now) const;
   // Where heartbeats go: to every node of the own availability zone, and never
   // to this node itself, whose address an older record may name.
   std::vector<SocketAddress> ZoneTargets(Timestamp now) const;
@@ -89,6 +98,8 @@
   // Between two heartbeats, so that their cost does not grow with the zone.
   Duration HeartbeatInterval(Duration shortest, Timestamp now) const;
 
+  // The size that the product is made for.
+  static constexpr size_t kLargestFleet = 410;
   static constexpr size_t kMinZoneNodes = 2;
   static constexpr size_t kRemoteTargets = 4;
   // Heartbeats within the zone for each one that crosses zones, whose bytes
@@ -113,6 +124,8 @@
   };
 
   static uint32_t RequestsOf(const Entry& entry, uint32_t service);
+  // Of how many nodes this one has to reckon with, known or not.
+  size_t FewestSharers(Timestamp now) const;
   bool IsAlive(const Entry& entry, Timestamp now) const;
   bool IsTarget(const Entry& entry, Timestamp now) const;
   const Entry* FindByAddress(const SocketAddress& address) const;
@@ -120,6 +133,7 @@
   Peer self_;
   Duration heartbeat_timeout_;
   std::map<std::string, Entry> entries_;  // by name
+  std::optional<Timestamp> records_read_at_;
 };
 
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/gateway_state.cc
+++ b/src/teaselthread/gateway/gateway_state.cc
@@ -11,11 +11,6 @@
 // Covers the difference between the speeds of clocks. A caller sends before
 // its request is checked here, so that time under way needs no margin.
 constexpr Duration kRevocationMargin = std::chrono::milliseconds(50);
-// Until a starting node has heard of the others, limits are shared as if there
-// were this many: the largest of today's deployments without one.
-constexpr size_t kAssumedNodes = 8;
-// Heartbeats and records of all nodes have come in by then.
-constexpr Duration kDiscoveryTime = std::chrono::seconds(4);
 
 Peer MakeSelf(const GatewaySettings& settings) {
   return {settings.name(), settings.zone(), settings.peer_listen(),
@@ -34,8 +29,7 @@
       knowledge_(settings_.limits().revocation_bound - kRevocationMargin),
       selector_(&endpoints_),
       peers_(MakeSelf(settings_), settings_.heartbeat_timeout()),
-      log_(settings_.log_level()),
-      started_at_(Now()) {}
+      log_(settings_.log_level()) {}
 
 Timestamp GatewayState::Now() const {
   return Timestamp(std::chrono::duration_cast<Duration>(
@@ -73,10 +67,7 @@
   SelectionView view;
   view.zone = settings_.zone();
   view.node = settings_.name();
-  view.nodes = peers_.PossiblyAlive(now);
-  const bool is_discovering = now - started_at_ < kDiscoveryTime;
-  for (size_t i = view.nodes.size(); is_discovering && i < kAssumedNodes; ++i)
-    view.nodes.push_back("assumed-" + std::to_string(i));
+  view.nodes = peers_.LimitSharers(now);
   view.cold_over = settings_.limits().cold_over;
   view.cold_slack = settings_.limits().cold_slack;
   view.service_requests = peers_.FleetRequests(
--- a/src/teaselthread/gateway/gateway_state.h
+++ b/src/teaselthread/gateway/gateway_state.h
@@ -88,7 +88,6 @@
   GatewayMetrics metrics_;
   DecisionLog log_;
   TimerService timers_;
-  Timestamp started_at_;
   bool leaving_ = false;
   bool endpoints_known_ = false;
 };
--- a/src/teaselthread/gateway/request_handler.cc
+++ b/src/teaselthread/gateway/request_handler.cc
@@ -194,7 +194,7 @@
   const NextStep step =
       exchange.attempts.OnFailure(failure, relayed, can_resume, [&] {
         return state_->RetriesOf(service).TryTake(
-            state_->peers().PossiblyAlive(state_->Now()).size(), state_->Now());
+            state_->peers().LimitSharers(state_->Now()).size(), state_->Now());
       });
   *is_final = step != NextStep::kRetry;
   state_->metrics().OnAttemptFailure(failure, !*is_final);
--- a/src/teaselthread/store/node_registrar.cc
+++ b/src/teaselthread/store/node_registrar.cc
@@ -91,8 +91,10 @@
     }
     for (const StoreObject& object : page->objects)
       OnRecord(object);
-    if (!page->has_more || page->objects.empty())
+    if (!page->has_more || page->objects.empty()) {
+      state_->peers().OnRecordsRead(state_->Now());
       co_return;
+    }
     after = page->objects.back().name;
   }
 }
--- a/tests/gateway/gateway_harness.cc
+++ b/tests/gateway/gateway_harness.cc
@@ -112,6 +112,7 @@
   state_->OfferRoutes(MakeRoutes());
   state_->knowledge().OnProof(GatewayState::BootNow());
   state_->set_endpoints_known();
+  state_->peers().OnRecordsRead(state_->Now());
   front_->Start();
 }
 
--- a/tests/gateway/shares_test.cc
+++ b/tests/gateway/shares_test.cc
@@ -7,6 +7,7 @@
 #include "libteaselthread/attempts/retry_after.h"
 #include "libteaselthread/attempts/retry_allowance.h"
 #include "libteaselthread/endpoints/cold_start_quota.h"
+#include "libteaselthread/peers/peer_set.h"
 
 namespace teaselthread {
 namespace {
@@ -54,6 +55,29 @@
   }
 }
 
+// Replays a day on which a zone of 18 gateways lost power and came back with
+// its endpoints cold. Seven of the restarted ones sent 2 requests a second to
+// one of them, since they took the fleet for one of 8 until they knew better.
+BOOST_AUTO_TEST_CASE(do_so_also_while_a_zone_of_nodes_starts_again) {
+  const std::vector<std::string> all = Nodes(58);
+  for (const size_t restarted : {1u, 18u, 58u}) {
+    uint32_t total = 0;
+    for (size_t i = 0; i < all.size(); ++i) {
+      PeerSet peers({all[i], "a", {}, {}, false}, seconds(1));
+      if (i >= restarted) {
+        for (const std::string& other : all)
+          peers.OnRecord({other, "a", {}, {}, false}, At(seconds(0)));
+        peers.OnRecordsRead(At(seconds(0)));
+      }
+      total += ColdStartShare({17.9}, "engine-1", all[i],
+                              peers.LimitSharers(At(seconds(9))));
+    }
+    BOOST_TEST_CONTEXT(restarted << " restarted") {
+      BOOST_TEST(total <= 17u);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(are_kept_in_any_second) {
   ColdStartQuota quota;
   std::vector<Timestamp> sends;
