Gateways tell each other of changes that a silent watch did not bring

Cause: when the store takes calls and answers none for about a second, calls that wait then are never answered. Only a gateway whose configuration's watch was due in that second noticed. Evidence: the logs' store-lost and endpoint-removed lines of each gateway. Change: heartbeats carry the newest revision of endpoints and evacuations for 10 s after a change; a gateway that hears of one that its own waiting watch has not brought asks anew (change-missed in the log), but gives each call 0.8 s, as a store that is slow would otherwise never get to answer. Zone leads' watches of lists wait 1 s and 2 s rather than 25 s, so that one of each zone notices by itself. docs/design/0009 has the bounds. Figures: store_controller_test failed with the check taken out, and passes. Ruled out: the ways in docs/design/0009.

--- a/src/libteaselthread/peers/peer_set.h
+++ b/src/libteaselthread/peers/peer_set.h
@@ -31,6 +31,9 @@
 struct PeerNews {
   bool serving = false;
   uint64_t configuration_version = 0;
+  // The store's revisions of the newest changes that the sender knows.
+  uint64_t endpoints_revision = 0;
+  uint64_t evacuations_revision = 0;
   // How long ago the sender's configuration was shown to be the newest.
   std::optional<Duration> proof_age;
   Timestamp sent_at{};
--- a/src/teaselthread/gateway/gateway_state.h
+++ b/src/teaselthread/gateway/gateway_state.h
@@ -10,6 +10,7 @@
 #include "libteaselthread/endpoints/endpoint_selector.h"
 #include "libteaselthread/endpoints/endpoint_table.h"
 #include "libteaselthread/endpoints/part_demand.h"
+#include "libteaselthread/peers/change_news.h"
 #include "libteaselthread/peers/peer_set.h"
 #include "libteaselthread/routes/knowledge_age.h"
 #include "libteaselthread/routes/route_table.h"
@@ -54,6 +55,9 @@
   PeerSet& peers() { return peers_; }
   RetryAllowance& RetriesOf(const std::string& service);
   SelectionView MakeSelectionView(const std::string& service) const;
+  // The newest changes that this gateway's watches have brought.
+  ChangeNews& endpoint_changes() { return endpoint_changes_; }
+  ChangeNews& evacuation_changes() { return evacuation_changes_; }
   PartDemand& demand() { return demand_; }
   GatewayMetrics& metrics() { return metrics_; }
   DecisionLog& log() { return log_; }
@@ -90,6 +94,8 @@
   TimerService timers_;
   bool leaving_ = false;
   bool endpoints_known_ = false;
+  ChangeNews endpoint_changes_;
+  ChangeNews evacuation_changes_;
 };
 
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/peer_heartbeat.cc
+++ b/src/teaselthread/gateway/peer_heartbeat.cc
@@ -150,6 +150,10 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(Interval())
           .count()));
   message.set_sent_at_us(ToMicroseconds(now));
+  message.set_endpoints_revision(
+      state_->endpoint_changes().ToTell(state_->Now()));
+  message.set_evacuations_revision(
+      state_->evacuation_changes().ToTell(state_->Now()));
   return message;
 }
 
@@ -208,6 +212,8 @@
   PeerNews news;
   news.serving = message.serving();
   news.configuration_version = message.configuration_version();
+  news.endpoints_revision = message.endpoints_revision();
+  news.evacuations_revision = message.evacuations_revision();
   if (message.has_proof_age_ms())
     news.proof_age = std::chrono::milliseconds(message.proof_age_ms());
   news.interval = std::chrono::milliseconds(message.interval_ms());
--- a/src/teaselthread/store/store_controller.cc
+++ b/src/teaselthread/store/store_controller.cc
@@ -23,7 +23,18 @@
 // The lead's heartbeat ends the pause once the store is back.
 constexpr Duration kFollowerBackOff = milliseconds(1'500);
 // A change that another gateway has got reaches this one's own watch by then.
-constexpr Duration kChangeDelay = milliseconds(500);
+// Configurations take some time to read; and versions are told of at once.
+constexpr MissedChange::Patience kConfigurationPatience{
+    .since_heard = milliseconds(500),
+    .since_call = milliseconds(800)};
+constexpr MissedChange::Patience kListPatience{.since_heard = milliseconds(200),
+                                               .since_call = milliseconds(800)};
+// A lead's watches of lists end before their bounds, so that it notices in time
+// if they have gone silent: that of endpoints after this share of the bound on
+// a leaving endpoint's last request.
+constexpr double kLeadWaitShare = 0.5;
+// Evacuations have seconds to take effect.
+constexpr Duration kEvacuationLeadWait = milliseconds(2'000);
 constexpr Duration kSweepInterval = milliseconds(200);
 
 }  // namespace
@@ -31,6 +42,9 @@
 StoreController::StoreController(GatewayState* state)
     : state_(state),
       removal_grace_(state->settings().limits().contact_bound),
+      missed_configuration_(kConfigurationPatience),
+      missed_endpoints_(kListPatience),
+      missed_evacuations_(kListPatience),
       configuration_(
           state,
           StoreKind::kConfiguration,
@@ -41,14 +55,17 @@
       endpoints_(
           state,
           StoreKind::kEndpoints,
-          [this] { return ListPace(EndpointGather()); },
+          [this] {
+            return ListPace(DrainShare(kLeadWaitShare),
+                            DrainShare(kGatherShare));
+          },
           MakeCallbacks(StoreKind::kEndpoints,
                         &StoreController::OnEndpointList,
                         &StoreController::OnEndpointChanges)),
       evacuations_(
           state,
           StoreKind::kEvacuations,
-          [this] { return ListPace(kEvacuationGather); },
+          [this] { return ListPace(kEvacuationLeadWait, kEvacuationGather); },
           MakeCallbacks(StoreKind::kEvacuations,
                         &StoreController::OnEvacuationList,
                         &StoreController::OnEvacuationChanges)) {}
@@ -61,6 +78,7 @@
                              [this](Timestamp now) {
                                state_->endpoints().Sweep(now);
                                CheckAge();
+                               CheckMissedChanges();
                              });
 }
 
@@ -72,24 +90,45 @@
           asks_often ? kLeadBackOff : kFollowerBackOff};
 }
 
-Duration StoreController::EndpointGather() const {
+Duration StoreController::DrainShare(double share) const {
   const Duration bound = state_->settings().limits().drain_bound;
-  return Duration(static_cast<Duration::rep>(bound.count() * kGatherShare));
+  return Duration(static_cast<Duration::rep>(bound.count() * share));
 }
 
-StoreWatcher::Pace StoreController::ListPace(Duration gather) const {
-  return {kLongWait, gather, kLeadBackOff};
+// The other gateways of the zone hear from the lead what their own watches have
+// missed.
+StoreWatcher::Pace StoreController::ListPace(Duration lead_wait,
+                                             Duration gather) const {
+  const bool is_lead = state_->peers().IsZoneLead(state_->Now());
+  return {is_lead ? lead_wait : kLongWait, gather, kLeadBackOff};
 }
 
-void StoreController::CheckAge() {
-  const bool has_missed_a_change =
-      state_->routes() && newest_heard_version_ > state_->routes()->version() &&
-      state_->Now() - newest_heard_at_ >= kChangeDelay;
-  if (has_missed_a_change && !configuration_.is_lost()) {
-    newest_heard_at_ = state_->Now();
-    configuration_.Reconnect();
+void StoreController::CheckMissedChanges() {
+  if (!state_->routes() || configuration_.is_lost())
     return;
-  }
+  AskForMissed(missed_configuration_, state_->routes()->version(),
+               &configuration_);
+  AskForMissed(missed_endpoints_, endpoints_.revision(), &endpoints_);
+  AskForMissed(missed_evacuations_, evacuations_.revision(), &evacuations_);
+}
+
+void StoreController::AskForMissed(const MissedChange& missed,
+                                   uint64_t known,
+                                   StoreWatcher* watcher) {
+  const auto waiting_since = watcher->waiting_since();
+  const Timestamp now = state_->Now();
+  if (watcher->is_lost() || !missed.IsMissed(known, waiting_since, now))
+    return;
+  LogLine line("change-missed");
+  line.Add("kind", ToString(watcher->kind()))
+      .Add("known", known)
+      .Add("heard", missed.newest_heard())
+      .AddTime("waiting", now - *waiting_since);
+  state_->log().Info(line);
+  watcher->Reconnect();
+}
+
+void StoreController::CheckAge() {
   const auto age = state_->knowledge().Age(GatewayState::BootNow());
   if (!age || *age <= kAskAfter || configuration_.is_lost() || asked_for_age_)
     return;
@@ -101,10 +140,9 @@
   if (!state_->routes())
     return;
   const uint64_t own_version = state_->routes()->version();
-  if (news.configuration_version > newest_heard_version_) {
-    newest_heard_version_ = news.configuration_version;
-    newest_heard_at_ = state_->Now();
-  }
+  missed_configuration_.OnHeard(news.configuration_version, state_->Now());
+  missed_endpoints_.OnHeard(news.endpoints_revision, state_->Now());
+  missed_evacuations_.OnHeard(news.evacuations_revision, state_->Now());
   const bool is_proof = news.configuration_version == own_version &&
                         news.proof_age && news.echoed_at;
   if (!is_proof)
@@ -204,6 +242,7 @@
   }
   state_->endpoints().ReplaceAll(records, state_->Now());
   state_->set_endpoints_known();
+  state_->endpoint_changes().OnKnown(endpoints_.newest_change(), state_->Now());
   LogLine line("endpoints-listed");
   line.Add("entries", objects.size()).Add("readable", records.size());
   state_->log().Info(line);
@@ -211,6 +250,7 @@
 
 void StoreController::OnEndpointChanges(const Objects& objects,
                                         Timestamp /*asked_at*/) {
+  state_->endpoint_changes().OnKnown(endpoints_.newest_change(), state_->Now());
   for (const StoreObject& object : objects) {
     std::optional<EndpointRecord> record;
     if (!object.removed)
@@ -269,6 +309,8 @@
 }
 
 void StoreController::SetEvacuated(std::set<std::string> zones) {
+  state_->evacuation_changes().OnKnown(evacuations_.newest_change(),
+                                       state_->Now());
   if (zones == state_->endpoints().evacuated_zones())
     return;
   LogLine line("zones-evacuated");
--- a/src/teaselthread/store/store_controller.h
+++ b/src/teaselthread/store/store_controller.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "libteaselthread/endpoints/removal_grace.h"
+#include "libteaselthread/peers/missed_change.h"
 #include "teaselthread/store/store_watcher.h"
 
 namespace teaselthread {
@@ -42,10 +43,16 @@
   void OnEvacuationChanges(const Objects& objects, Timestamp asked_at);
   void OnReachable(StoreKind kind, bool reachable);
   StoreWatcher::Pace ConfigurationPace() const;
-  Duration EndpointGather() const;
-  StoreWatcher::Pace ListPace(Duration gather) const;
+  // Part of the bound on a leaving endpoint's last request.
+  Duration DrainShare(double share) const;
+  StoreWatcher::Pace ListPace(Duration lead_wait, Duration gather) const;
   // Asks the store if no other gateway shows the configuration to be new.
   void CheckAge();
+  // Asks the store anew for what other gateways know and this one does not.
+  void CheckMissedChanges();
+  void AskForMissed(const MissedChange& missed,
+                    uint64_t known,
+                    StoreWatcher* watcher);
 
   // False if the object holds no valid configuration.
   bool TakeConfiguration(const StoreObject& object);
@@ -59,9 +66,10 @@
   GatewayState* state_;
   std::function<void()> on_regained_;
   RemovalGrace removal_grace_;
-  Timestamp lost_at_{};                // the latest loss of the store
-  uint64_t newest_heard_version_ = 0;  // by heartbeats
-  Timestamp newest_heard_at_{};
+  Timestamp lost_at_{};  // the latest loss of the store
+  MissedChange missed_configuration_;
+  MissedChange missed_endpoints_;
+  MissedChange missed_evacuations_;
   bool asked_for_age_ = false;
   bool has_news_for_peers_ = false;
   StoreWatcher configuration_;
--- a/src/teaselthread/store/store_watcher.cc
+++ b/src/teaselthread/store/store_watcher.cc
@@ -75,7 +75,7 @@
       break;
     after = page->objects.back().name;
   }
-  OnSuccess();
+  OnSuccess(objects);
   revision_ = *first_revision;
   callbacks_.on_list(objects, asked_at);
   co_return Step::kDone;
@@ -96,7 +96,7 @@
   Result<StorePage> page = state_->dialect().DecodeWatch(reply->body);
   if (!page)
     co_return OnFailure(Describe(page.last_reason()));
-  OnSuccess();
+  OnSuccess(page->objects);
   revision_ = std::max(revision_, page->revision);
   callbacks_.on_changes(page->objects, asked_at);
   if (!page->objects.empty()) {
@@ -140,7 +140,9 @@
   return Step::kFailed;
 }
 
-void StoreWatcher::OnSuccess() {
+void StoreWatcher::OnSuccess(const std::vector<StoreObject>& objects) {
+  for (const StoreObject& object : objects)
+    newest_change_ = std::max(newest_change_, object.revision);
   if (failures_ > 0) {
     LogLine line("store-regained");
     line.Add("kind", ToString(kind_))
--- a/src/teaselthread/store/store_watcher.h
+++ b/src/teaselthread/store/store_watcher.h
@@ -44,7 +44,16 @@
   void Reconnect();
   // No calls are made after the next failure until Reconnect is called.
   void HoldAfterFailure(bool hold) { holds_ = hold; }
+  StoreKind kind() const { return kind_; }
   bool is_lost() const { return failures_ > 0; }
+  // All changes up to this revision of the store are known.
+  uint64_t revision() const { return revision_; }
+  // The revision of the newest change that was told of.
+  uint64_t newest_change() const { return newest_change_; }
+  // When the call in progress was made.
+  std::optional<Timestamp> waiting_since() const {
+    return connection_.busy() ? std::optional(called_at_) : std::nullopt;
+  }
   // When the latest call that failed was made.
   Timestamp last_failed_call_at() const { return last_failed_call_at_; }
 
@@ -59,7 +68,7 @@
   // What comes after a call that gave no answer.
   Step OnNoAnswer(const Error& reason);
   Step OnFailure(const std::string& detail);
-  void OnSuccess();
+  void OnSuccess(const std::vector<StoreObject>& objects);
 
   GatewayState* state_;
   StoreKind kind_;
@@ -67,6 +76,7 @@
   Callbacks callbacks_;
   HttpConnection connection_;
   uint64_t revision_ = 0;
+  uint64_t newest_change_ = 0;
   asio::steady_timer pause_;
   uint32_t failures_ = 0;  // in a row
   Timestamp called_at_{};
--- /dev/null
+++ b/tests/gateway/store_controller_test.cc
@@ -0,0 +1,97 @@
+#include "teaselthread/store/store_controller.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <functional>
+
+#include "gateway/gateway_fixtures.h"
+#include "gateway/gateway_harness.h"
+
+namespace teaselthread {
+namespace {
+
+using std::chrono::milliseconds;
+using test::ScriptedEndpoint;
+
+constexpr uint64_t kRevision = 7;
+constexpr Duration kTick = milliseconds(20);
+
+// A controller on a store that answers lists, and leaves watches without an
+// answer.
+struct ControllerFixture {
+  ControllerFixture()
+      : store(&io,
+              [this](const std::string& head, const std::string&, int) {
+                return Answer(head);
+              }),
+        state(&io, test::MakeSettings(store.address().port), &dialect),
+        controller(&state) {
+    state.OfferRoutes(test::MakeRoutes());
+    controller.Start();
+    RunUntil([this] { return watches == 3; });
+  }
+
+  ScriptedEndpoint::Reply Answer(const std::string& head) {
+    const std::string list =
+        dialect.ListTarget(StoreKind::kEndpoints, "", false);
+    if (head.starts_with("GET " + list.substr(0, list.find('?'))))
+      ++endpoint_calls;
+    if (head.find('?') != std::string::npos &&
+        !head.starts_with("GET " + list + " ")) {
+      ++watches;
+      return {};
+    }
+    return {test::MakeAnswer("", R"({"items":[],"has_more":false,"at":)" +
+                                     std::to_string(kRevision) + "}")};
+  }
+
+  void RunUntil(const std::function<bool()>& done) {
+    for (int tick = 0; tick < 100 && !done(); ++tick) {
+      state.timers().Advance(state.Now());
+      io.run_for(kTick);
+    }
+  }
+
+  static PeerNews NewsOf(uint64_t endpoints_revision) {
+    PeerNews news;
+    news.endpoints_revision = endpoints_revision;
+    return news;
+  }
+
+  asio::io_context io;
+  platform::PlatformDialect dialect;
+  int watches = 0;
+  int endpoint_calls = 0;
+  ScriptedEndpoint store;
+  GatewayState state;
+  StoreController controller;
+};
+
+BOOST_FIXTURE_TEST_SUITE(a_gateway_whose_watches_went_silent, ControllerFixture)
+
+// Replays a day of silences of about a second: one gateway of eight noticed,
+// and the others sent requests to endpoints that had left, for up to five
+// seconds.
+BOOST_AUTO_TEST_CASE(asks_anew_when_another_knows_of_more) {
+  const int calls_before = endpoint_calls;
+  const Timestamp heard_at = state.Now();
+  controller.OnPeerNews(NewsOf(kRevision + 1));
+  RunUntil([&] { return endpoint_calls > calls_before; });
+  BOOST_TEST(endpoint_calls == calls_before + 1);
+  // The watch itself would fail after 1.8 s.
+  BOOST_TEST((state.Now() - heard_at < milliseconds(1'500)));
+}
+
+BOOST_AUTO_TEST_CASE(waits_on_when_it_knows_as_much) {
+  const int calls_before = endpoint_calls;
+  controller.OnPeerNews(NewsOf(kRevision));
+  RunUntil([start = state.Now(), this] {
+    return state.Now() - start > milliseconds(600);
+  });
+  BOOST_TEST(endpoint_calls == calls_before);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace teaselthread
