Endpoints that send bytes without end no longer occupy a gateway

What callers saw: before an endpoint that sent a stream in which no event ended, 102 heads without end, or comments without end, they got nothing until they gave up, and the gateway spent a whole core on it, also after all callers had left. A refusal by a node (413) was lost where the caller still sent.

Cause: RequestGuard cancels what is pending on the endpoint's connection, but a read that finds bytes ready is never pending, and no loop looked at the interruption before it read on. Any byte counted as progress, so that a stalled stream that sent a byte now and then was only ended at the deadline. A timer that fired while a write was pending did not come back before the deadline. IoTimeout cancelled once, which a composed read between two operations missed. Chunk extensions and trailers had no bound. The node closed with unread bytes, which resets the connection.

Ruled out: a header line without end (the 32 KB limit holds), unrelated responses, bodies that end at 16 MB.

Change: each read looks at the interruption first. Progress is a complete new event; comments are relayed, not before the first event, and do not count. Bounds, each with its failure name and counter (teaselthread failures by kind): 256 KB without a new event, 64 KB of a connection's buffer, 16 1xx heads, 1 MB of an unrelated body (oversized, malformed), 64 MB of buffered responses in the process (no-buffer-space, which is not held against the endpoint). The search for an event's end no longer starts anew with each read.

--- a/src/libteaselthread/attempts/event_splitter.cc
+++ b/src/libteaselthread/attempts/event_splitter.cc
@@ -1,5 +1,6 @@
 #include "libteaselthread/attempts/event_splitter.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace teaselthread {
@@ -26,14 +27,27 @@
   return std::nullopt;
 }
 
+// Whether all lines are empty or comments.
+bool IsComment(std::string_view event) {
+  while (!event.empty()) {
+    const std::string_view line = event.substr(0, event.find('\n'));
+    if (!line.empty() && line.front() != ':')
+      return false;
+    event.remove_prefix(std::min(line.size() + 1, event.size()));
+  }
+  return true;
+}
+
 }  // namespace
 
 std::string EventSplitter::Feed(std::string_view bytes) {
   std::string complete_events;
   partial_.append(bytes);
+  bytes_since_event_ += bytes.size();
   size_t start = 0;
+  size_t search_from = searched_;
   for (;;) {
-    const size_t end = partial_.find(kEventEnd, start);
+    const size_t end = partial_.find(kEventEnd, search_from);
     if (end == std::string::npos)
       break;
     const std::string_view event(partial_.data() + start,
@@ -41,18 +55,30 @@
     if (Accept(event))
       complete_events.append(event);
     start = end + kEventEnd.size();
+    search_from = start;
   }
   partial_.erase(0, start);
+  // The last byte may be the first one of an event's end.
+  searched_ = partial_.empty() ? 0 : partial_.size() - 1;
   return complete_events;
 }
 
+void EventSplitter::Restart() {
+  partial_.clear();
+  searched_ = 0;
+  bytes_since_event_ = 0;
+}
+
 bool EventSplitter::Accept(std::string_view event) {
+  if (IsComment(event))
+    return true;
   const std::optional<uint64_t> id = IdOf(event);
   if (id && last_id_ && *id <= *last_id_)
     return false;
   if (id)
     last_id_ = id;
   ++event_count_;
+  bytes_since_event_ = 0;
   return true;
 }
 
--- a/src/libteaselthread/attempts/request_attempts.cc
+++ b/src/libteaselthread/attempts/request_attempts.cc
@@ -23,6 +23,8 @@
     {"server-error", false},
     {"broken", false},
     {"malformed", false},
+    {"oversized", false},
+    {"no-buffer-space", false},
     {"silent", false},
     {"timed-out", false},
     {"caller-gone", false},
--- a/src/libteaselthread/attempts/request_attempts.h
+++ b/src/libteaselthread/attempts/request_attempts.h
@@ -21,11 +21,13 @@
   kServerError,      // the endpoint ran the request and returned an error
   kBroken,           // the connection was lost after the request was sent
   kMalformed,        // the received bytes are not a valid response
+  kOversized,        // a part of the response exceeds its limit
+  kNoBufferSpace,    // the node buffers too many responses already
   kSilent,           // no data for longer than the load can explain
   kTimedOut,         // the request's deadline has passed
   kCallerGone,       // the caller has disconnected
 };
-inline constexpr size_t kAttemptFailureCount = 10;
+inline constexpr size_t kAttemptFailureCount = 12;
 std::string_view ToString(AttemptFailure failure);
 
 // Whether the failure proves that the endpoint did not run the request.
--- a/src/teaselthread/gateway/endpoint_attempt.cc
+++ b/src/teaselthread/gateway/endpoint_attempt.cc
@@ -11,12 +11,15 @@
 // Allows several round trips between availability zones. A lost SYN, which TCP
 // retransmits only after 1 s, is not waited for.
 constexpr Duration kConnectTimeout = milliseconds(250);
-constexpr uint32_t kMaxHeaderBytes = 32 * 1024;
 // A response that is not streamed is buffered until it is complete.
 constexpr size_t kMaxBufferedBodyBytes = size_t{16} << 20;
 constexpr size_t kBodyBufferBytes = size_t{8} * 1024;
-// Number of stray responses to earlier requests that are skipped.
+// Number of stray responses to earlier requests that are skipped, and the limit
+// on the body of each.
 constexpr int kMaxUnrelatedResponses = 2;
+constexpr size_t kMaxUnrelatedBodyBytes = size_t{1} << 20;
+// Number of 1xx responses that may precede the final one.
+constexpr int kMaxInformationalResponses = 16;
 // Used if the endpoint sends no keep-alive timeout.
 constexpr seconds kDefaultKeepAlive(4);
 // A connection is not reused shortly before its keep-alive timeout, when the
@@ -32,6 +35,19 @@
   return status >= 500;
 }
 
+AttemptFailure ToAttemptFailure(const boost::system::error_code& failure) {
+  if (failure == http::error::header_limit ||
+      failure == http::error::buffer_overflow) {
+    return AttemptFailure::kOversized;
+  }
+  const bool is_malformed =
+      failure.category() ==
+          http::make_error_code(http::error::bad_version).category() &&
+      failure != http::error::end_of_stream &&
+      failure != http::error::partial_message;
+  return is_malformed ? AttemptFailure::kMalformed : AttemptFailure::kBroken;
+}
+
 // Parses the timeout from a value such as "timeout=5, max=100" and subtracts
 // kKeepAliveMargin.
 std::chrono::steady_clock::duration KeepAliveTime(const http::fields& fields) {
@@ -79,7 +95,8 @@
       connections_(connections),
       endpoint_(std::move(endpoint)),
       guard_(guard),
-      attempts_(attempts) {}
+      attempts_(attempts),
+      buffered_(&state->response_buffers()) {}
 
 asio::awaitable<AttemptResult> EndpointAttempt::Run(
     std::shared_ptr<const EndpointHttpRequest> request,
@@ -112,13 +129,7 @@
   if (co_await ReadHead(&parser, is_head)) {
     result = co_await ReadResponse(*parser, relay);
   } else {
-    const bool is_malformed =
-        last_failure_.category() ==
-            http::make_error_code(http::error::bad_version).category() &&
-        last_failure_ != http::error::end_of_stream &&
-        last_failure_ != http::error::partial_message;
-    result.failure = InterruptionOr(is_malformed ? AttemptFailure::kMalformed
-                                                 : AttemptFailure::kBroken);
+    result.failure = ReadFailure();
   }
   guard_->Detach();
   result.on_reused_connection = on_reused_connection;
@@ -162,30 +173,34 @@
 
 asio::awaitable<bool> EndpointAttempt::ReadHead(std::unique_ptr<Parser>* parser,
                                                 bool is_head) {
-  for (int unrelated = 0; unrelated <= kMaxUnrelatedResponses;) {
+  int unrelated = 0;
+  int informational = 0;
+  while (unrelated <= kMaxUnrelatedResponses &&
+         informational <= kMaxInformationalResponses) {
+    if (guard_->interruption())
+      co_return false;
     *parser = std::make_unique<Parser>();
-    (*parser)->header_limit(kMaxHeaderBytes);
+    (*parser)->header_limit(EndpointConnection::kMaxHeaderBytes);
     (*parser)->body_limit(boost::none);
     (*parser)->skip(is_head);
     auto [failure, count] = co_await http::async_read_header(
         connection_->socket, connection_->buffer, **parser, kAsTuple);
-    last_failure_ = failure;
     if (failure)
-      co_return false;
+      co_return SetFailure(ToAttemptFailure(failure));
     if ((*parser)->get().result_int() >= 400)
       guard_->StopWatchingFirstByte();
-    if ((*parser)->get().result_int() < 200)
+    if ((*parser)->get().result_int() < 200) {
+      ++informational;
       continue;
+    }
     endpoint_head_ = state_->codec().DecodeEndpoint((*parser)->get().base());
     if (BelongsToRequest(endpoint_head_))
       co_return true;
     ++unrelated;
-    std::string ignored;
-    if (!co_await ReadBody(**parser, &ignored))
+    if (!co_await SkipBody(**parser))
       co_return false;
   }
-  last_failure_ = http::error::bad_value;
-  co_return false;
+  co_return SetFailure(AttemptFailure::kMalformed);
 }
 
 // A response without an echoed id certainly belongs to this request only if the
@@ -211,8 +226,7 @@
   if (!co_await ReadBody(parser, &result.body)) {
     // The header's statement that the request did not run holds even if the
     // body is lost.
-    result.failure = not_run ? AttemptFailure::kRejected
-                             : InterruptionOr(AttemptFailure::kBroken);
+    result.failure = not_run ? AttemptFailure::kRejected : ReadFailure();
     co_return result;
   }
   if (not_run) {
@@ -233,13 +247,28 @@
     std::string_view bytes;
     if (!co_await ReadBodyData(parser, &bytes))
       co_return false;
-    if (!bytes.empty())
-      guard_->StopWatchingFirstByte();
+    if (bytes.empty())
+      continue;
+    guard_->StopWatchingFirstByte();
+    guard_->OnProgress(limits_.between);
+    if (body->size() + bytes.size() > kMaxBufferedBodyBytes)
+      co_return SetFailure(AttemptFailure::kOversized);
+    if (!buffered_.Grow(bytes.size()))
+      co_return SetFailure(AttemptFailure::kNoBufferSpace);
     body->append(bytes);
-    if (body->size() > kMaxBufferedBodyBytes) {
-      last_failure_ = http::error::body_limit;
+  }
+  co_return true;
+}
+
+asio::awaitable<bool> EndpointAttempt::SkipBody(Parser& parser) {
+  size_t total = 0;
+  while (!parser.is_done()) {
+    std::string_view bytes;
+    if (!co_await ReadBodyData(parser, &bytes))
       co_return false;
-    }
+    total += bytes.size();
+    if (total > kMaxUnrelatedBodyBytes)
+      co_return SetFailure(AttemptFailure::kOversized);
   }
   co_return true;
 }
@@ -252,18 +281,25 @@
   while (!parser.is_done()) {
     std::string_view bytes;
     if (!co_await ReadBodyData(parser, &bytes)) {
-      result.failure = InterruptionOr(AttemptFailure::kBroken);
+      result.failure = ReadFailure();
       co_return result;
     }
     if (bytes.empty())
       continue;
     guard_->StopWatchingFirstByte();
     guard_->SuspendSilenceLimit();
+    const uint32_t events_before = relay.events().event_count();
     if (!co_await relay.OnBytes(bytes)) {
       result.failure = AttemptFailure::kCallerGone;
       co_return result;
     }
-    guard_->OnProgress(limits_.between);
+    guard_->ResumeSilenceLimit();
+    if (relay.events().event_count() > events_before)
+      guard_->OnProgress(limits_.between);
+    if (relay.events().is_oversized()) {
+      result.failure = AttemptFailure::kOversized;
+      co_return result;
+    }
   }
   if (relay.events().has_partial_event()) {
     result.failure = AttemptFailure::kMalformed;
@@ -277,6 +313,8 @@
 
 asio::awaitable<bool> EndpointAttempt::ReadBodyData(Parser& parser,
                                                     std::string_view* bytes) {
+  if (guard_->interruption())
+    co_return false;
   body_buffer_.resize(kBodyBufferBytes);
   http::buffer_body::value_type& body = parser.get().body();
   body.data = body_buffer_.data();
@@ -285,10 +323,8 @@
   auto [failure, count] = co_await http::async_read_some(
       connection_->socket, connection_->buffer, parser, kAsTuple);
   *bytes = {body_buffer_.data(), body_buffer_.size() - body.size};
-  if (failure && failure != http::error::need_buffer) {
-    last_failure_ = failure;
-    co_return false;
-  }
+  if (failure && failure != http::error::need_buffer)
+    co_return SetFailure(ToAttemptFailure(failure));
   co_return true;
 }
 
@@ -304,8 +340,13 @@
   connection_ = nullptr;
 }
 
-AttemptFailure EndpointAttempt::InterruptionOr(AttemptFailure failure) const {
-  return guard_->interruption().value_or(failure);
+AttemptFailure EndpointAttempt::ReadFailure() const {
+  return guard_->interruption().value_or(read_failure_);
+}
+
+bool EndpointAttempt::SetFailure(AttemptFailure failure) {
+  read_failure_ = failure;
+  return false;
 }
 
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/endpoint_attempt.h
+++ b/src/teaselthread/gateway/endpoint_attempt.h
@@ -58,12 +58,16 @@
   asio::awaitable<AttemptResult> ReadResponse(Parser& parser,
                                               StreamRelay* relay);
   asio::awaitable<bool> ReadBody(Parser& parser, std::string* body);
+  // Reads a response that belongs to no request and discards its body.
+  asio::awaitable<bool> SkipBody(Parser& parser);
   asio::awaitable<AttemptResult> Stream(Parser& parser, StreamRelay& relay);
   // Reads the next part of the body. Returns false on an error.
   asio::awaitable<bool> ReadBodyData(Parser& parser, std::string_view* bytes);
   bool BelongsToRequest(const EndpointHead& head) const;
   void ReleaseConnection(const Parser& parser);
-  AttemptFailure InterruptionOr(AttemptFailure failure) const;
+  // Why reading has failed: the interruption, if any, or the last error.
+  AttemptFailure ReadFailure() const;
+  bool SetFailure(AttemptFailure failure);
 
   GatewayState* state_;
   EndpointConnections* connections_;
@@ -76,7 +80,8 @@
   EndpointHead endpoint_head_;
   std::shared_ptr<bool> request_written_;
   std::string body_buffer_;
-  boost::system::error_code last_failure_;
+  BufferQuota::Reservation buffered_;
+  AttemptFailure read_failure_ = AttemptFailure::kBroken;
 };
 
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/endpoint_connections.h
+++ b/src/teaselthread/gateway/endpoint_connections.h
@@ -12,13 +12,16 @@
 
 // A connection to an endpoint and its read buffer.
 struct EndpointConnection {
+  // Limit on a response's head, chunk header or trailers.
+  static constexpr size_t kMaxHeaderBytes = size_t{32} * 1024;
+
   explicit EndpointConnection(asio::io_context& io) : socket(io) {}
   // Closes the connection and discards unsent data, so that none of it is
   // delivered later.
   void Reset();
 
   tcp::socket socket;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{2 * kMaxHeaderBytes};
   bool is_reused = false;
   std::chrono::steady_clock::time_point usable_until;
 };
--- a/src/teaselthread/gateway/front_connection.cc
+++ b/src/teaselthread/gateway/front_connection.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "teaselthread/callers/discard_input.h"
 #include "teaselthread/callers/problem.h"
 #include "teaselthread/io_timeout.h"
 
@@ -17,8 +18,6 @@
     16 * 1024, 4 << 20, milliseconds(3'000), milliseconds(15'000)};
 // Long enough for a body of the maximum size over a slow connection.
 constexpr Duration kBodyTimeout = milliseconds(15'000);
-constexpr Duration kLingerTime = milliseconds(2'000);
-constexpr size_t kLingerBytes = size_t{16} << 20;
 constexpr size_t kReadBytes = size_t{8} * 1024;
 
 RefusalReason ReasonOf(const boost::system::error_code& failure) {
@@ -89,6 +88,7 @@
 asio::awaitable<bool> FrontConnection::ServeNextRequest() {
   const ConnectionBounds bounds =
       state_->routes() ? state_->routes()->bounds() : kDefaultBounds;
+  buffer_.max_size(bounds.max_header_bytes + kReadBytes);
   is_idle_ = true;
   if (buffer_.size() == 0 && !co_await AwaitBytes(bounds.idle_timeout))
     co_return false;
@@ -168,22 +168,7 @@
   ResponseHead head{static_cast<int>(problem.result_int()), problem.base()};
   std::string body = std::move(problem.body());
   co_await writer.WriteResponse(std::move(head), std::move(body));
-  co_await Linger();
-}
-
-asio::awaitable<void> FrontConnection::Linger() {
-  boost::system::error_code ignored;
-  socket_.shutdown(tcp::socket::shutdown_send, ignored);
-  IoTimeout limit(socket_);
-  limit.Arm(kLingerTime);
-  std::string sink(kReadBytes, '\0');
-  for (size_t total = 0; total < kLingerBytes;) {
-    auto [failure, count] =
-        co_await socket_.async_read_some(asio::buffer(sink), kAsTuple);
-    if (failure)
-      co_return;
-    total += count;
-  }
+  co_await DiscardInput(socket_);
 }
 
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/front_connection.h
+++ b/src/teaselthread/gateway/front_connection.h
@@ -31,9 +31,6 @@
   // closed.
   asio::awaitable<std::optional<RefusalReason>> ReadRequest(Parser& parser);
   asio::awaitable<void> RefuseUnread(RefusalReason reason);
-  // Reads and discards what the caller still sends, so that closing does not
-  // reset the connection before the caller has read the response.
-  asio::awaitable<void> Linger();
 
   GatewayState* state_;
   RequestHandler* handler_;
--- a/src/teaselthread/gateway/gateway_state.cc
+++ b/src/teaselthread/gateway/gateway_state.cc
@@ -11,6 +11,8 @@
 // Covers clock drift between machines. Network latency needs no margin, because
 // a caller sends its request before it is checked here.
 constexpr Duration kRevocationMargin = std::chrono::milliseconds(50);
+// Less than half the memory of the smallest VM (160 MB).
+constexpr size_t kMaxBufferedResponseBytes = size_t{64} << 20;
 
 Peer MakeSelf(const GatewaySettings& settings) {
   return {settings.name(), settings.zone(), settings.peer_listen(),
@@ -30,6 +32,7 @@
                                kRevocationMargin),
       selector_(&endpoints_),
       peers_(MakeSelf(settings_), settings_.heartbeat_timeout()),
+      response_buffers_(kMaxBufferedResponseBytes),
       log_(settings_.log_level()) {}
 
 Timestamp GatewayState::Now() const {
--- a/src/teaselthread/gateway/gateway_state.h
+++ b/src/teaselthread/gateway/gateway_state.h
@@ -16,6 +16,7 @@
 #include "libteaselthread/routes/route_table.h"
 #include "libteaselthread/timer_service.h"
 #include "teaselthread/asio.h"
+#include "teaselthread/gateway/buffer_quota.h"
 #include "teaselthread/gateway/decision_log.h"
 #include "teaselthread/gateway/gateway_metrics.h"
 #include "teaselthread/gateway/gateway_settings.h"
@@ -62,6 +63,7 @@
   RevisionAnnouncement& evacuation_changes() { return evacuation_changes_; }
   PromptPartDemand& demand() { return demand_; }
   GatewayMetrics& metrics() { return metrics_; }
+  BufferQuota& response_buffers() { return response_buffers_; }
   DecisionLog& log() { return log_; }
   TimerService& timers() { return timers_; }
   std::mt19937_64& random() { return random_; }
@@ -94,6 +96,7 @@
   PeerSet peers_;
   std::map<std::string, RetryAllowance> retries_;
   GatewayMetrics metrics_;
+  BufferQuota response_buffers_;
   DecisionLog log_;
   TimerService timers_;
   bool leaving_ = false;
--- a/src/teaselthread/gateway/request_guard.cc
+++ b/src/teaselthread/gateway/request_guard.cc
@@ -52,11 +52,30 @@
   upstream_ = nullptr;
   on_silence_ = nullptr;
   silence_limit_ = Clock::duration::max();
+  suspended_at_.reset();
 }
 
 void RequestGuard::OnProgress(Clock::duration silence_limit) {
   last_progress_ = Clock::now();
   silence_limit_ = silence_limit;
+  suspended_at_.reset();
+  ScheduleIfEarlier();
+}
+
+void RequestGuard::SuspendSilenceLimit() {
+  suspended_at_ = Clock::now();
+}
+
+void RequestGuard::ResumeSilenceLimit() {
+  if (suspended_at_)
+    last_progress_ += Clock::now() - *suspended_at_;
+  suspended_at_.reset();
+  ScheduleIfEarlier();
+}
+
+bool RequestGuard::HasSilenceLimit() const {
+  return upstream_ && !suspended_at_ &&
+         silence_limit_ != Clock::duration::max();
 }
 
 void RequestGuard::WatchCaller() {
@@ -83,14 +102,23 @@
     Interrupt(AttemptFailure::kCallerGone);
 }
 
-void RequestGuard::Schedule() {
+RequestGuard::Clock::time_point RequestGuard::NextDue() const {
   Clock::time_point due =
       interruption_ ? deadline_ + kWriteGracePeriod : deadline_;
-  if (upstream_ && silence_limit_ != Clock::duration::max())
+  if (HasSilenceLimit())
     due = std::min(due, last_progress_ + silence_limit_);
   if (on_silence_)
     due = std::min(due, silence_report_at_);
-  timer_.expires_at(due);
+  return due;
+}
+
+void RequestGuard::ScheduleIfEarlier() {
+  if (active_ && NextDue() < timer_.expiry())
+    Schedule();
+}
+
+void RequestGuard::Schedule() {
+  timer_.expires_at(NextDue());
   timer_.async_wait(
       [self = shared_from_this()](const boost::system::error_code& failure) {
         if (!failure && self->active_)
@@ -110,8 +138,7 @@
   }
   if (now >= deadline_) {
     Interrupt(AttemptFailure::kTimedOut);
-  } else if (upstream_ && silence_limit_ != Clock::duration::max() &&
-             now - last_progress_ >= silence_limit_) {
+  } else if (HasSilenceLimit() && now - last_progress_ >= silence_limit_) {
     Interrupt(AttemptFailure::kSilent);
     return;
   }
--- a/src/teaselthread/gateway/request_guard.h
+++ b/src/teaselthread/gateway/request_guard.h
@@ -11,9 +11,10 @@
 namespace teaselthread {
 
 // Interrupts a request when its caller disconnects, when its deadline passes,
-// or when an endpoint sends nothing for too long. It cancels the operations on
-// the connection to the endpoint, so that the current attempt ends with an
-// error.
+// or when an endpoint makes no progress for too long. It cancels the operations
+// on the connection to the endpoint. Whoever reads from that connection must
+// check interruption() before each read, since nothing is cancelled between two
+// reads.
 class RequestGuard : public std::enable_shared_from_this<RequestGuard> {
  public:
   using Clock = std::chrono::steady_clock;
@@ -30,11 +31,12 @@
   // Calls `on_silence` once if the endpoint sends nothing within `limit`.
   void WatchFirstByte(Clock::duration limit, std::function<void()> on_silence);
   void StopWatchingFirstByte() { on_silence_ = nullptr; }
-  // Called when the endpoint has sent something. `silence_limit` starts now.
+  // Called when the response has progressed. `silence_limit` starts now.
   void OnProgress(Clock::duration silence_limit);
-  // Suspends the silence limit while data is written to the caller, as a slow
-  // caller must not count against the endpoint.
-  void SuspendSilenceLimit() { silence_limit_ = Clock::duration::max(); }
+  // The silence limit does not run while data is written to the caller, as a
+  // slow caller must not count against the endpoint.
+  void SuspendSilenceLimit();
+  void ResumeSilenceLimit();
 
   // Why the current attempt was cancelled, if it was.
   const std::optional<AttemptFailure>& interruption() const {
@@ -49,7 +51,10 @@
  private:
   void WatchCaller();
   void OnCallerReadable();
+  bool HasSilenceLimit() const;
+  Clock::time_point NextDue() const;
   void Schedule();
+  void ScheduleIfEarlier();
   void OnTimer();
   void Interrupt(AttemptFailure reason);
 
@@ -59,6 +64,7 @@
   Clock::time_point deadline_;
   Clock::time_point last_progress_;
   Clock::duration silence_limit_ = Clock::duration::max();
+  std::optional<Clock::time_point> suspended_at_;
   Clock::time_point silence_report_at_;
   std::function<void()> on_silence_;
   std::optional<AttemptFailure> interruption_;
--- a/src/teaselthread/gateway/request_handler.cc
+++ b/src/teaselthread/gateway/request_handler.cc
@@ -52,6 +52,8 @@
     case AttemptFailure::kSilent:
       return UnknownReason::kTimedOut;
     case AttemptFailure::kMalformed:
+    case AttemptFailure::kOversized:
+    case AttemptFailure::kNoBufferSpace:
       return UnknownReason::kTruncatedAnswer;
     default:
       return UnknownReason::kConnectionLost;
@@ -315,6 +317,7 @@
         break;
       case AttemptFailure::kStaleConnection:
       case AttemptFailure::kCallerGone:
+      case AttemptFailure::kNoBufferSpace:
         health.OnAbandoned();
         break;
       case AttemptFailure::kSilent:
--- a/src/teaselthread/gateway/stream_relay.cc
+++ b/src/teaselthread/gateway/stream_relay.cc
@@ -4,6 +4,7 @@
 
 void StreamRelay::OnHead(ResponseHead head) {
   events_.Restart();
+  first_comments_.clear();
   if (!writer_->begun())
     head_ = std::move(head);
 }
@@ -14,17 +15,20 @@
     co_return true;
   if (writer_->begun())
     co_return co_await writer_->WriteEvents(std::move(complete_events));
+  first_comments_.append(complete_events);
+  if (events_.event_count() == 0)
+    co_return true;
   first_event_at_ = std::chrono::steady_clock::now();
   ResponseHead head = *std::move(head_);
   co_return co_await writer_->BeginStream(std::move(head),
-                                          std::move(complete_events));
+                                          std::move(first_comments_));
 }
 
 asio::awaitable<bool> StreamRelay::OnEnd() {
   if (!writer_->begun()) {
     ResponseHead head = *std::move(head_);
-    std::string no_events;
-    if (!co_await writer_->BeginStream(std::move(head), std::move(no_events)))
+    if (!co_await writer_->BeginStream(std::move(head),
+                                       std::move(first_comments_)))
       co_return false;
   }
   co_return co_await writer_->EndStream();
--- a/src/teaselthread/gateway/stream_relay.h
+++ b/src/teaselthread/gateway/stream_relay.h
@@ -11,7 +11,9 @@
 
 // Relays one event stream to a caller. If an endpoint fails, the next one can
 // continue the stream. The caller receives only complete events, and the
-// response head of the first endpoint that sent one.
+// response head of the first endpoint that sent one. Comments are relayed as
+// they arrive, but not before the first event, since a response that has begun
+// can be moved to another endpoint only after an event.
 class StreamRelay {
  public:
   explicit StreamRelay(ResponseWriter* writer) : writer_(writer) {}
@@ -34,6 +36,7 @@
   ResponseWriter* writer_;
   EventSplitter events_;
   std::optional<ResponseHead> head_;  // until it has been written
+  std::string first_comments_;        // until the first event is written
   std::optional<std::chrono::steady_clock::time_point> first_event_at_;
 };
 
--- a/src/teaselthread/io_timeout.h
+++ b/src/teaselthread/io_timeout.h
@@ -8,8 +8,9 @@
 
 namespace teaselthread {
 
-// Cancels the pending operations of a socket after a timeout. The socket stays
-// open, so that a response can still be written to it.
+// Cancels the operations of a socket after a timeout. The socket stays open, so
+// that a response can still be written to it. Cancels repeatedly until Disarm
+// is called, since a composed operation has nothing pending between two reads.
 class IoTimeout {
  public:
   explicit IoTimeout(tcp::socket& socket);
@@ -29,6 +30,8 @@
     bool expired = false;
   };
 
+  void Wait(uint64_t generation);
+
   std::shared_ptr<State> state_;
   asio::steady_timer timer_;
 };
--- a/tests/gateway/gateway_harness.cc
+++ b/tests/gateway/gateway_harness.cc
@@ -85,6 +85,10 @@
     if (reply.reads_body)
       buffer.erase(0, body_size);
     co_await asio::async_write(socket, asio::buffer(reply.bytes), kAsTuple);
+    if (!reply.repeated.empty()) {
+      co_await Repeat(socket, reply);
+      co_return;
+    }
     boost::system::error_code ignored;
     if (reply.resets)
       socket.set_option(asio::socket_base::linger(true, 0), ignored);
@@ -104,6 +108,22 @@
   }
 }
 
+asio::awaitable<void> ScriptedEndpoint::Repeat(tcp::socket& socket,
+                                               const Reply& reply) {
+  asio::steady_timer pause(acceptor_.get_executor());
+  for (;;) {
+    if (reply.pause > Duration::zero()) {
+      pause.expires_after(reply.pause);
+      co_await pause.async_wait(kAsTuple);
+    }
+    auto [failure, count] = co_await asio::async_write(
+        socket, asio::buffer(reply.repeated), kAsTuple);
+    if (failure)
+      break;
+  }
+  ++abandoned_;
+}
+
 GatewayHarness::GatewayHarness()
     : state_(std::make_unique<GatewayState>(&io_,
                                             MakeSettings(FreePort(io_)),
--- a/tests/gateway/gateway_harness.h
+++ b/tests/gateway/gateway_harness.h
@@ -23,6 +23,10 @@
     bool closes = false;  // closes in an orderly way after the bytes
     bool resets = false;  // resets the connection after the bytes
     bool reads_body = true;
+    // Sent again and again after the bytes until the gateway closes the
+    // connection, each time after a pause.
+    std::string repeated = {};
+    Duration pause = Duration::zero();
   };
   // Called with the request's header, its id and its number, starting at 0.
   using Script = std::function<
@@ -39,6 +43,7 @@
  private:
   asio::awaitable<void> Accept();
   asio::awaitable<void> Serve(tcp::socket socket);
+  asio::awaitable<void> Repeat(tcp::socket& socket, const Reply& reply);
 
   tcp::acceptor acceptor_;
   Script script_;
--- a/tests/gateway/request_attempts_test.cc
+++ b/tests/gateway/request_attempts_test.cc
@@ -178,6 +178,40 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(does_not_count_comments_as_events) {
+  EventSplitter events;
+  BOOST_TEST(events.Feed(": ping\n\n") == ": ping\n\n");
+  BOOST_TEST(events.event_count() == 0u);
+  BOOST_TEST(events.Feed(": ping\ndata: a\n\n") == ": ping\ndata: a\n\n");
+  BOOST_TEST(events.event_count() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(is_oversized_if_too_many_bytes_complete_no_new_event) {
+  const std::string event = "id: 1\ndata: a\n\n";
+  for (const std::string repeated : {"x", ": ping\n\n", event.c_str()}) {
+    EventSplitter events;
+    events.Feed(event);
+    size_t fed = 0;
+    while (fed <= EventSplitter::kMaxBytesPerEvent) {
+      BOOST_REQUIRE(!events.is_oversized());
+      events.Feed(repeated);
+      fed += repeated.size();
+    }
+    BOOST_TEST(events.is_oversized());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(is_not_oversized_if_events_keep_coming) {
+  EventSplitter events;
+  for (int i = 0; i < 5; ++i) {
+    events.Feed(
+        "data: " + std::string(EventSplitter::kMaxBytesPerEvent / 2, 'x') +
+        "\n\n");
+    BOOST_TEST(!events.is_oversized());
+  }
+  BOOST_TEST(events.event_count() == 5u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
