--- a/src/libteaselthread/attempts/retry_after.cc
+++ b/src/libteaselthread/attempts/retry_after.cc
@@ -12,6 +12,8 @@
 // An ejected endpoint is tried again, and a crashed one is replaced, after
 // about this time.
 constexpr Duration kRecoveryDelay = milliseconds(500);
+// Outages of the store last for seconds, and callers retry only a few times.
+constexpr Duration kStoreOutageDelay = milliseconds(2'000);
 // The delay is shortened or lengthened by up to this fraction.
 constexpr double kJitterShare = 0.4;
 
@@ -25,6 +27,8 @@
       return kOtherNodeDelay;
     case RefusalReason::kEndpointsCold:
       return kColdEndpointsDelay;
+    case RefusalReason::kFleetStale:
+      return kStoreOutageDelay;
     case RefusalReason::kNoEndpoint:
     case RefusalReason::kEndpointBusy:
     case RefusalReason::kRetryLimit:
--- a/src/libteaselthread/attempts/retry_after.h
+++ b/src/libteaselthread/attempts/retry_after.h
@@ -7,8 +7,8 @@
 namespace teaselthread {
 
 // How long a refused caller should wait before it retries: briefly if another
-// node can serve it immediately, longer if endpoints have to recover, zero if a
-// retry cannot help. `jitter` is a random number from 0 to 1 that keeps callers
+// node can serve it immediately, longer if endpoints or the store have to recover,
+// zero if a retry cannot help. `jitter` is a random number from 0 to 1 that keeps callers
 // that were refused at the same time from retrying at the same time.
 Duration RetryAfterFor(RefusalReason reason, double jitter);
 
--- a/src/libteaselthread/peers/peer_set.cc
+++ b/src/libteaselthread/peers/peer_set.cc
@@ -176,11 +176,27 @@
 }
 
 bool PeerSet::IsZoneLeader(Timestamp now) const {
-  return std::none_of(entries_.begin(), entries_.end(), [&](const auto& item) {
-    const Entry& entry = item.second;
-    return entry.peer.zone == self_.zone && entry.peer.serving &&
-           IsAlive(entry, now) && entry.peer.name < self_.name;
-  });
+  bool precedes_all = true;
+  bool precedes_serving = true;
+  bool any_serving = false;
+  for (const auto& [name, entry] : entries_) {
+    if (entry.peer.zone != self_.zone || !IsAlive(entry, now))
+      continue;
+    const bool precedes_self = entry.peer.name < self_.name;
+    any_serving = any_serving || entry.peer.serving;
+    if (precedes_self)
+      precedes_all = false;
+    if (precedes_self && entry.peer.serving)
+      precedes_serving = false;
+  }
+  if (self_.serving)
+    return precedes_serving;
+  return !any_serving && precedes_all;
+}
+
+bool PeerSet::IsZonePeer(const SocketAddress& address) const {
+  const Entry* entry = FindByAddress(address);
+  return entry && entry->peer.zone == self_.zone;
 }
 
 Duration PeerSet::HeartbeatInterval(Duration shortest, Timestamp now) const {
@@ -228,6 +244,18 @@
   return total;
 }
 
+bool PeerSet::MayServeElsewhere(Timestamp now) const {
+  bool any_alive = false;
+  for (const auto& [name, entry] : entries_) {
+    if (entry.peer.zone != self_.zone || !IsAlive(entry, now))
+      continue;
+    if (entry.peer.serving)
+      return true;
+    any_alive = true;
+  }
+  return !any_alive;
+}
+
 size_t PeerSet::alive_count(Timestamp now) const {
   return static_cast<size_t>(
       1 + std::count_if(
--- a/src/libteaselthread/peers/peer_set.h
+++ b/src/libteaselthread/peers/peer_set.h
@@ -1,12 +1,14 @@
 #ifndef TEASELTHREAD_PEERS_PEER_SET_H_
 #define TEASELTHREAD_PEERS_PEER_SET_H_
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "libteaselthread/peers/store_changes.h"
 #include "libteaselthread/settings.h"
 #include "libteaselthread/timestamp.h"
 
@@ -47,6 +49,8 @@
   // receiver is in another one. If empty, the values received before stay
   // valid.
   std::optional<ServiceRequests> requests;
+  // The lists that the sender watches as the zone leader, by RelayedList.
+  std::array<std::optional<ListStatus>, kRelayedListCount> lists;
 
   friend auto operator<=>(const PeerStatus&, const PeerStatus&) = default;
 };
@@ -97,6 +101,10 @@
   // clock.
   std::optional<Timestamp> LastSentAt(const SocketAddress& from) const;
   size_t alive_count(Timestamp now) const;
+  // Whether another node of this availability zone may accept callers. False
+  // only if nodes of the zone are alive and none of them does, as during an
+  // outage of the store; a node that hears no others is cut off itself.
+  bool MayServeElsewhere(Timestamp now) const;
   // Requests in progress for a service, summed over the live nodes of this
   // availability zone. `local_requests`: those sent by this node.
   uint32_t ZoneRequests(uint32_t service,
@@ -107,9 +115,13 @@
                          uint32_t local_requests,
                          Timestamp now) const;
   // Whether this node is the zone leader of its availability zone: the node
-  // that queries the store frequently and tells the other nodes of the zone how
-  // old the configuration is.
+  // that watches the store and tells the other nodes of the zone what has
+  // changed and how old the configuration is. It is the first one by name of
+  // those that accept callers or, as during an outage of the store, of all if
+  // none does. Nodes may disagree for a moment.
   bool IsZoneLeader(Timestamp now) const;
+  // Whether the address belongs to another node of this availability zone.
+  bool IsZonePeer(const SocketAddress& address) const;
   // Time between two heartbeats. It grows with the number of nodes in the zone,
   // so that the cost of the heartbeats does not.
   Duration HeartbeatInterval(Duration shortest, Timestamp now) const;
--- /dev/null
+++ b/src/libteaselthread/peers/store_changes.h
@@ -0,0 +1,61 @@
+#ifndef TEASELTHREAD_PEERS_STORE_CHANGES_H_
+#define TEASELTHREAD_PEERS_STORE_CHANGES_H_
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "libteaselthread/endpoints/endpoint_record.h"
+
+namespace teaselthread {
+
+// The lists in the platform's store that nodes relay to each other.
+enum class RelayedList : uint8_t { kEndpoints, kEvacuations };
+inline constexpr size_t kRelayedListCount = 2;
+
+// One object of a list that was created, changed or removed.
+struct StoreChange {
+  std::string name;  // the endpoint's id or the availability zone
+  bool removed = false;
+  std::optional<EndpointRecord> endpoint;  // only in kEndpoints, if not removed
+
+  friend auto operator<=>(const StoreChange&, const StoreChange&) = default;
+};
+
+// All changes of a list after the store's revision `from`, up to `to`, in
+// order. Whoever knows the list as of any revision from `from` to `to` knows it
+// as of `to` once the whole batch has been applied.
+struct ChangeBatch {
+  uint64_t from = 0;
+  uint64_t to = 0;
+  // For how much longer the sender defers removals, after a store outage.
+  Duration removals_deferred{};
+  std::vector<StoreChange> changes;
+
+  friend auto operator<=>(const ChangeBatch&, const ChangeBatch&) = default;
+};
+
+// A part of a batch that fits into one datagram.
+struct ChangeBatchPart {
+  ChangeBatch batch;  // with the changes of this part only
+  uint32_t index = 0;
+  uint32_t count = 1;
+
+  friend auto operator<=>(const ChangeBatchPart&,
+                          const ChangeBatchPart&) = default;
+};
+
+// What a node states about a list that it watches in the store.
+struct ListStatus {
+  uint64_t changed_at = 0;   // the list has not changed after this revision
+  uint64_t complete_to = 0;  // ... up to this one
+  Duration age{};            // time since the store confirmed that
+
+  friend auto operator<=>(const ListStatus&, const ListStatus&) = default;
+};
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_PEERS_STORE_CHANGES_H_
--- a/src/libteaselthread/requests/reasons.cc
+++ b/src/libteaselthread/requests/reasons.cc
@@ -54,6 +54,7 @@
     {"header-oversized", kHeaderFieldsTooLarge},
     {"endpoints-cold", kServiceUnavailable},
     {"retry-limit", kServiceUnavailable},
+    {"fleet-stale", kServiceUnavailable},
 }};
 
 constexpr std::array<ReasonRow, kUnknownReasonCount> kUnknowns = {{
--- a/src/libteaselthread/requests/reasons.h
+++ b/src/libteaselthread/requests/reasons.h
@@ -39,8 +39,9 @@
   kHeaderOversized,
   kEndpointsCold,
   kRetryLimit,
+  kFleetStale,  // like kStaleConfiguration, and other nodes cannot help
 };
-inline constexpr size_t kRefusalReasonCount = 30;
+inline constexpr size_t kRefusalReasonCount = 31;
 
 // Why it is unknown whether a request ran.
 enum class UnknownReason : uint8_t {
--- a/src/teaselthread/gateway/gateway.cc
+++ b/src/teaselthread/gateway/gateway.cc
@@ -54,6 +54,15 @@
   heartbeat_ = heartbeat.TakeValue();
   heartbeat_->set_on_peer_status(
       [this](const PeerStatus& status) { store_.OnPeerStatus(status); });
+  heartbeat_->set_on_change_part(
+      [this](RelayedList list, ChangeBatchPart part) {
+        store_.OnRelayedPart(list, std::move(part));
+      });
+  heartbeat_->set_list_status_source(
+      [this](RelayedList list) { return store_.StatusToShare(list); });
+  store_.set_on_batch([this](RelayedList list, const ChangeBatch& batch) {
+    heartbeat_->RelayChanges(list, batch);
+  });
   store_.set_on_store_recovered([this] { heartbeat_->SendNow(); });
   store_.Start();
   registrar_.Start();
--- a/src/teaselthread/gateway/gateway_state.cc
+++ b/src/teaselthread/gateway/gateway_state.cc
@@ -95,6 +95,21 @@
   settings_ = std::move(settings);
 }
 
+void GatewayState::OnStoreCall(StoreKind kind,
+                               std::string_view target,
+                               int status,
+                               Timestamp called_at) {
+  metrics_.OnStoreCall(status >= 200 && status < 300);
+  if (!log_.WritesDebug())
+    return;
+  LogLine line("store-called");
+  line.Add("kind", ToString(kind))
+      .Add("target", target)
+      .Add("status", status)
+      .AddTime("elapsed", Now() - called_at);
+  log_.Debug(line);
+}
+
 std::string GatewayState::RenderMetrics() const {
   GatewayGauges gauges;
   gauges.configuration_version = routes_ ? routes_->version() : 0;
--- a/src/teaselthread/gateway/gateway_state.h
+++ b/src/teaselthread/gateway/gateway_state.h
@@ -78,6 +78,12 @@
   // Replaces the settings and applies the log level. Values that were used at
   // startup, such as listen addresses, stay in effect until a restart.
   void Reload(GatewaySettings settings);
+  // Counts and logs a call to the store that was made at `called_at`. `status`
+  // is 0 if there was no response.
+  void OnStoreCall(StoreKind kind,
+                   std::string_view target,
+                   int status,
+                   Timestamp called_at);
   std::string RenderMetrics() const;
 
   uint64_t requests_in_progress = 0;
--- a/src/teaselthread/gateway/peer_heartbeat.cc
+++ b/src/teaselthread/gateway/peer_heartbeat.cc
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "heartbeat.pb.h"
+#include "libteaselthread/peers/change_assembler.h"
 #include "libteaselthread/rendezvous_hash.h"
 
 namespace teaselthread {
@@ -12,6 +13,16 @@
 // The identity is repeated for peers that have lost their record of this node.
 constexpr uint32_t kHeartbeatsBetweenIdentities = 16;
 
+// Intervals are shortened at random by up to a fifth. Gateways that start at
+// the same time would otherwise always send at the same time, and each
+// confirmation of the configuration would have waited for the next heartbeat
+// twice.
+constexpr double kMinIntervalFactor = 0.8;
+
+// The interval of a zone leader is at most this share of the drain bound, since
+// the zone relies on what the leader states about the store.
+constexpr double kMaxLeaderIntervalShare = 0.25;
+
 // Maximum number of load updates in a heartbeat: about 100 bytes.
 constexpr size_t kMaxLoadUpdates = 16;
 constexpr Duration kAgeUnit = std::chrono::milliseconds(10);
@@ -28,6 +39,48 @@
   return {asio::ip::make_address(address.host), address.port};
 }
 
+uint32_t ToMilliseconds(Duration time) {
+  return static_cast<uint32_t>(
+      std::chrono::ceil<std::chrono::milliseconds>(time).count());
+}
+
+void SetChange(const StoreChange& change, wire::StoreChange* message) {
+  message->set_name(change.name);
+  message->set_removed(change.removed);
+  if (!change.endpoint)
+    return;
+  const EndpointRecord& record = *change.endpoint;
+  message->set_started_at_ms(record.started_at_ms);
+  message->set_service(record.service);
+  message->set_address(record.address.ToString());
+  message->set_zone(record.zone);
+  message->set_slots(record.slots);
+  message->set_draining(record.draining);
+  message->set_cold_left_ms(ToMilliseconds(record.cold_left));
+}
+
+// Empty if the message holds no valid change.
+std::optional<StoreChange> ToChange(RelayedList list,
+                                    const wire::StoreChange& message) {
+  StoreChange change{message.name(), message.removed(), std::nullopt};
+  if (change.removed || list != RelayedList::kEndpoints)
+    return change;
+  const Result<SocketAddress> address = SocketAddress::Parse(message.address());
+  if (!address)
+    return std::nullopt;
+  change.endpoint = EndpointRecord{
+      message.name(),     message.started_at_ms(),
+      message.service(),  *address,
+      message.zone(),     message.slots(),
+      message.draining(), std::chrono::milliseconds(message.cold_left_ms())};
+  return change;
+}
+
+ListStatus ToListStatus(const wire::ListStatus& message) {
+  return {message.changed_at(), message.complete_to(),
+          std::chrono::milliseconds(message.age_ms())};
+}
+
 }  // namespace
 
 Result<std::unique_ptr<PeerHeartbeat>> PeerHeartbeat::Start(
@@ -62,13 +115,21 @@
     : state_(state), socket_(std::move(socket)) {}
 
 void PeerHeartbeat::SendIfDue(Timestamp now) {
-  if (now - last_sent_at_ >= Interval())
+  const Duration interval =
+      std::chrono::duration_cast<Duration>(Interval() * interval_factor_);
+  if (now - last_sent_at_ >= interval)
     Send(heartbeat_rounds_ % PeerSet::kHeartbeatsPerRemoteHeartbeat == 0);
 }
 
 Duration PeerHeartbeat::Interval() const {
-  return state_->peers().HeartbeatInterval(
-      state_->settings().heartbeat_interval(), state_->Now());
+  const Timestamp now = state_->Now();
+  const Duration shortest = state_->settings().heartbeat_interval();
+  const Duration interval = state_->peers().HeartbeatInterval(shortest, now);
+  if (!state_->peers().IsZoneLeader(now))
+    return interval;
+  const auto longest = std::chrono::duration_cast<Duration>(
+      state_->settings().limits().drain_bound * kMaxLeaderIntervalShare);
+  return std::min(interval, std::max(shortest, longest));
 }
 
 void PeerHeartbeat::SendNow() {
@@ -78,13 +139,17 @@
 void PeerHeartbeat::Send(bool include_remote_zones) {
   ++heartbeat_rounds_;
   last_sent_at_ = state_->Now();
+  interval_factor_ = std::uniform_real_distribution<double>(
+      kMinIntervalFactor, 1)(state_->random());
   state_->peers().SetServing(state_->IsReady());
   const Timestamp now = state_->Now();
   std::vector<SocketAddress> zone = state_->peers().ZoneTargets(now);
   const std::vector<SocketAddress> remote = state_->peers().RemoteTargets(now);
   std::shuffle(zone.begin(), zone.end(), state_->random());
-  const wire::GatewayHeartbeat without_load = MakeMessage();
+  wire::GatewayHeartbeat without_load = MakeMessage();
   const ServiceRequests local = LocalRequests();
+  wire::GatewayHeartbeat remote_message = without_load;
+  SetListStatuses(&without_load);
   wire::GatewayHeartbeat with_load = without_load;
   SetLoadUpdates(state_->endpoints().BusiestEndpoints(kMaxLoadUpdates, now),
                  with_load.mutable_load());
@@ -92,9 +157,10 @@
   for (size_t i = 0; i < zone.size(); ++i)
     SendTo(zone[i], i < PeerSet::kLoadUpdateTargets ? with_load : without_load);
   if (include_remote_zones) {
-    SetRequests(ZoneRequests(local), with_load.mutable_load());
+    *remote_message.mutable_load() = with_load.load();
+    SetRequests(ZoneRequests(local), remote_message.mutable_load());
     for (const SocketAddress& target : remote)
-      SendTo(target, with_load);
+      SendTo(target, remote_message);
   }
   // Seeds let nodes find each other that have no record of each other. They are
   // contacted only while no other node is known.
@@ -107,6 +173,77 @@
     SendTo(target, without_load);
 }
 
+// Each part is a heartbeat too, so that a node which does not know of relayed
+// changes takes it for one.
+void PeerHeartbeat::RelayChanges(RelayedList list, const ChangeBatch& batch) {
+  const std::vector<SocketAddress> zone =
+      state_->peers().ZoneTargets(state_->Now());
+  for (const ChangeBatchPart& part : SplitIntoParts(batch)) {
+    wire::GatewayHeartbeat message = MakeMessage();
+    SetListStatuses(&message);
+    wire::ChangePart* changes = message.mutable_changes();
+    changes->set_list(static_cast<uint32_t>(list));
+    changes->set_from(part.batch.from);
+    changes->set_to(part.batch.to);
+    changes->set_index(part.index);
+    changes->set_count(part.count);
+    changes->set_removals_deferred_ms(
+        ToMilliseconds(part.batch.removals_deferred));
+    for (const StoreChange& change : part.batch.changes)
+      SetChange(change, changes->add_changes());
+    for (const SocketAddress& target : zone)
+      SendTo(target, message);
+  }
+  LogLine line("changes-relayed");
+  line.Add("list", static_cast<int>(list))
+      .Add("from", batch.from)
+      .Add("to", batch.to)
+      .Add("changes", batch.changes.size())
+      .Add("peers", zone.size());
+  state_->log().Info(line);
+}
+
+void PeerHeartbeat::SetListStatuses(wire::GatewayHeartbeat* message) const {
+  if (!list_status_source_)
+    return;
+  const auto set = [&](RelayedList list, auto add) {
+    const std::optional<ListStatus> status = list_status_source_(list);
+    if (!status)
+      return;
+    wire::ListStatus* field = (message->*add)();
+    field->set_changed_at(status->changed_at);
+    field->set_complete_to(status->complete_to);
+    field->set_age_ms(ToMilliseconds(status->age));
+  };
+  set(RelayedList::kEndpoints, &wire::GatewayHeartbeat::mutable_endpoints);
+  set(RelayedList::kEvacuations, &wire::GatewayHeartbeat::mutable_evacuations);
+}
+
+void PeerHeartbeat::OnChangePart(const wire::ChangePart& message) {
+  if (message.list() >= kRelayedListCount) {
+    state_->metrics().OnUnreadableEntry();
+    return;
+  }
+  const auto list = static_cast<RelayedList>(message.list());
+  ChangeBatchPart part;
+  part.batch.from = message.from();
+  part.batch.to = message.to();
+  part.batch.removals_deferred =
+      std::chrono::milliseconds(message.removals_deferred_ms());
+  part.index = message.index();
+  part.count = message.count();
+  for (const wire::StoreChange& item : message.changes()) {
+    const std::optional<StoreChange> change = ToChange(list, item);
+    if (!change) {
+      state_->metrics().OnUnreadableEntry();
+      return;
+    }
+    part.batch.changes.push_back(*change);
+  }
+  if (on_change_part_)
+    on_change_part_(list, std::move(part));
+}
+
 ServiceRequests PeerHeartbeat::LocalRequests() const {
   ServiceRequests local;
   if (!state_->routes())
@@ -145,8 +282,7 @@
   if (state_->routes())
     message.set_configuration_version(state_->routes()->version());
   if (const auto age = state_->configuration_freshness().Age(now)) {
-    message.set_proof_age_ms(static_cast<uint32_t>(
-        std::chrono::ceil<std::chrono::milliseconds>(*age).count()));
+    message.set_proof_age_ms(ToMilliseconds(*age));
   }
   message.set_interval_ms(static_cast<uint32_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(Interval())
@@ -225,9 +361,32 @@
     status.echoed_at = ToTimestamp(message.echoed_us());
   if (message.has_load())
     status.requests = OnLoadReport(message.load());
-  if (state_->peers().OnHeartbeat(from, status, state_->Now()) &&
-      on_peer_status_)
+  if (message.has_endpoints())
+    status.lists[0] = ToListStatus(message.endpoints());
+  if (message.has_evacuations())
+    status.lists[1] = ToListStatus(message.evacuations());
+  if (!state_->peers().OnHeartbeat(from, status, state_->Now()))
+    return;
+  if (on_peer_status_)
     on_peer_status_(status);
+  if (message.has_changes())
+    OnChangePart(message.changes());
+  const bool is_from_leader =
+      message.has_endpoints() || message.has_evacuations();
+  if (!is_from_leader && state_->peers().IsZonePeer(from))
+    ReplyAsLeader(from);
+}
+
+// How old the configuration is counts from the latest heartbeat that the leader
+// has received, so an immediate reply makes it as young as possible. Replies
+// are not replied to: they say that their sender is a leader.
+void PeerHeartbeat::ReplyAsLeader(const SocketAddress& follower) {
+  if (!state_->peers().IsZoneLeader(state_->Now()))
+    return;
+  wire::GatewayHeartbeat message = MakeMessage();
+  SetListStatuses(&message);
+  if (message.has_endpoints() || message.has_evacuations())
+    SendTo(follower, std::move(message));
 }
 
 void PeerHeartbeat::SetRequests(const ServiceRequests& requests,
--- a/src/teaselthread/gateway/peer_heartbeat.h
+++ b/src/teaselthread/gateway/peer_heartbeat.h
@@ -10,6 +10,7 @@
 namespace teaselthread {
 
 namespace wire {
+class ChangePart;
 class GatewayHeartbeat;
 class LoadReport;
 }  // namespace wire
@@ -26,8 +27,22 @@
     on_peer_status_ = std::move(on_peer_status);
   }
 
+  // Called for each part of a batch that a zone leader relays.
+  using ChangePartCallback = std::function<void(RelayedList, ChangeBatchPart)>;
+  void set_on_change_part(ChangePartCallback on_change_part) {
+    on_change_part_ = std::move(on_change_part);
+  }
+  // Sets the source of what this node states about a list as the zone leader.
+  using ListStatusSource =
+      std::function<std::optional<ListStatus>(RelayedList)>;
+  void set_list_status_source(ListStatusSource list_status_source) {
+    list_status_source_ = std::move(list_status_source);
+  }
+
   // Sends a heartbeat immediately, also to other zones.
   void SendNow();
+  // Sends a batch of changes to all nodes of this zone.
+  void RelayChanges(RelayedList list, const ChangeBatch& batch);
 
  private:
   PeerHeartbeat(GatewayState* state, asio::ip::udp::socket socket);
@@ -40,6 +55,10 @@
   void SendTo(const SocketAddress& target, wire::GatewayHeartbeat message);
   // Creates a message with the fields common to all recipients.
   wire::GatewayHeartbeat MakeMessage() const;
+  // Adds what this node states about the lists that it watches.
+  void SetListStatuses(wire::GatewayHeartbeat* message) const;
+  void OnChangePart(const wire::ChangePart& part);
+  void ReplyAsLeader(const SocketAddress& follower);
   static void SetRequests(const ServiceRequests& requests,
                           wire::LoadReport* report);
   static void SetLoadUpdates(const std::vector<LoadUpdate>& updates,
@@ -55,8 +74,11 @@
   asio::ip::udp::socket socket_;
   std::array<char, 1500> received_{};
   PeerStatusCallback on_peer_status_;
+  ChangePartCallback on_change_part_;
+  ListStatusSource list_status_source_;
   uint32_t heartbeat_rounds_ = 0;
   Timestamp last_sent_at_{};
+  double interval_factor_ = 1;  // of the time until the next heartbeat
 };
 
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/request_checks.cc
+++ b/src/teaselthread/gateway/request_checks.cc
@@ -30,7 +30,7 @@
     // If the configuration is stale, the route may have been added since.
     return state_->configuration_freshness().IsFresh(GatewayState::BootNow())
                ? RefusalReason::kUnknownRoute
-               : RefusalReason::kStaleConfiguration;
+               : StaleReason();
   }
   request.service =
       request.routes->FindService(PickService(*request.route, request.head.id));
@@ -43,10 +43,16 @@
       request.routes->needs_keys() && !request.route->is_public;
   if (needs_key &&
       !state_->configuration_freshness().IsFresh(GatewayState::BootNow()))
-    return RefusalReason::kStaleConfiguration;
+    return StaleReason();
   return std::nullopt;
 }
 
+RefusalReason RequestChecks::StaleReason() const {
+  return state_->peers().MayServeElsewhere(state_->Now())
+             ? RefusalReason::kStaleConfiguration
+             : RefusalReason::kFleetStale;
+}
+
 std::optional<RefusalReason> RequestChecks::CheckKey(
     ClassifiedRequest& request) const {
   if (!request.routes->needs_keys() || request.route->is_public)
--- a/src/teaselthread/gateway/request_checks.h
+++ b/src/teaselthread/gateway/request_checks.h
@@ -39,6 +39,7 @@
   using Check =
       std::optional<RefusalReason> (RequestChecks::*)(ClassifiedRequest&) const;
 
+  RefusalReason StaleReason() const;
   std::optional<RefusalReason> CheckRoute(ClassifiedRequest& request) const;
   std::optional<RefusalReason> CheckKey(ClassifiedRequest& request) const;
   std::optional<RefusalReason> CheckDeadline(ClassifiedRequest& request) const;
--- a/src/teaselthread/request_timeline.cc
+++ b/src/teaselthread/request_timeline.cc
@@ -15,8 +15,9 @@
 constexpr std::string_view kStoreEvents[] = {"store-lost", "store-regained",
                                              "zones-evacuated"};
 constexpr std::string_view kEndpointEvents[] = {
-    "endpoint-ejected", "endpoint-readmitted", "endpoint-removed",
-    "endpoint-changed"};
+    "endpoint-ejected", "endpoint-readmitted", "endpoints-changed"};
+// Fields of endpoints-changed that list endpoints.
+constexpr std::string_view kEndpointLists[] = {"ready", "draining", "removed"};
 
 std::string Text(const json::object& fields, std::string_view name) {
   const json::value* value = fields.if_contains(name);
@@ -28,6 +29,20 @@
   return std::find(std::begin(names), std::end(names), name) != std::end(names);
 }
 
+// The ids in `value`, if it is a list, that are among `endpoints`.
+json::array IdsAmong(const std::set<std::string>& endpoints,
+                     const json::value& value) {
+  json::array ids;
+  const json::array* list = value.if_array();
+  if (!list)
+    return ids;
+  for (const json::value& id : *list) {
+    if (id.is_string() && endpoints.contains(std::string(id.get_string())))
+      ids.push_back(id);
+  }
+  return ids;
+}
+
 }  // namespace
 
 void RequestTimeline::Read(std::istream& log, const std::string& source) {
@@ -60,7 +75,8 @@
     if (Text(line->fields, "id") != id_)
       continue;
     has_request = true;
-    endpoints.insert(Text(line->fields, "endpoint"));
+    if (line->fields.contains("endpoint"))
+      endpoints.insert(Text(line->fields, "endpoint"));
   }
   if (!has_request)
     return {};
@@ -70,9 +86,17 @@
       continue;
     timeline << line->time << " " << line->source << " "
              << Text(line->fields, "event");
-    for (const auto& [name, value] : line->fields) {
-      if (!Contains(kCommonFields, {name.data(), name.size()}))
+    for (const auto& [key, value] : line->fields) {
+      const std::string_view name(key.data(), key.size());
+      if (Contains(kCommonFields, name))
+        continue;
+      if (!Contains(kEndpointLists, name)) {
         timeline << " " << name << "=" << json::serialize(value);
+        continue;
+      }
+      const json::array ids = IdsAmong(endpoints, value);
+      if (!ids.empty())
+        timeline << " " << name << "=" << json::serialize(ids);
     }
     timeline << "\n";
   }
@@ -86,8 +110,13 @@
   const std::string event = Text(line.fields, "event");
   if (Contains(kStoreEvents, event))
     return true;
-  return Contains(kEndpointEvents, event) &&
-         endpoints.contains(Text(line.fields, "endpoint"));
+  if (!Contains(kEndpointEvents, event))
+    return false;
+  return endpoints.contains(Text(line.fields, "endpoint")) ||
+         std::any_of(line.fields.begin(), line.fields.end(),
+                     [&](const auto& field) {
+                       return !IdsAmong(endpoints, field.value()).empty();
+                     });
 }
 
 }  // namespace teaselthread
--- /dev/null
+++ b/src/teaselthread/store/list_controller.cc
@@ -0,0 +1,147 @@
+#include "teaselthread/store/list_controller.h"
+
+#include <utility>
+
+namespace teaselthread {
+namespace {
+
+using std::chrono::milliseconds;
+
+// The store responds at once if there are changes.
+constexpr Duration kProbeWait = milliseconds(10);
+// The zone leader detects soon that the store is back, and its status tells the
+// other gateways.
+constexpr Duration kLeaderMinBackoff = milliseconds(60);
+constexpr Duration kLeaderMaxBackoff = milliseconds(400);
+constexpr Duration kMinBackoff = milliseconds(500);
+constexpr Duration kMaxBackoff = milliseconds(2'000);
+// A change normally arrives within this time after it was announced.
+constexpr Duration kDeliveryTime = milliseconds(200);
+// The store may be slow to respond.
+constexpr Duration kMinCallTime = milliseconds(800);
+
+}  // namespace
+
+ListController::ListController(GatewayState* state,
+                               RelayedList list,
+                               StoreKind kind,
+                               Timing timing,
+                               Handlers handlers)
+    : state_(state),
+      list_(list),
+      timing_(timing),
+      handlers_(std::move(handlers)),
+      missed_by_watch_({kDeliveryTime, kMinCallTime}),
+      missed_by_leader_({timing.batch_delay + kDeliveryTime, Duration::zero()}),
+      missed_relay_({kDeliveryTime, Duration::zero()}),
+      watcher_(state,
+               kind,
+               timing.max_status_age,
+               [this] { return ChoosePollTiming(); },
+               {[this](const StoreUpdate& update) { OnList(update); },
+                [this](const StoreUpdate& update) { OnChanges(update); },
+                handlers_.on_reachability_changed}) {}
+
+StoreWatcher::PollTiming ListController::ChoosePollTiming() const {
+  if (IsLeader())
+    return {timing_.leader_wait, timing_.batch_delay, kLeaderMinBackoff,
+            kLeaderMaxBackoff};
+  if (probe_pending_)
+    return {kProbeWait, Duration::zero(), kMinBackoff, kMaxBackoff};
+  const bool is_informed = watcher_.view().IsInformed(state_->Now());
+  return {StoreWatcher::kLongWait, timing_.batch_delay, kMinBackoff,
+          kMaxBackoff, is_informed};
+}
+
+void ListController::OnPeerRevision(uint64_t revision) {
+  missed_by_watch_.OnPeerRevision(revision, state_->Now());
+  missed_by_leader_.OnPeerRevision(revision, state_->Now());
+}
+
+void ListController::OnLeaderStatus(const ListStatus& status) {
+  missed_by_watch_.OnPeerRevision(status.changed_at, state_->Now());
+  missed_relay_.OnPeerRevision(status.changed_at, state_->Now());
+  watcher_.view().OnLeaderStatus(status, state_->Now());
+}
+
+void ListController::OnRelayedPart(ChangeBatchPart part) {
+  const auto batch = watcher_.view().OnRelayedPart(std::move(part));
+  if (!batch)
+    return;
+  if (batch->removals_deferred > Duration::zero()) {
+    state_->endpoints().DeferRemovals(state_->Now() + batch->removals_deferred);
+  }
+  handlers_.apply(batch->changes);
+}
+
+void ListController::Check() {
+  const bool must_watch =
+      IsLeader() || !watcher_.view().IsInformed(state_->Now());
+  if (must_watch)
+    watcher_.Resume();
+  // A new zone leader does not wait for the end of the long call that it made
+  // before, because that call confirms nothing for the zone.
+  const bool call_is_too_long = watcher_.waiting_since() &&
+                                !watcher_.is_suspended() &&
+                                watcher_.call_wait() > timing_.leader_wait;
+  if (IsLeader() && call_is_too_long)
+    watcher_.Reconnect();
+  const bool retries_anyway =
+      watcher_.is_unreachable() && !watcher_.is_suspended();
+  if (retries_anyway || !HasMissedChange())
+    return;
+  LogLine line("change-missed");
+  line.Add("kind", ToString(watcher_.kind()))
+      .Add("known", watcher_.revision())
+      .Add("heard", missed_by_watch_.newest_peer_revision())
+      .Add("suspended", watcher_.is_suspended());
+  state_->log().Info(line);
+  probe_pending_ = true;
+  if (watcher_.is_suspended())
+    watcher_.Resume();
+  else
+    watcher_.Reconnect();
+}
+
+bool ListController::HasMissedChange() const {
+  const uint64_t known = watcher_.revision();
+  const auto waiting_since = watcher_.waiting_since();
+  const Timestamp now = state_->Now();
+  if (!watcher_.is_suspended())
+    return missed_by_watch_.IsMissed(known, waiting_since, now);
+  return missed_by_leader_.IsMissed(known, waiting_since, now) ||
+         missed_relay_.IsMissed(known, waiting_since, now);
+}
+
+std::optional<ListStatus> ListController::StatusToShare() const {
+  const auto confirmed_at = watcher_.confirmed_at();
+  if (!confirmed_at || watcher_.is_unreachable() || !IsLeader())
+    return std::nullopt;
+  return watcher_.view().StatusAt(GatewayState::BootNow() - *confirmed_at);
+}
+
+void ListController::OnList(const StoreUpdate& update) {
+  handlers_.replace_all(Decode(update.objects));
+}
+
+void ListController::OnChanges(const StoreUpdate& update) {
+  probe_pending_ = false;
+  if (update.objects.empty())
+    return;
+  ChangeBatch batch{update.from, update.to,
+                    state_->endpoints().RemovalsDeferredFor(state_->Now()),
+                    Decode(update.objects)};
+  handlers_.apply(batch.changes);
+  if (IsLeader() && on_batch_)
+    on_batch_(list_, batch);
+}
+
+ListController::Changes ListController::Decode(
+    const std::vector<StoreObject>& objects) const {
+  Changes changes;
+  for (const StoreObject& object : objects)
+    changes.push_back(handlers_.decode(object));
+  return changes;
+}
+
+}  // namespace teaselthread
--- a/src/teaselthread/store/node_registrar.cc
+++ b/src/teaselthread/store/node_registrar.cc
@@ -81,9 +81,10 @@
   for (;;) {
     std::string target =
         state_->codec().ListTarget(StoreKind::kNodes, after, may_be_stale);
-    Result<HttpReply> reply =
-        co_await connection_.Get(std::move(target), kCallTimeout);
-    state_->metrics().OnStoreCall(reply && reply->status == kOk);
+    const Timestamp called_at = state_->Now();
+    Result<HttpReply> reply = co_await connection_.Get(target, kCallTimeout);
+    state_->OnStoreCall(StoreKind::kNodes, target, reply ? reply->status : 0,
+                        called_at);
     if (!reply || reply->status != kOk)
       co_return;
     const Result<StorePage> page = state_->codec().DecodeList(reply->body);
@@ -123,10 +124,11 @@
 asio::awaitable<int> NodeRegistrar::Call(http::verb method,
                                          std::string target,
                                          std::string body) {
-  const Result<HttpReply> reply = co_await connection_.Call(
-      method, std::move(target), std::move(body), kCallTimeout);
+  const Timestamp called_at = state_->Now();
+  const Result<HttpReply> reply =
+      co_await connection_.Call(method, target, std::move(body), kCallTimeout);
   const int status = reply ? reply->status : kNoResponse;
-  state_->metrics().OnStoreCall(IsSuccess(status));
+  state_->OnStoreCall(StoreKind::kNodes, target, status, called_at);
   co_return status;
 }
 
--- a/src/teaselthread/store/store_controller.cc
+++ b/src/teaselthread/store/store_controller.cc
@@ -1,6 +1,7 @@
 #include "teaselthread/store/store_controller.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace teaselthread {
 namespace {
@@ -8,42 +9,38 @@
 using std::chrono::milliseconds;
 
 // How long a watch of the configuration waits on the zone leader, and on a
-// gateway whose configuration has not been confirmed recently. Each response to
-// the leader confirms the configuration for its whole availability zone, so the
-// wait is well below the revocation bound.
+// gateway without a configuration. Each response to the leader confirms the
+// configuration for its whole availability zone, so the wait is well below the
+// revocation bound.
 constexpr Duration kShortWait = milliseconds(600);
-// The store responds to a waiting watch as soon as something changes, so a long
-// wait does not delay changes.
-constexpr Duration kLongWait = milliseconds(25'000);
-// A gateway polls the store itself if its configuration has not been confirmed
-// for this long: the wait of the zone leader's watch plus two heartbeats.
-constexpr Duration kMaxUnconfirmedAge = milliseconds(2'000);
-// A release changes endpoints one after the other. After a change, the next
-// call is delayed by this share of the drain bound, so that one call reads all
-// that has changed meanwhile.
-constexpr double kEndpointBatchShare = 0.45;
-constexpr Duration kEvacuationBatchDelay = milliseconds(100);
-constexpr Duration kShortMaxBackoff = milliseconds(400);
-// For the watch of the configuration on gateways other than the zone leader. A
-// heartbeat of the leader ends the pause once the store is back.
-constexpr Duration kLongMaxBackoff = milliseconds(1'500);
-// By these times, this gateway's own watch normally delivers a change that a
-// peer has announced. The configuration has the longer time after an
-// announcement, because reading it takes some time and peers announce a new
-// version at once.
+// The store responds at once if there is a newer version.
+constexpr Duration kProbeWait = milliseconds(10);
+// In a zone of 60 gateways, which send a heartbeat every 1.2 s, confirmations
+// from the leader are up to 3 s old. The rest of the revocation bound is enough
+// for a call.
+constexpr double kMaxUnconfirmedShare = 0.7;
+constexpr Duration kLeaderMinBackoff = milliseconds(60);
+constexpr Duration kLeaderMaxBackoff = milliseconds(400);
+// On the other gateways. A heartbeat of the leader ends the pause once the
+// store is back.
+constexpr Duration kMinBackoff = milliseconds(500);
+constexpr Duration kMaxBackoff = milliseconds(2'000);
+// By these times, this gateway's own watch normally delivers a version that a
+// peer has announced.
 constexpr MissedChangeDetector::Timeouts kConfigurationTimeouts{
     .after_announcement = milliseconds(500),
     .after_call = milliseconds(800)};
-constexpr MissedChangeDetector::Timeouts kListTimeouts{
-    .after_announcement = milliseconds(200),
-    .after_call = milliseconds(800)};
-// On the zone leader, the watches of endpoints and evacuations end before their
-// bounds, so that the leader detects in time that the store no longer responds
-// to them. The watch of endpoints ends after this share of the drain bound.
-constexpr double kLeaderEndpointWaitShare = 0.5;
-// An evacuation may take seconds to take effect.
-constexpr Duration kLeaderEvacuationWait = milliseconds(2'000);
-constexpr Duration kSweepInterval = milliseconds(200);
+// Shares of the drain bound. A change reaches the other gateways of the zone
+// within the pause that batches changes, a heartbeat and a call of their own if
+// the relayed batch was lost; and within the age of the leader's status and a
+// call if the leader is lost.
+constexpr double kLeaderWaitShare = 0.25;
+constexpr double kBatchDelayShare = 0.12;
+constexpr double kMaxLeaderStatusShare = 0.68;
+// New versions of the configuration come seldom, but sometimes in series. After
+// one of them, the next call is delayed by this share of the drain bound.
+constexpr double kConfigurationBatchShare = 0.2;
+constexpr Duration kCheckInterval = milliseconds(200);
 
 }  // namespace
 
@@ -51,115 +48,141 @@
     : state_(state),
       removal_grace_period_(state->settings().limits().contact_bound),
       missed_configuration_(kConfigurationTimeouts),
-      missed_endpoints_(kListTimeouts),
-      missed_evacuations_(kListTimeouts),
       configuration_(
           state,
           StoreKind::kConfiguration,
+          Duration::zero(),
           [this] { return ConfigurationPollTiming(); },
-          MakeCallbacks(StoreKind::kConfiguration,
-                        &StoreController::OnConfigurationList,
-                        &StoreController::OnConfigurationChanges)),
-      endpoints_(
-          state,
-          StoreKind::kEndpoints,
-          [this] {
-            return ListPollTiming(DrainBoundShare(kLeaderEndpointWaitShare),
-                                  DrainBoundShare(kEndpointBatchShare));
-          },
-          MakeCallbacks(StoreKind::kEndpoints,
-                        &StoreController::OnEndpointList,
-                        &StoreController::OnEndpointChanges)),
-      evacuations_(
-          state,
-          StoreKind::kEvacuations,
-          [this] {
-            return ListPollTiming(kLeaderEvacuationWait, kEvacuationBatchDelay);
+          {[this](const StoreUpdate& update) { OnConfigurationUpdate(update); },
+           [this](const StoreUpdate& update) { OnConfigurationUpdate(update); },
+           ReachabilityHandler(StoreKind::kConfiguration)}),
+      endpoints_(state,
+                 RelayedList::kEndpoints,
+                 StoreKind::kEndpoints,
+                 ListTiming(),
+                 EndpointHandlers()),
+      evacuations_(state,
+                   RelayedList::kEvacuations,
+                   StoreKind::kEvacuations,
+                   ListTiming(),
+                   EvacuationHandlers()) {}
+
+std::function<void(bool)> StoreController::ReachabilityHandler(StoreKind kind) {
+  return
+      [this, kind](bool reachable) { OnReachabilityChanged(kind, reachable); };
+}
+
+ListController::Handlers StoreController::EndpointHandlers() {
+  return {[this](const StoreObject& object) { return DecodeEndpoint(object); },
+          [this](const Changes& endpoints) { ReplaceEndpoints(endpoints); },
+          [this](const Changes& changes) { ApplyEndpointChanges(changes); },
+          ReachabilityHandler(StoreKind::kEndpoints)};
+}
+
+ListController::Handlers StoreController::EvacuationHandlers() {
+  return {[](const StoreObject& object) {
+            return StoreChange{object.name, object.removed, std::nullopt};
           },
-          MakeCallbacks(StoreKind::kEvacuations,
-                        &StoreController::OnEvacuationList,
-                        &StoreController::OnEvacuationChanges)) {}
+          [this](const Changes& zones) { ReplaceEvacuations(zones); },
+          [this](const Changes& changes) { ApplyEvacuationChanges(changes); },
+          ReachabilityHandler(StoreKind::kEvacuations)};
+}
+
+ListController::Timing StoreController::ListTiming() const {
+  return {DrainBoundShare(kLeaderWaitShare), DrainBoundShare(kBatchDelayShare),
+          DrainBoundShare(kMaxLeaderStatusShare)};
+}
+
+void StoreController::set_on_batch(
+    const ListController::BatchCallback& on_batch) {
+  endpoints_.set_on_batch(on_batch);
+  evacuations_.set_on_batch(on_batch);
+}
 
 void StoreController::Start() {
   configuration_.Start();
   endpoints_.Start();
   evacuations_.Start();
-  state_->timers().Subscribe(kSweepInterval, state_->Now(),
+  state_->timers().Subscribe(kCheckInterval, state_->Now(),
                              [this](Timestamp now) {
                                state_->endpoints().Sweep(now);
-                               CheckConfigurationAge();
-                               CheckMissedChanges();
+                               CheckConfiguration();
+                               if (configuration_.is_unreachable())
+                                 return;
+                               endpoints_.Check();
+                               evacuations_.Check();
                              });
 }
 
+Duration StoreController::MaxUnconfirmedAge() const {
+  const Duration bound = state_->settings().limits().revocation_bound;
+  return std::chrono::duration_cast<Duration>(bound * kMaxUnconfirmedShare);
+}
+
+// A gateway that is not the zone leader makes calls only if a peer has
+// announced a newer version, or if the peers have not confirmed its own one
+// recently.
 StoreWatcher::PollTiming StoreController::ConfigurationPollTiming() const {
   const auto age =
       state_->configuration_freshness().Age(GatewayState::BootNow());
-  const bool polls_often = state_->peers().IsZoneLeader(state_->Now()) ||
-                           !age || *age > kMaxUnconfirmedAge;
-  return {polls_often ? kShortWait : kLongWait, Duration::zero(),
-          polls_often ? kShortMaxBackoff : kLongMaxBackoff};
+  const Duration batch_delay = DrainBoundShare(kConfigurationBatchShare);
+  const bool is_newest = state_->routes() && !is_configuration_unreadable_ &&
+                         missed_configuration_.newest_peer_revision() <=
+                             state_->routes()->version();
+  if (state_->peers().IsZoneLeader(state_->Now()))
+    return {kShortWait, batch_delay, kLeaderMinBackoff, kLeaderMaxBackoff};
+  if (!age || !is_newest)
+    return {kShortWait, batch_delay, kMinBackoff, kMaxBackoff};
+  const bool needs_no_call =
+      *age <= MaxUnconfirmedAge() && !configuration_.is_unreachable();
+  return {kProbeWait, batch_delay, kMinBackoff, kMaxBackoff, needs_no_call};
 }
 
 Duration StoreController::DrainBoundShare(double share) const {
   const Duration bound = state_->settings().limits().drain_bound;
-  return Duration(static_cast<Duration::rep>(bound.count() * share));
+  return std::chrono::duration_cast<Duration>(bound * share);
 }
 
-// Only the zone leader uses the short wait. The other gateways of the zone
-// learn of changes that their own watches have missed from the leader.
-StoreWatcher::PollTiming StoreController::ListPollTiming(
-    Duration leader_wait,
-    Duration batch_delay) const {
-  const bool is_leader = state_->peers().IsZoneLeader(state_->Now());
-  return {is_leader ? leader_wait : kLongWait, batch_delay, kShortMaxBackoff};
-}
-
-void StoreController::CheckMissedChanges() {
-  if (!state_->routes() || configuration_.is_unreachable())
-    return;
-  ReconnectIfMissed(missed_configuration_, state_->routes()->version(),
-                    &configuration_);
-  ReconnectIfMissed(missed_endpoints_, endpoints_.revision(), &endpoints_);
-  ReconnectIfMissed(missed_evacuations_, evacuations_.revision(),
-                    &evacuations_);
-}
-
-void StoreController::ReconnectIfMissed(const MissedChangeDetector& missed,
-                                        uint64_t known,
-                                        StoreWatcher* watcher) {
-  const auto waiting_since = watcher->waiting_since();
-  const Timestamp now = state_->Now();
-  if (watcher->is_unreachable() || !missed.IsMissed(known, waiting_since, now))
-    return;
-  LogLine line("change-missed");
-  line.Add("kind", ToString(watcher->kind()))
-      .Add("known", known)
-      .Add("heard", missed.newest_peer_revision())
-      .AddTime("waiting", now - *waiting_since);
-  state_->log().Info(line);
-  watcher->Reconnect();
-}
-
-void StoreController::CheckConfigurationAge() {
+void StoreController::CheckConfiguration() {
+  if (!ConfigurationPollTiming().is_suspended)
+    configuration_.Resume();
   const auto age =
       state_->configuration_freshness().Age(GatewayState::BootNow());
-  if (!age || *age <= kMaxUnconfirmedAge || configuration_.is_unreachable() ||
-      age_check_pending_)
+  if (!age || !state_->routes() || configuration_.is_unreachable())
+    return;
+  const bool is_unconfirmed = *age > MaxUnconfirmedAge() && !age_check_pending_;
+  const auto waiting_since = configuration_.waiting_since();
+  const bool is_missed = missed_configuration_.IsMissed(
+      state_->routes()->version(), waiting_since, state_->Now());
+  if (is_missed) {
+    LogLine line("change-missed");
+    line.Add("kind", ToString(StoreKind::kConfiguration))
+        .Add("known", state_->routes()->version())
+        .Add("heard", missed_configuration_.newest_peer_revision())
+        .AddTime("waiting", state_->Now() - *waiting_since);
+    state_->log().Info(line);
+  }
+  if (!is_unconfirmed && !is_missed)
     return;
   age_check_pending_ = true;
   configuration_.Reconnect();
 }
 
 void StoreController::OnPeerStatus(const PeerStatus& status) {
+  for (size_t i = 0; i < kRelayedListCount; ++i) {
+    if (status.lists[i])
+      ControllerOf(static_cast<RelayedList>(i))
+          .OnLeaderStatus(*status.lists[i]);
+  }
   if (!state_->routes())
     return;
   const uint64_t own_version = state_->routes()->version();
   missed_configuration_.OnPeerRevision(status.configuration_version,
                                        state_->Now());
-  missed_endpoints_.OnPeerRevision(status.endpoints_revision, state_->Now());
-  missed_evacuations_.OnPeerRevision(status.evacuations_revision,
-                                     state_->Now());
+  if (status.configuration_version > own_version)
+    configuration_.Resume();
+  endpoints_.OnPeerRevision(status.endpoints_revision);
+  evacuations_.OnPeerRevision(status.evacuations_revision);
   const bool is_confirmation = status.configuration_version == own_version &&
                                status.configuration_age && status.echoed_at;
   if (!is_confirmation)
@@ -176,20 +199,6 @@
   }
 }
 
-StoreWatcher::Callbacks StoreController::MakeCallbacks(
-    StoreKind kind,
-    void (StoreController::*on_list)(const Objects&, Timestamp),
-    void (StoreController::*on_changes)(const Objects&, Timestamp)) {
-  return {
-      [this, on_list](const Objects& objects, Timestamp requested_at) {
-        (this->*on_list)(objects, requested_at);
-      },
-      [this, on_changes](const Objects& objects, Timestamp requested_at) {
-        (this->*on_changes)(objects, requested_at);
-      },
-      [this, kind](bool reachable) { OnReachabilityChanged(kind, reachable); }};
-}
-
 // The watch of the configuration decides whether the store is reachable. While
 // it fails, the other watches stop after their next failed call. If one of the
 // others fails first, the watch of the configuration reconnects to check the
@@ -209,28 +218,23 @@
     removal_grace_period_.OnLost(state_->Now());
     last_unreachable_at_ = GatewayState::BootNow();
   }
-  for (StoreWatcher* list_watcher : {&endpoints_, &evacuations_}) {
-    list_watcher->SuspendAfterFailure(!reachable);
-    list_watcher->Reconnect();
+  for (ListController* list : {&endpoints_, &evacuations_}) {
+    list->watcher().SuspendAfterFailure(!reachable);
+    list->watcher().Reconnect();
   }
   if (reachable)
     recovery_unannounced_ = true;
 }
 
-void StoreController::OnConfigurationList(const Objects& objects,
-                                          Timestamp requested_at) {
-  OnConfigurationChanges(objects, requested_at);
-}
-
-void StoreController::OnConfigurationChanges(const Objects& objects,
-                                             Timestamp requested_at) {
-  bool all_applied = true;
-  for (const StoreObject& object : objects)
-    all_applied = (object.removed || ApplyConfiguration(object)) && all_applied;
+void StoreController::OnConfigurationUpdate(const StoreUpdate& update) {
+  for (const StoreObject& object : update.objects) {
+    if (!object.removed)
+      is_configuration_unreadable_ = !ApplyConfiguration(object);
+  }
   age_check_pending_ = false;
-  if (!all_applied || !state_->routes())
+  if (is_configuration_unreadable_ || !state_->routes())
     return;
-  state_->configuration_freshness().OnConfirmed(requested_at);
+  state_->configuration_freshness().OnConfirmed(update.requested_at);
   if (recovery_unannounced_ && on_store_recovered_)
     on_store_recovered_();
   recovery_unannounced_ = false;
@@ -256,85 +260,90 @@
   return true;
 }
 
-void StoreController::OnEndpointList(const Objects& objects,
-                                     Timestamp /*requested_at*/) {
+// An entry that cannot be read names no endpoint to use.
+StoreChange StoreController::DecodeEndpoint(const StoreObject& object) {
+  if (object.removed)
+    return {object.name, true, std::nullopt};
+  Result<EndpointRecord> record = state_->codec().DecodeEndpointRecord(object);
+  if (record)
+    return {object.name, false, *record};
+  LogUnreadable(StoreKind::kEndpoints, object, record.last_reason());
+  return {object.name, true, std::nullopt};
+}
+
+void StoreController::ReplaceEndpoints(const Changes& endpoints) {
   std::vector<EndpointRecord> records;
-  for (const StoreObject& object : objects) {
-    if (const auto record = ReadEndpoint(object))
-      records.push_back(*record);
+  for (const StoreChange& change : endpoints) {
+    if (change.endpoint)
+      records.push_back(*change.endpoint);
   }
   state_->endpoints().ReplaceAll(records, state_->Now());
   state_->set_endpoints_known();
-  state_->endpoint_changes().OnRevision(endpoints_.newest_object_revision(),
-                                        state_->Now());
+  state_->endpoint_changes().OnRevision(
+      endpoints_.watcher().newest_object_revision(), state_->Now());
   LogLine line("endpoints-listed");
-  line.Add("entries", objects.size()).Add("readable", records.size());
+  line.Add("entries", endpoints.size()).Add("readable", records.size());
   state_->log().Info(line);
 }
 
-void StoreController::OnEndpointChanges(const Objects& objects,
-                                        Timestamp /*requested_at*/) {
-  state_->endpoint_changes().OnRevision(endpoints_.newest_object_revision(),
-                                        state_->Now());
-  for (const StoreObject& object : objects) {
-    std::optional<EndpointRecord> record;
-    if (!object.removed)
-      record = ReadEndpoint(object);
-    if (record) {
-      state_->endpoints().Put(*record, state_->Now());
-      LogEndpoint(*record);
-      continue;
-    }
-    state_->endpoints().Remove(object.name, state_->Now());
-    LogLine line("endpoint-removed");
-    line.Add("endpoint", object.name).Add("revision", object.revision);
-    state_->log().Info(line);
+void StoreController::ApplyEndpointChanges(const Changes& changes) {
+  state_->endpoint_changes().OnRevision(
+      endpoints_.watcher().newest_object_revision(), state_->Now());
+  for (const StoreChange& change : changes) {
+    if (change.endpoint)
+      state_->endpoints().Put(*change.endpoint, state_->Now());
+    else
+      state_->endpoints().Remove(change.name, state_->Now());
   }
+  LogEndpointChanges(changes);
 }
 
-std::optional<EndpointRecord> StoreController::ReadEndpoint(
-    const StoreObject& object) {
-  Result<EndpointRecord> record = state_->codec().DecodeEndpointRecord(object);
-  if (record)
-    return *record;
-  LogUnreadable(StoreKind::kEndpoints, object, record.last_reason());
-  return std::nullopt;
-}
-
-void StoreController::LogEndpoint(const EndpointRecord& record) {
-  LogLine line("endpoint-changed");
-  line.Add("endpoint", record.id)
-      .Add("service", record.service)
-      .Add("address", record.address.ToString())
-      .Add("zone", record.zone)
-      .Add("draining", record.draining)
-      .AddTime("cold_left", record.cold_left);
+// One line for all changes: a release changes hundreds of endpoints, and each
+// gateway logs it.
+void StoreController::LogEndpointChanges(const Changes& changes) {
+  boost::json::array ready;
+  boost::json::array draining;
+  boost::json::array removed;
+  for (const StoreChange& change : changes) {
+    if (!change.endpoint)
+      removed.emplace_back(change.name);
+    else if (change.endpoint->draining)
+      draining.emplace_back(change.name);
+    else
+      ready.emplace_back(change.name);
+  }
+  LogLine line("endpoints-changed");
+  line.Add("revision", endpoints_.watcher().revision());
+  for (auto& [name, ids] :
+       {std::pair("ready", &ready), std::pair("draining", &draining),
+        std::pair("removed", &removed)}) {
+    if (!ids->empty())
+      line.Add(name, std::move(*ids));
+  }
   state_->log().Info(line);
 }
 
-void StoreController::OnEvacuationList(const Objects& objects,
-                                       Timestamp /*requested_at*/) {
+void StoreController::ReplaceEvacuations(const Changes& evacuations) {
   std::set<std::string> zones;
-  for (const StoreObject& object : objects)
-    zones.insert(object.name);
+  for (const StoreChange& change : evacuations)
+    zones.insert(change.name);
   SetEvacuated(std::move(zones));
 }
 
-void StoreController::OnEvacuationChanges(const Objects& objects,
-                                          Timestamp /*requested_at*/) {
+void StoreController::ApplyEvacuationChanges(const Changes& changes) {
   std::set<std::string> zones = state_->endpoints().evacuated_zones();
-  for (const StoreObject& object : objects) {
-    if (object.removed)
-      zones.erase(object.name);
+  for (const StoreChange& change : changes) {
+    if (change.removed)
+      zones.erase(change.name);
     else
-      zones.insert(object.name);
+      zones.insert(change.name);
   }
   SetEvacuated(std::move(zones));
 }
 
 void StoreController::SetEvacuated(std::set<std::string> zones) {
-  state_->evacuation_changes().OnRevision(evacuations_.newest_object_revision(),
-                                          state_->Now());
+  state_->evacuation_changes().OnRevision(
+      evacuations_.watcher().newest_object_revision(), state_->Now());
   if (zones == state_->endpoints().evacuated_zones())
     return;
   LogLine line("zones-evacuated");
--- a/src/teaselthread/store/store_controller.h
+++ b/src/teaselthread/store/store_controller.h
@@ -4,11 +4,9 @@
 #include <functional>
 #include <set>
 #include <string>
-#include <vector>
 
 #include "libteaselthread/endpoints/removal_grace_period.h"
-#include "libteaselthread/peers/missed_change_detector.h"
-#include "teaselthread/store/store_watcher.h"
+#include "teaselthread/store/list_controller.h"
 
 namespace teaselthread {
 
@@ -24,6 +22,16 @@
   // Called for each heartbeat of a peer: it carries the version and the age of
   // the peer's configuration, and the newest revisions that the peer knows.
   void OnPeerStatus(const PeerStatus& status);
+  // Called for each part of a batch that the zone leader relays.
+  void OnRelayedPart(RelayedList list, ChangeBatchPart part) {
+    ControllerOf(list).OnRelayedPart(std::move(part));
+  }
+  // What this gateway states about a list if it is the zone leader.
+  std::optional<ListStatus> StatusToShare(RelayedList list) {
+    return ControllerOf(list).StatusToShare();
+  }
+  // Sets the function that relays changes to the gateways of the zone.
+  void set_on_batch(const ListController::BatchCallback& on_batch);
   // Sets the function that is called when the store responds again and has
   // confirmed the configuration.
   void set_on_store_recovered(std::function<void()> on_store_recovered) {
@@ -31,40 +39,39 @@
   }
 
  private:
-  using Objects = std::vector<StoreObject>;
+  using Changes = ListController::Changes;
 
-  StoreWatcher::Callbacks MakeCallbacks(
-      StoreKind kind,
-      void (StoreController::*on_list)(const Objects&, Timestamp),
-      void (StoreController::*on_changes)(const Objects&, Timestamp));
-  void OnConfigurationList(const Objects& objects, Timestamp requested_at);
-  void OnConfigurationChanges(const Objects& objects, Timestamp requested_at);
-  void OnEndpointList(const Objects& objects, Timestamp requested_at);
-  void OnEndpointChanges(const Objects& objects, Timestamp requested_at);
-  void OnEvacuationList(const Objects& objects, Timestamp requested_at);
-  void OnEvacuationChanges(const Objects& objects, Timestamp requested_at);
-  void OnReachabilityChanged(StoreKind kind, bool reachable);
-  StoreWatcher::PollTiming ConfigurationPollTiming() const;
+  ListController& ControllerOf(RelayedList list) {
+    return list == RelayedList::kEndpoints ? endpoints_ : evacuations_;
+  }
+  std::function<void(bool)> ReachabilityHandler(StoreKind kind);
+  ListController::Handlers EndpointHandlers();
+  ListController::Handlers EvacuationHandlers();
+  ListController::Timing ListTiming() const;
   // A fraction of the drain bound, which limits how late a draining endpoint
   // may get its last request.
   Duration DrainBoundShare(double share) const;
-  StoreWatcher::PollTiming ListPollTiming(Duration leader_wait,
-                                          Duration batch_delay) const;
+  StoreWatcher::PollTiming ConfigurationPollTiming() const;
+  // A gateway asks the store itself if its configuration has not been confirmed
+  // for this long.
+  Duration MaxUnconfirmedAge() const;
+
+  void OnConfigurationUpdate(const StoreUpdate& update);
+  void OnReachabilityChanged(StoreKind kind, bool reachable);
   // Reconnects the watch of the configuration if neither the store nor a peer
-  // has confirmed the configuration for kMaxUnconfirmedAge.
-  void CheckConfigurationAge();
-  // Reconnects the watches that have not delivered a change that a peer has
-  // announced.
-  void CheckMissedChanges();
-  void ReconnectIfMissed(const MissedChangeDetector& missed,
-                         uint64_t known,
-                         StoreWatcher* watcher);
+  // has confirmed the configuration for MaxUnconfirmedAge, or if it has not
+  // delivered a version that a peer has announced.
+  void CheckConfiguration();
 
   // Returns false if the object holds no valid configuration.
   bool ApplyConfiguration(const StoreObject& object);
-  std::optional<EndpointRecord> ReadEndpoint(const StoreObject& object);
-  void LogEndpoint(const EndpointRecord& record);
+  StoreChange DecodeEndpoint(const StoreObject& object);
+  void ReplaceEndpoints(const Changes& endpoints);
+  void ApplyEndpointChanges(const Changes& changes);
+  void ReplaceEvacuations(const Changes& evacuations);
+  void ApplyEvacuationChanges(const Changes& changes);
   void SetEvacuated(std::set<std::string> zones);
+  void LogEndpointChanges(const Changes& changes);
   void LogUnreadable(StoreKind kind,
                      const StoreObject& object,
                      const Error& reason);
@@ -76,13 +83,13 @@
   // showed that it is back. On the clock that counts suspension.
   Timestamp last_unreachable_at_{};
   MissedChangeDetector missed_configuration_;
-  MissedChangeDetector missed_endpoints_;
-  MissedChangeDetector missed_evacuations_;
-  bool age_check_pending_ = false;     // CheckConfigurationAge has reconnected
+  bool age_check_pending_ = false;  // CheckConfiguration has reconnected
+  // The newest configuration cannot be read; the one in use is older.
+  bool is_configuration_unreadable_ = false;
   bool recovery_unannounced_ = false;  // on_store_recovered_ is to be called
   StoreWatcher configuration_;
-  StoreWatcher endpoints_;
-  StoreWatcher evacuations_;
+  ListController endpoints_;
+  ListController evacuations_;
 };
 
 }  // namespace teaselthread
--- a/src/teaselthread/store/store_watcher.cc
+++ b/src/teaselthread/store/store_watcher.cc
@@ -11,7 +11,6 @@
 // after the end of its wait, which is how a dead connection is detected.
 constexpr Duration kCallTimeout = milliseconds(800);
 constexpr Duration kProbeWait = milliseconds(10);
-constexpr Duration kMinBackoff = milliseconds(60);
 constexpr uint32_t kMaxDoublings = 6;
 constexpr int kOk = 200;
 constexpr int kGone = 410;
@@ -20,6 +19,7 @@
 
 StoreWatcher::StoreWatcher(GatewayState* state,
                            StoreKind kind,
+                           Duration max_leader_status_age,
                            std::function<PollTiming()> poll_timing,
                            Callbacks callbacks)
     : state_(state),
@@ -27,6 +27,7 @@
       poll_timing_(std::move(poll_timing)),
       callbacks_(std::move(callbacks)),
       connection_(state->settings().store()),
+      view_(max_leader_status_age),
       pause_(state->io()) {}
 
 void StoreWatcher::Reconnect() {
@@ -35,6 +36,11 @@
     pause_.cancel();
 }
 
+void StoreWatcher::Resume() {
+  if (is_suspended())
+    pause_.cancel();
+}
+
 void StoreWatcher::Start() {
   asio::co_spawn(state_->io(), Run(), asio::detached);
 }
@@ -43,7 +49,9 @@
   bool is_listed = false;
   for (;;) {
     CallResult result = CallResult::kDone;
-    if (is_listed)
+    if (is_listed && poll_timing_().is_suspended)
+      co_await WaitForResume();
+    else if (is_listed)
       result = co_await Watch();
     else
       result = co_await List();
@@ -77,8 +85,13 @@
     after = page->objects.back().name;
   }
   OnSuccess(objects);
-  revision_ = *first_revision;
-  callbacks_.on_list(objects, requested_at);
+  // Relayed changes may have overtaken the list.
+  if (!view_.OnList(*first_revision))
+    co_return CallResult::kRelist;
+  confirmed_at_ = requested_at;
+  view_.OnConfirmed(called_at_);
+  callbacks_.on_list(
+      {std::move(objects), *first_revision, *first_revision, requested_at});
   co_return CallResult::kDone;
 }
 
@@ -86,10 +99,11 @@
   const Timestamp requested_at = GatewayState::BootNow();
   // After a failure, a call with a short wait shows at once whether the store
   // is back.
-  const Duration wait = failures_ > 0 ? kProbeWait : poll_timing_().wait;
-  std::string target = state_->codec().WatchTarget(kind_, revision_, wait);
+  call_wait_ = failures_ > 0 ? kProbeWait : poll_timing_().wait;
+  const uint64_t from = view_.revision();
+  std::string target = state_->codec().WatchTarget(kind_, from, call_wait_);
   Result<HttpReply> reply =
-      co_await Get(std::move(target), wait + kCallTimeout);
+      co_await Get(std::move(target), call_wait_ + kCallTimeout);
   if (!reply) {
     if (reply.last_reason().code == ErrorCode::kNotFound)
       co_return CallResult::kRelist;
@@ -99,9 +113,14 @@
   if (!page)
     co_return OnFailure(Describe(page.last_reason()));
   OnSuccess(page->objects);
-  revision_ = std::max(revision_, page->revision);
-  callbacks_.on_changes(page->objects, requested_at);
-  if (!page->objects.empty()) {
+  confirmed_at_ = requested_at;
+  view_.OnConfirmed(called_at_);
+  const bool has_changes = !page->objects.empty();
+  StoreUpdate update{{}, from, page->revision, requested_at};
+  if (view_.OnChanges(from, page->revision, has_changes))
+    update.objects = std::move(page->objects);
+  callbacks_.on_changes(update);
+  if (has_changes) {
     pause_.expires_after(poll_timing_().batch_delay);
     co_await pause_.async_wait(kAsTuple);
   }
@@ -112,12 +131,11 @@
 asio::awaitable<Result<HttpReply>> StoreWatcher::Get(std::string target,
                                                      Duration timeout) {
   called_at_ = state_->Now();
-  Result<HttpReply> reply =
-      co_await connection_.Get(std::move(target), timeout);
+  Result<HttpReply> reply = co_await connection_.Get(target, timeout);
   const bool is_superseded =
       !reply && reply.last_reason().code == ErrorCode::kSuperseded;
-  state_->metrics().OnStoreCall(is_superseded ||
-                                (reply && reply->status == kOk));
+  if (!is_superseded)
+    state_->OnStoreCall(kind_, target, reply ? reply->status : 0, called_at_);
   if (!reply || reply->status == kOk)
     co_return reply;
   const ErrorCode code =
@@ -158,10 +176,18 @@
   failures_ = 0;
 }
 
+asio::awaitable<void> StoreWatcher::WaitForResume() {
+  suspended_since_ = state_->Now();
+  pause_.expires_at(asio::steady_timer::time_point::max());
+  co_await pause_.async_wait(kAsTuple);
+  suspended_since_.reset();
+}
+
 asio::awaitable<void> StoreWatcher::Backoff() {
+  const PollTiming timing = poll_timing_();
   const uint32_t doublings = std::min(failures_ - 1, kMaxDoublings);
   const Duration longest =
-      std::min(kMinBackoff * (1 << doublings), poll_timing_().max_backoff);
+      std::min(timing.min_backoff * (1 << doublings), timing.max_backoff);
   std::uniform_real_distribution<double> jitter(0.5, 1.0);
   const auto time = Duration(
       static_cast<Duration::rep>(longest.count() * jitter(state_->random())));
--- a/src/teaselthread/store/store_watcher.h
+++ b/src/teaselthread/store/store_watcher.h
@@ -4,25 +4,33 @@
 #include <functional>
 #include <vector>
 
+#include "libteaselthread/peers/relayed_list_view.h"
 #include "teaselthread/gateway/gateway_state.h"
 #include "teaselthread/http_connection.h"
 
 namespace teaselthread {
 
+// A list, or the changes of one, as received from the store.
+struct StoreUpdate {
+  std::vector<StoreObject> objects;
+  // The changes are those after revision `from`, up to `to`. For a list, both
+  // are its revision.
+  uint64_t from = 0;
+  uint64_t to = 0;
+  // Time of the call, on the clock that counts suspension. The response
+  // describes the state of the store at that time or later.
+  Timestamp requested_at{};
+};
+
 // Tracks the objects of one kind in the platform's store: lists them, then
 // watches for changes by long polling, and lists them again if the store no
 // longer holds the history from the last known revision on.
 class StoreWatcher {
  public:
-  // Receives all objects of a list, or the changed ones. `requested_at` is the
-  // time of the call, on the clock that counts suspension; the response
-  // describes the state of the store at that time or later.
-  using ObjectsCallback =
-      std::function<void(const std::vector<StoreObject>& objects,
-                         Timestamp requested_at)>;
+  using UpdateCallback = std::function<void(const StoreUpdate&)>;
   struct Callbacks {
-    ObjectsCallback on_list;
-    ObjectsCallback on_changes;
+    UpdateCallback on_list;
+    UpdateCallback on_changes;  // also called if nothing has changed
     // Called when the calls begin to fail, and when they succeed again.
     std::function<void(bool reachable)> on_reachability_changed;
   };
@@ -31,11 +39,21 @@
   struct PollTiming {
     Duration wait{};         // how long a watch call waits for changes
     Duration batch_delay{};  // pause after a change, to batch further ones
-    Duration max_backoff{};  // longest pause after a failed call
+    Duration min_backoff{};  // pause after the first failed call
+    Duration max_backoff{};  // longest pause after failed calls
+    // No call is made until Resume, as another node relays the changes.
+    bool is_suspended = false;
   };
 
+  // Wait of a watch that is not to confirm anything. The store responds as soon
+  // as something changes, so a long wait does not delay changes. It is shorter
+  // than the store's history (20 s in the deployments), which the response to
+  // an unchanged kind must not fall out of.
+  static constexpr Duration kLongWait = std::chrono::seconds(15);
+
   StoreWatcher(GatewayState* state,
                StoreKind kind,
+               Duration max_leader_status_age,
                std::function<PollTiming()> poll_timing,
                Callbacks callbacks);
 
@@ -45,19 +63,30 @@
   // to the store has failed, so that this one may be dead as well, or if a peer
   // has announced a change.
   void Reconnect();
+  // Ends a suspension. The poll timing is queried again.
+  void Resume();
+  bool is_suspended() const { return suspended_since_.has_value(); }
   // If set, no further calls are made after a failure until Reconnect is
   // called.
   void SuspendAfterFailure(bool suspend) { suspends_after_failure_ = suspend; }
   StoreKind kind() const { return kind_; }
   bool is_unreachable() const { return failures_ > 0; }
   // The revision of the store up to which all changes are known.
-  uint64_t revision() const { return revision_; }
+  uint64_t revision() const { return view_.revision(); }
+  RelayedListView& view() { return view_; }
+  const RelayedListView& view() const { return view_; }
   // The highest revision of an object that was received.
   uint64_t newest_object_revision() const { return newest_object_revision_; }
-  // When the call in progress was made; empty between calls.
+  // When the call in progress was made, or when the watch was suspended; empty
+  // between calls.
   std::optional<Timestamp> waiting_since() const {
-    return connection_.busy() ? std::optional(called_at_) : std::nullopt;
+    return connection_.busy() ? std::optional(called_at_) : suspended_since_;
   }
+  // How long the call in progress, or the latest one, waits for changes.
+  Duration call_wait() const { return call_wait_; }
+  // When the latest successful call was made, on the clock that counts
+  // suspension of the machine.
+  std::optional<Timestamp> confirmed_at() const { return confirmed_at_; }
   // When the most recent of the failed calls was made.
   Timestamp last_failed_call_at() const { return last_failed_call_at_; }
 
@@ -69,6 +98,7 @@
   asio::awaitable<CallResult> Watch();
   asio::awaitable<Result<HttpReply>> Get(std::string target, Duration timeout);
   asio::awaitable<void> Backoff();
+  asio::awaitable<void> WaitForResume();
   // Classifies a call that ended without a usable response.
   CallResult OnCallError(const Error& reason);
   CallResult OnFailure(const std::string& detail);
@@ -79,12 +109,15 @@
   std::function<PollTiming()> poll_timing_;
   Callbacks callbacks_;
   HttpConnection connection_;
-  uint64_t revision_ = 0;
+  RelayedListView view_;
   uint64_t newest_object_revision_ = 0;
   asio::steady_timer pause_;
   uint32_t failures_ = 0;  // consecutive
   Timestamp called_at_{};
+  Duration call_wait_{};
   Timestamp last_failed_call_at_{};
+  std::optional<Timestamp> confirmed_at_;
+  std::optional<Timestamp> suspended_since_;
   bool suspends_after_failure_ = false;
 };
 
--- a/tests/gateway/shares_test.cc
+++ b/tests/gateway/shares_test.cc
@@ -146,6 +146,43 @@
               RetryAfterFor(RefusalReason::kNoEndpoint, 0)));
 }
 
+// Load pattern: the store is down for 8 s. From the revocation bound (5 s) on,
+// every node refuses every request with a key, and callers retry once.
+BOOST_AUTO_TEST_CASE(mostly_return_after_an_outage_of_the_store) {
+  const Duration refusals_last = milliseconds(3'000);
+  std::mt19937 random(1);
+  std::uniform_real_distribution<double> uniform(0, 1);
+  const auto served_share = [&](RefusalReason reason) {
+    int served = 0;
+    for (int i = 0; i < 1'000; ++i) {
+      const Duration refused_at = refusals_last * i / 1'000;
+      if (refused_at + RetryAfterFor(reason, uniform(random)) > refusals_last)
+        ++served;
+    }
+    return served / 1'000.0;
+  };
+  BOOST_TEST(served_share(RefusalReason::kStaleConfiguration) < 0.1);
+  BOOST_TEST(served_share(RefusalReason::kFleetStale) > 0.5);
+}
+
+BOOST_AUTO_TEST_CASE(are_sent_elsewhere_only_if_a_peer_may_serve_them) {
+  PeerSet peers({"node-a", "a", {}, {}, false}, seconds(1));
+  // A node that hears no others is cut off itself.
+  BOOST_TEST(peers.MayServeElsewhere(At(seconds(1))));
+  const SocketAddress address{"192.0.2.2", 1};
+  const auto hear = [&](bool serving, Timestamp now) {
+    PeerStatus status;
+    status.serving = serving;
+    peers.OnIdentity({"node-b", "a", address, {}, serving}, now);
+    peers.OnHeartbeat(address, status, now);
+  };
+  hear(true, At(seconds(1)));
+  BOOST_TEST(peers.MayServeElsewhere(At(seconds(1))));
+  hear(false, At(seconds(2)));
+  BOOST_TEST(!peers.MayServeElsewhere(At(seconds(2))));
+  BOOST_TEST(peers.MayServeElsewhere(At(seconds(9))));
+}
+
 BOOST_AUTO_TEST_CASE(do_not_retry_an_invalid_request) {
   BOOST_TEST(
       (RetryAfterFor(RefusalReason::kUnknownKey, 1) == Duration::zero()));
@@ -153,5 +190,50 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+struct ZoneFixture {
+  void Hear(const std::string& name, bool serving, Timestamp now) {
+    PeerStatus status;
+    status.serving = serving;
+    const SocketAddress address{"192.0.2.1",
+                                static_cast<uint16_t>(name.back())};
+    peers.OnIdentity({name, "a", address, {}, serving}, now);
+    peers.OnHeartbeat(address, status, now);
+  }
+
+  PeerSet peers{{"node-m", "a", {}, {}, true}, seconds(1)};
+};
+
+BOOST_FIXTURE_TEST_SUITE(the_zone_leader, ZoneFixture)
+
+BOOST_AUTO_TEST_CASE(is_the_first_node_that_accepts_callers) {
+  BOOST_TEST(peers.IsZoneLeader(At(seconds(1))));
+  Hear("node-b", false, At(seconds(1)));
+  Hear("node-x", true, At(seconds(1)));
+  BOOST_TEST(peers.IsZoneLeader(At(seconds(1))));
+  Hear("node-c", true, At(seconds(1)));
+  BOOST_TEST(!peers.IsZoneLeader(At(seconds(1))));
+  // node-c has sent no heartbeat for too long.
+  BOOST_TEST(peers.IsZoneLeader(At(seconds(3))));
+}
+
+// Load pattern: an outage of the store that outlasts the revocation bound. If
+// every node took itself for the leader, hundreds of them would call the store
+// several times a second.
+BOOST_AUTO_TEST_CASE(is_one_node_although_none_accepts_callers) {
+  peers.SetServing(false);
+  Hear("node-x", false, At(seconds(1)));
+  BOOST_TEST(peers.IsZoneLeader(At(seconds(1))));
+  Hear("node-b", false, At(seconds(1)));
+  BOOST_TEST(!peers.IsZoneLeader(At(seconds(1))));
+}
+
+BOOST_AUTO_TEST_CASE(is_another_node_if_only_that_one_accepts_callers) {
+  peers.SetServing(false);
+  Hear("node-x", true, At(seconds(1)));
+  BOOST_TEST(!peers.IsZoneLeader(At(seconds(1))));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
 }  // namespace teaselthread
