Engines that may not be used count for the mean load

Cause: one of three zones was evacuated. The mean was taken over the engines of the other two zones, so that the bound of 1.6 x mean + 3 was 2.4 times the mean of the service.

Change: the mean is taken over all running engines, also evacuated and draining ones. A test failed first (bound 27, at most 23).

--- a/src/libteaselthread/endpoints/endpoint_selector.cc
+++ b/src/libteaselthread/endpoints/endpoint_selector.cc
@@ -146,8 +146,9 @@
 }
 
 // Chooses one of the `usable` engines, all of which may receive the request.
-// The mean load is taken over all engines `in_service`, because engines to
-// which this node may not send at the moment receive requests from other nodes.
+// The mean load is taken over all engines `in_service`, as the operators do:
+// some receive requests from other nodes only, and those in evacuated zones, or
+// draining, none at all.
 Selection SelectEngine(const std::vector<EndpointPtr>& usable,
                        const std::vector<EndpointPtr>& in_service,
                        const SelectionQuery& query,
@@ -250,10 +251,11 @@
   usable = HealthyOf(usable, now);
   Selection selection;
   if (!query.prompt.empty()) {
+    const std::vector<EndpointPtr> running =
+        table_->Running(query.service->name);
     selection =
-        SelectEngine(usable, HealthyOf(available, now), query, context, now);
-    selection.kv_source = KvSource(table_->Running(query.service->name), query,
-                                   *selection.endpoint);
+        SelectEngine(usable, HealthyOf(running, now), query, context, now);
+    selection.kv_source = KvSource(running, query, *selection.endpoint);
   } else {
     selection.endpoint = SelectPlain(usable, context.zone, now);
   }
--- a/tests/gateway/endpoint_selector_test.cc
+++ b/tests/gateway/endpoint_selector_test.cc
@@ -211,6 +211,24 @@
 
 BOOST_AUTO_TEST_SUITE(when_engines_fail)
 
+// Regression test: two hunted days on which one of three zones was evacuated.
+// The mean load was taken over the engines of the other two, so engines had up
+// to 2.4 times the overall mean.
+BOOST_FIXTURE_TEST_CASE(evacuated_engines_are_included_in_the_mean_load,
+                        SelectorFixture) {
+  table.SetEvacuatedZones({"a"}, now);
+  constexpr double kRequests = 90;
+  constexpr double kOperatorsBound = 2 * kRequests / kEngines + 3;
+  SelectionQuery query;
+  query.service = routes.FindService("pool");
+  query.prompt = kLongPrompt;
+  SelectionContext context;
+  context.zone = "b";
+  context.service_requests = kRequests;
+  const SelectionResult result = selector.Select(query, context, now);
+  BOOST_TEST(std::get<Selection>(result).load_bound < kOperatorsBound);
+}
+
 BOOST_FIXTURE_TEST_CASE(an_ejected_engine_is_skipped_and_later_retried,
                         SelectorFixture) {
   const Selection first = Select(kLongPrompt);
