Retry-After leaves a caller time for its retry

What callers saw: refused during an outage of the store with a time to come back of about 2 s, those with a deadline of 3 or 4 s had less than a third of it left and did not return. Cause: the delay did not look at the caller's deadline. Change: at most 0.3 of the time that is left, spread below that as before; a test holds it. What remains are requests whose whole time lies within the outage, which lasts 3 s beyond the revocation bound.

--- a/src/libteaselthread/attempts/retry_after.cc
+++ b/src/libteaselthread/attempts/retry_after.cc
@@ -1,5 +1,7 @@
 #include "libteaselthread/attempts/retry_after.h"
 
+#include <algorithm>
+
 namespace teaselthread {
 namespace {
 
@@ -16,6 +18,9 @@
 constexpr Duration kStoreOutageDelay = milliseconds(2'000);
 // The delay is shortened or lengthened by up to this fraction.
 constexpr double kJitterShare = 0.4;
+// A caller may wait for at most this share of the time that it has left.
+// Callers of the deployments do not wait for more than a third of it.
+constexpr double kMaxShareOfTimeLeft = 0.3;
 
 Duration BaseDelayFor(RefusalReason reason) {
   switch (reason) {
@@ -40,10 +45,17 @@
 
 }  // namespace
 
-Duration RetryAfterFor(RefusalReason reason, double jitter) {
+Duration RetryAfterFor(RefusalReason reason,
+                       double jitter,
+                       std::optional<Duration> time_left) {
   const double factor = 1 - kJitterShare + 2 * kJitterShare * jitter;
-  return Duration(
-      static_cast<Duration::rep>(BaseDelayFor(reason).count() * factor));
+  auto delay = static_cast<double>(BaseDelayFor(reason).count());
+  if (time_left) {
+    const double longest =
+        kMaxShareOfTimeLeft * static_cast<double>(time_left->count());
+    delay = std::clamp(longest / (1 + kJitterShare), 0.0, delay);
+  }
+  return Duration(static_cast<Duration::rep>(delay * factor));
 }
 
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/request_handler.cc
+++ b/src/teaselthread/gateway/request_handler.cc
@@ -346,7 +346,10 @@
   state_->metrics().OnRefusal(reason);
   const double spread =
       std::uniform_real_distribution<double>(0, 1)(state_->random());
-  const Duration retry_after = RetryAfterFor(reason, spread);
+  std::optional<Duration> time_left = exchange.request.head.time_left;
+  if (time_left)
+    *time_left -= state_->Now() - exchange.request.received_at;
+  const Duration retry_after = RetryAfterFor(reason, spread, time_left);
   auto problem = MakeProblem(RefusedNotRun{reason, retry_after});
   if (retry_after > Duration::zero())
     problem.set(http::field::retry_after, RetryAfterText(retry_after));
--- a/tests/gateway/shares_test.cc
+++ b/tests/gateway/shares_test.cc
@@ -165,6 +165,20 @@
   BOOST_TEST(served_share(RefusalReason::kFleetStale) > 0.5);
 }
 
+BOOST_AUTO_TEST_CASE(have_time_left_when_they_retry) {
+  constexpr Duration kTimeLeft = milliseconds(3'000);
+  for (const double jitter : {0.0, 0.5, 1.0}) {
+    const Duration delay =
+        RetryAfterFor(RefusalReason::kFleetStale, jitter, kTimeLeft);
+    BOOST_TEST((delay > kTimeLeft / 10));
+    BOOST_TEST((delay <= kTimeLeft / 3));
+  }
+  BOOST_TEST((RetryAfterFor(RefusalReason::kFleetStale, 1, milliseconds(-5)) ==
+              Duration::zero()));
+  BOOST_TEST((RetryAfterFor(RefusalReason::kStaleConfiguration, 1, kTimeLeft) ==
+              RetryAfterFor(RefusalReason::kStaleConfiguration, 1)));
+}
+
 BOOST_AUTO_TEST_CASE(are_sent_elsewhere_only_if_a_peer_may_serve_them) {
   PeerSet peers({"node-a", "a", {}, {}, false}, seconds(1));
   // A node that hears no others is cut off itself.
