--- a/src/teaselthread/gateway/decision_log.h
+++ b/src/teaselthread/gateway/decision_log.h
@@ -46,9 +46,7 @@
   DecisionLog& operator=(const DecisionLog&) = delete;
 
   void SetLevel(const std::string& level);
-  bool WritesDebug() const {
-    return logger_->should_log(spdlog::level::debug);
-  }
+  bool WritesDebug() const { return logger_->should_log(spdlog::level::debug); }
   void Debug(const LogLine& line) { Write(spdlog::level::debug, line); }
   void Info(const LogLine& line) { Write(spdlog::level::info, line); }
   void Warn(const LogLine& line) { Write(spdlog::level::warn, line); }
--- a/src/teaselthread/store/store_watcher.cc
+++ b/src/teaselthread/store/store_watcher.cc
@@ -118,7 +118,7 @@
   const bool has_changes = !page->objects.empty();
   StoreUpdate update{{}, from, page->revision, requested_at};
   if (view_.OnChanges(from, page->revision, has_changes))
-    update.objects = std::move(page->objects);
+    update.objects = page->objects;
   callbacks_.on_changes(update);
   if (has_changes) {
     pause_.expires_after(poll_timing_().batch_delay);
