Relayed changes are applied once, in order

Cause, from the logs of all gateways: edge-huron-shore-1 had been cut off for 8.6 s. When it reached the store again it took itself for the leader and relayed all that it had missed, revisions 78 to 133. Its zone knew the list as of 128; a batch that overlapped was applied whole, so that an endpoint which had been removed at 120 was added again; its second removal was deferred, as the batch carried the sender's own deferral after what was its own outage. The property test did not show it, as the state after a batch was right; the deferral was not in it.

Change: a batch, relayed or from an own call, is applied only if it begins at the revision that is known; what overlaps shows as a gap and is asked for. The deferral is not relayed; a gateway that has not reached the store itself defers relayed removals for the 2 s in which expired entries come back. Tests: the overlap is ignored (applied before), removals are deferred while the store cannot be reached.

--- a/src/libteaselthread/peers/change_assembler.cc
+++ b/src/libteaselthread/peers/change_assembler.cc
@@ -20,7 +20,6 @@
   for (size_t i = 0; i < count; ++i) {
     parts[i].batch.from = batch.from;
     parts[i].batch.to = batch.to;
-    parts[i].batch.removals_deferred = batch.removals_deferred;
     parts[i].index = static_cast<uint32_t>(i);
     parts[i].count = static_cast<uint32_t>(count);
   }
@@ -47,7 +46,7 @@
                   [](const auto& kept) { return kept.has_value(); });
   if (!is_complete)
     return std::nullopt;
-  ChangeBatch batch{from_, to_, parts_.front()->batch.removals_deferred, {}};
+  ChangeBatch batch{from_, to_, {}};
   for (auto& kept : parts_) {
     for (StoreChange& change : kept->batch.changes)
       batch.changes.push_back(std::move(change));
--- a/src/libteaselthread/peers/relayed_list_view.cc
+++ b/src/libteaselthread/peers/relayed_list_view.cc
@@ -18,8 +18,7 @@
 }
 
 bool RelayedListView::OnChanges(uint64_t from, uint64_t to, bool has_changes) {
-  const bool has_gap = revision_ == 0 || from > revision_;
-  if (has_gap || to <= revision_)
+  if (revision_ == 0 || from != revision_ || to <= revision_)
     return false;
   revision_ = to;
   if (has_changes)
--- a/src/libteaselthread/peers/relayed_list_view.h
+++ b/src/libteaselthread/peers/relayed_list_view.h
@@ -28,9 +28,10 @@
   // find this node after its start.
   void OnConfirmed(Timestamp called_at);
   // All changes after `from`, up to `to`, have been received; `has_changes`:
-  // there are some. Returns false, and changes nothing, if some between
-  // revision() and `from` are missing, or if all up to `to` were known before.
-  // The changes must be applied if it returns true.
+  // there are some. Returns false, and changes nothing, unless `from` is
+  // revision(): otherwise some are missing, or have already been applied and
+  // must not be applied again, as that would bring back what has been removed
+  // since. The changes must be applied if it returns true.
   bool OnChanges(uint64_t from, uint64_t to, bool has_changes);
   // Adds a part of a batch that another node relays. Returns the batch if it is
   // complete and must be applied.
--- a/src/libteaselthread/peers/store_changes.h
+++ b/src/libteaselthread/peers/store_changes.h
@@ -25,13 +25,11 @@
 };
 
 // All changes of a list after the store's revision `from`, up to `to`, in
-// order. Whoever knows the list as of any revision from `from` to `to` knows it
-// as of `to` once the whole batch has been applied.
+// order. Whoever knows the list as of `from` knows it as of `to` once the batch
+// has been applied.
 struct ChangeBatch {
   uint64_t from = 0;
   uint64_t to = 0;
-  // For how much longer the sender defers removals, after a store outage.
-  Duration removals_deferred{};
   std::vector<StoreChange> changes;
 
   friend auto operator<=>(const ChangeBatch&, const ChangeBatch&) = default;
--- a/src/teaselthread/gateway/peer_heartbeat.cc
+++ b/src/teaselthread/gateway/peer_heartbeat.cc
@@ -187,8 +187,6 @@
     changes->set_to(part.batch.to);
     changes->set_index(part.index);
     changes->set_count(part.count);
-    changes->set_removals_deferred_ms(
-        ToMilliseconds(part.batch.removals_deferred));
     for (const StoreChange& change : part.batch.changes)
       SetChange(change, changes->add_changes());
     for (const SocketAddress& target : zone)
@@ -228,8 +226,6 @@
   ChangeBatchPart part;
   part.batch.from = message.from();
   part.batch.to = message.to();
-  part.batch.removals_deferred =
-      std::chrono::milliseconds(message.removals_deferred_ms());
   part.index = message.index();
   part.count = message.count();
   for (const wire::StoreChange& item : message.changes()) {
--- a/src/teaselthread/store/list_controller.cc
+++ b/src/teaselthread/store/list_controller.cc
@@ -17,6 +17,10 @@
 constexpr Duration kMaxBackoff = milliseconds(2'000);
 // A change normally arrives within this time after it was announced.
 constexpr Duration kDeliveryTime = milliseconds(200);
+// Entries that expired during an outage of the store are registered again
+// within this time after its end. This gateway may learn of the removals from
+// its leader before it has reached the store itself.
+constexpr Duration kRegistrationTime = milliseconds(2'000);
 // The store may be slow to respond.
 constexpr Duration kMinCallTime = milliseconds(800);
 
@@ -68,9 +72,12 @@
   const auto batch = watcher_.view().OnRelayedPart(std::move(part));
   if (!batch)
     return;
-  if (batch->removals_deferred > Duration::zero()) {
-    state_->endpoints().DeferRemovals(state_->Now() + batch->removals_deferred);
-  }
+  const Timestamp now = state_->Now();
+  const bool may_have_lapsed =
+      watcher_.is_unreachable() &&
+      state_->endpoints().RemovalsDeferredFor(now) < kRegistrationTime;
+  if (may_have_lapsed)
+    state_->endpoints().DeferRemovals(now + kRegistrationTime);
   handlers_.apply(batch->changes);
 }
 
@@ -128,9 +135,7 @@
   probe_pending_ = false;
   if (update.objects.empty())
     return;
-  ChangeBatch batch{update.from, update.to,
-                    state_->endpoints().RemovalsDeferredFor(state_->Now()),
-                    Decode(update.objects)};
+  ChangeBatch batch{update.from, update.to, Decode(update.objects)};
   handlers_.apply(batch.changes);
   if (IsLeader() && on_batch_)
     on_batch_(list_, batch);
