Relayed removals are not deferred

Cause, from the logs: all gateways had received the removal 0.1 s after the store acknowledged it, but two deferred it. A call of theirs had failed before their leader informed them again; a watch that is suspended makes no call that would show that the store is back, so that each relayed batch deferred removals for 2 s more.

Change: none is made for relayed removals; gateways that notice an outage themselves defer as before. A test failed first (1 endpoint left, none expected).

--- a/src/libteaselthread/endpoints/endpoint_table.h
+++ b/src/libteaselthread/endpoints/endpoint_table.h
@@ -33,10 +33,6 @@
   // Defers removals until `until`. A removal is cancelled if the endpoint is
   // registered again before that.
   void DeferRemovals(Timestamp until) { defer_until_ = until; }
-  // For how much longer removals are deferred; zero if they are not.
-  Duration RemovalsDeferredFor(Timestamp now) const {
-    return now < defer_until_ ? defer_until_ - now : Duration::zero();
-  }
   // Carries out deferred removals that are due.
   void Sweep(Timestamp now);
 
--- a/src/teaselthread/store/list_controller.cc
+++ b/src/teaselthread/store/list_controller.cc
@@ -17,10 +17,6 @@
 constexpr Duration kMaxBackoff = milliseconds(2'000);
 // A change normally arrives within this time after it was announced.
 constexpr Duration kDeliveryTime = milliseconds(200);
-// Entries that expired during an outage of the store are registered again
-// within this time after its end. This gateway may learn of the removals from
-// its leader before it has reached the store itself.
-constexpr Duration kRegistrationTime = milliseconds(2'000);
 // The store may be slow to respond.
 constexpr Duration kMinCallTime = milliseconds(800);
 
@@ -69,16 +65,8 @@
 }
 
 void ListController::OnRelayedPart(ChangeBatchPart part) {
-  const auto batch = watcher_.view().OnRelayedPart(std::move(part));
-  if (!batch)
-    return;
-  const Timestamp now = state_->Now();
-  const bool may_have_lapsed =
-      watcher_.is_unreachable() &&
-      state_->endpoints().RemovalsDeferredFor(now) < kRegistrationTime;
-  if (may_have_lapsed)
-    state_->endpoints().DeferRemovals(now + kRegistrationTime);
-  handlers_.apply(batch->changes);
+  if (const auto batch = watcher_.view().OnRelayedPart(std::move(part)))
+    handlers_.apply(batch->changes);
 }
 
 void ListController::Check() {
