One set of poll constants, and smaller pieces of the relayed changes

Read once more: the two controllers each had the wait of a probe and four limits of pauses after failures (StoreWatcher::kProbeWait, kLeaderBackoff and kFollowerBackoff serve both); the splitter kept a position that follows from its partial event; a relayed batch built the same heartbeat for each part; calls that were superseded had dropped out of the metric of store calls, and count again as before. No decision, bound or timing changes.

--- a/src/libteaselthread/attempts/event_splitter.cc
+++ b/src/libteaselthread/attempts/event_splitter.cc
@@ -42,10 +42,12 @@
 
 std::string EventSplitter::Feed(std::string_view bytes) {
   std::string complete_events;
+  size_t start = 0;
+  // All of `partial_` has been searched, but its last byte may be the first one
+  // of an event's end.
+  size_t search_from = partial_.empty() ? 0 : partial_.size() - 1;
   partial_.append(bytes);
   bytes_since_event_ += bytes.size();
-  size_t start = 0;
-  size_t search_from = searched_;
   for (;;) {
     const size_t end = partial_.find(kEventEnd, search_from);
     if (end == std::string::npos)
@@ -58,14 +60,11 @@
     search_from = start;
   }
   partial_.erase(0, start);
-  // The last byte may be the first one of an event's end.
-  searched_ = partial_.empty() ? 0 : partial_.size() - 1;
   return complete_events;
 }
 
 void EventSplitter::Restart() {
   partial_.clear();
-  searched_ = 0;
   bytes_since_event_ = 0;
 }
 
--- a/src/libteaselthread/attempts/event_splitter.h
+++ b/src/libteaselthread/attempts/event_splitter.h
@@ -37,8 +37,6 @@
   bool Accept(std::string_view event);
 
   std::string partial_;
-  // The first bytes of `partial_` that are known not to contain an event's end.
-  size_t searched_ = 0;
   size_t bytes_since_event_ = 0;
   std::optional<uint64_t> last_id_;
   uint32_t event_count_ = 0;
--- a/src/teaselthread/gateway/peer_heartbeat.cc
+++ b/src/teaselthread/gateway/peer_heartbeat.cc
@@ -178,15 +178,16 @@
 void PeerHeartbeat::RelayChanges(RelayedList list, const ChangeBatch& batch) {
   const std::vector<SocketAddress> zone =
       state_->peers().ZoneTargets(state_->Now());
+  wire::GatewayHeartbeat message = MakeMessage();
+  SetListStatuses(&message);
+  wire::ChangePart* changes = message.mutable_changes();
+  changes->set_list(static_cast<uint32_t>(list));
+  changes->set_from(batch.from);
+  changes->set_to(batch.to);
   for (const ChangeBatchPart& part : SplitIntoParts(batch)) {
-    wire::GatewayHeartbeat message = MakeMessage();
-    SetListStatuses(&message);
-    wire::ChangePart* changes = message.mutable_changes();
-    changes->set_list(static_cast<uint32_t>(list));
-    changes->set_from(part.batch.from);
-    changes->set_to(part.batch.to);
     changes->set_index(part.index);
     changes->set_count(part.count);
+    changes->clear_changes();
     for (const StoreChange& change : part.batch.changes)
       SetChange(change, changes->add_changes());
     for (const SocketAddress& target : zone)
--- a/src/teaselthread/store/list_controller.cc
+++ b/src/teaselthread/store/list_controller.cc
@@ -7,14 +7,6 @@
 
 using std::chrono::milliseconds;
 
-// The store responds at once if there are changes.
-constexpr Duration kProbeWait = milliseconds(10);
-// The zone leader detects soon that the store is back, and its status tells the
-// other gateways.
-constexpr Duration kLeaderMinBackoff = milliseconds(60);
-constexpr Duration kLeaderMaxBackoff = milliseconds(400);
-constexpr Duration kMinBackoff = milliseconds(500);
-constexpr Duration kMaxBackoff = milliseconds(2'000);
 // A change normally arrives within this time after it was announced.
 constexpr Duration kDeliveryTime = milliseconds(200);
 // The store may be slow to respond.
@@ -44,13 +36,14 @@
 
 StoreWatcher::PollTiming ListController::ChoosePollTiming() const {
   if (IsLeader())
-    return {timing_.leader_wait, timing_.batch_delay, kLeaderMinBackoff,
-            kLeaderMaxBackoff};
+    return {timing_.leader_wait, timing_.batch_delay,
+            StoreWatcher::kLeaderBackoff};
   if (probe_pending_)
-    return {kProbeWait, Duration::zero(), kMinBackoff, kMaxBackoff};
+    return {StoreWatcher::kProbeWait, Duration::zero(),
+            StoreWatcher::kFollowerBackoff};
   const bool is_informed = watcher_.view().IsInformed(state_->Now());
-  return {StoreWatcher::kLongWait, timing_.batch_delay, kMinBackoff,
-          kMaxBackoff, is_informed};
+  return {StoreWatcher::kLongWait, timing_.batch_delay,
+          StoreWatcher::kFollowerBackoff, is_informed};
 }
 
 void ListController::OnPeerRevision(uint64_t revision) {
--- a/src/teaselthread/store/store_controller.cc
+++ b/src/teaselthread/store/store_controller.cc
@@ -13,18 +13,10 @@
 // configuration for its whole availability zone, so the wait is well below the
 // revocation bound.
 constexpr Duration kShortWait = milliseconds(600);
-// The store responds at once if there is a newer version.
-constexpr Duration kProbeWait = milliseconds(10);
 // In a zone of 60 gateways, which send a heartbeat every 1.2 s, confirmations
 // from the leader are up to 3 s old. The rest of the revocation bound is enough
 // for a call.
 constexpr double kMaxUnconfirmedShare = 0.7;
-constexpr Duration kLeaderMinBackoff = milliseconds(60);
-constexpr Duration kLeaderMaxBackoff = milliseconds(400);
-// On the other gateways. A heartbeat of the leader ends the pause once the
-// store is back.
-constexpr Duration kMinBackoff = milliseconds(500);
-constexpr Duration kMaxBackoff = milliseconds(2'000);
 // By these times, this gateway's own watch normally delivers a version that a
 // peer has announced.
 constexpr MissedChangeDetector::Timeouts kConfigurationTimeouts{
@@ -130,12 +122,13 @@
                          missed_configuration_.newest_peer_revision() <=
                              state_->routes()->version();
   if (state_->peers().IsZoneLeader(state_->Now()))
-    return {kShortWait, batch_delay, kLeaderMinBackoff, kLeaderMaxBackoff};
+    return {kShortWait, batch_delay, StoreWatcher::kLeaderBackoff};
   if (!age || !is_newest)
-    return {kShortWait, batch_delay, kMinBackoff, kMaxBackoff};
+    return {kShortWait, batch_delay, StoreWatcher::kFollowerBackoff};
   const bool needs_no_call =
       *age <= MaxUnconfirmedAge() && !configuration_.is_unreachable();
-  return {kProbeWait, batch_delay, kMinBackoff, kMaxBackoff, needs_no_call};
+  return {StoreWatcher::kProbeWait, batch_delay, StoreWatcher::kFollowerBackoff,
+          needs_no_call};
 }
 
 Duration StoreController::DrainBoundShare(double share) const {
--- a/src/teaselthread/store/store_watcher.cc
+++ b/src/teaselthread/store/store_watcher.cc
@@ -10,7 +10,6 @@
 // Long enough for a slow store to respond. A watch call times out this long
 // after the end of its wait, which is how a dead connection is detected.
 constexpr Duration kCallTimeout = milliseconds(800);
-constexpr Duration kProbeWait = milliseconds(10);
 constexpr uint32_t kMaxDoublings = 6;
 constexpr int kOk = 200;
 constexpr int kGone = 410;
@@ -134,7 +133,9 @@
   Result<HttpReply> reply = co_await connection_.Get(target, timeout);
   const bool is_superseded =
       !reply && reply.last_reason().code == ErrorCode::kSuperseded;
-  if (!is_superseded)
+  if (is_superseded)
+    state_->metrics().OnStoreCall(true);
+  else
     state_->OnStoreCall(kind_, target, reply ? reply->status : 0, called_at_);
   if (!reply || reply->status == kOk)
     co_return reply;
@@ -186,8 +187,8 @@
 asio::awaitable<void> StoreWatcher::Backoff() {
   const PollTiming timing = poll_timing_();
   const uint32_t doublings = std::min(failures_ - 1, kMaxDoublings);
-  const Duration longest =
-      std::min(timing.min_backoff * (1 << doublings), timing.max_backoff);
+  const Duration longest = std::min(timing.backoff.shortest * (1 << doublings),
+                                    timing.backoff.longest);
   std::uniform_real_distribution<double> jitter(0.5, 1.0);
   const auto time = Duration(
       static_cast<Duration::rep>(longest.count() * jitter(state_->random())));
--- a/src/teaselthread/store/store_watcher.h
+++ b/src/teaselthread/store/store_watcher.h
@@ -35,12 +35,16 @@
     std::function<void(bool reachable)> on_reachability_changed;
   };
 
+  // Pauses after failed calls.
+  struct BackoffLimits {
+    Duration shortest{};  // after the first one
+    Duration longest{};
+  };
   // Timing of the calls. Queried before each watch call and each pause.
   struct PollTiming {
     Duration wait{};         // how long a watch call waits for changes
     Duration batch_delay{};  // pause after a change, to batch further ones
-    Duration min_backoff{};  // pause after the first failed call
-    Duration max_backoff{};  // longest pause after failed calls
+    BackoffLimits backoff;
     // No call is made until Resume, as another node relays the changes.
     bool is_suspended = false;
   };
@@ -50,6 +54,15 @@
   // than the store's history (20 s in the deployments), which the response to
   // an unchanged kind must not fall out of.
   static constexpr Duration kLongWait = std::chrono::seconds(15);
+  // Wait of a call that only asks for the current state: the store responds at
+  // once if there are changes.
+  static constexpr Duration kProbeWait = std::chrono::milliseconds(10);
+  // The zone leader detects soon that the store is back, and its heartbeat
+  // tells the other gateways, which ask less often.
+  static constexpr BackoffLimits kLeaderBackoff{std::chrono::milliseconds(60),
+                                                std::chrono::milliseconds(400)};
+  static constexpr BackoffLimits kFollowerBackoff{
+      std::chrono::milliseconds(500), std::chrono::milliseconds(2'000)};
 
   StoreWatcher(GatewayState* state,
                StoreKind kind,
--- a/tests/gateway/store_watcher_test.cc
+++ b/tests/gateway/store_watcher_test.cc
@@ -36,7 +36,7 @@
                 Duration::zero(),
                 [this] {
                   return StoreWatcher::PollTiming{
-                      wait, {}, milliseconds(60), seconds(5)};
+                      wait, {}, {milliseconds(60), seconds(5)}};
                 },
                 {[](const StoreUpdate&) {}, [](const StoreUpdate&) {},
                  [this](bool reachable) {
