One test for success, one fixture of scripted endpoints

A comment said that a failing watch has the configuration's check the store, which is so only while that one is not suspended. Nothing that the code does changes. Unit tests of the gateway and the linter on the changed files passed.

--- a/src/teaselthread/gateway/endpoint_attempt.cc
+++ b/src/teaselthread/gateway/endpoint_attempt.cc
@@ -2,6 +2,8 @@
 
 #include <charconv>
 
+#include "teaselthread/http_client.h"
+
 namespace teaselthread {
 namespace {
 
@@ -27,10 +29,6 @@
 constexpr milliseconds kKeepAliveMargin(1'000);
 constexpr int kMisdirectedRequest = 421;
 
-bool IsSuccess(int status) {
-  return status >= 200 && status < 300;
-}
-
 bool IsServerError(int status) {
   return status >= 500;
 }
--- a/src/teaselthread/gateway/gateway_state.cc
+++ b/src/teaselthread/gateway/gateway_state.cc
@@ -4,6 +4,7 @@
 #include <ctime>
 
 #include "libteaselthread/rendezvous_hash.h"
+#include "teaselthread/http_client.h"
 
 namespace teaselthread {
 namespace {
@@ -99,7 +100,7 @@
                                std::string_view target,
                                int status,
                                Timestamp called_at) {
-  metrics_.OnStoreCall(status >= 200 && status < 300);
+  metrics_.OnStoreCall(IsSuccess(status));
   if (!log_.WritesDebug())
     return;
   LogLine line("store-called");
--- a/src/teaselthread/http_client.h
+++ b/src/teaselthread/http_client.h
@@ -9,6 +9,11 @@
 
 namespace teaselthread {
 
+// Whether `status` is a 2xx status code.
+constexpr bool IsSuccess(int status) {
+  return status >= 200 && status < 300;
+}
+
 struct HttpReply {
   int status = 0;
   std::string body;
--- a/src/teaselthread/store/node_registrar.cc
+++ b/src/teaselthread/store/node_registrar.cc
@@ -20,10 +20,6 @@
 constexpr int kConflict = 409;
 constexpr int kNoResponse = 0;
 
-bool IsSuccess(int status) {
-  return status >= 200 && status < 300;
-}
-
 std::string StringField(const json::object& object, std::string_view key) {
   const json::value* value = object.if_contains(key);
   return value && value->is_string() ? std::string(value->get_string()) : "";
--- a/src/teaselthread/store/store_controller.cc
+++ b/src/teaselthread/store/store_controller.cc
@@ -194,8 +194,9 @@
 
 // The watch of the configuration decides whether the store is reachable. While
 // it fails, the other watches stop after their next failed call. If one of the
-// others fails first, the watch of the configuration reconnects to check the
-// store.
+// others fails first, a call for the configuration in progress is repeated to
+// check the store; while that watch is suspended, the age of the configuration
+// shows it.
 void StoreController::OnReachabilityChanged(StoreKind kind, bool reachable) {
   if (kind != StoreKind::kConfiguration) {
     if (!reachable && !configuration_.is_unreachable())
--- a/tests/gateway/endless_answers_test.cc
+++ b/tests/gateway/endless_answers_test.cc
@@ -9,8 +9,10 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using test::Chunk;
 using test::EventChunk;
 using test::Field;
+using test::HasStatus;
 using test::IsComplete;
 using test::kLastChunk;
 using test::MakeRequest;
@@ -24,24 +26,19 @@
 constexpr milliseconds kDeadlineTolerance(900);
 constexpr milliseconds kEventGap(100);
 
-std::string Chunk(const std::string& bytes) {
-  std::ostringstream chunk;
-  chunk << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
-  return chunk.str();
+// Sends `bytes`, and then `repeated` until the connection is closed.
+Reply Endless(const std::string& bytes,
+              const std::string& repeated,
+              Duration pause = Duration::zero()) {
+  Reply reply;
+  reply.bytes = bytes;
+  reply.repeated = repeated;
+  reply.pause = pause;
+  return reply;
 }
 
 // Endpoints whose responses never end, behind a gateway with a short deadline.
-struct EndlessFixture {
-  void Start(const std::string& service,
-             int count,
-             const ScriptedEndpoint::Script& script) {
-    for (int i = 0; i < count; ++i) {
-      endpoints.push_back(
-          std::make_unique<ScriptedEndpoint>(&harness.io(), script));
-      harness.AddEndpoint(service + "-" + std::to_string(i), service,
-                          *endpoints.back());
-    }
-  }
+struct EndlessFixture : test::ScriptedEndpointsFixture {
   void SetEventGap(Duration gap) {
     RouteTableParts parts = test::MakeRoutes().parts();
     parts.version = 2;
@@ -81,22 +78,14 @@
     return total;
   }
 
-  test::GatewayHarness harness;
-  std::vector<std::unique_ptr<ScriptedEndpoint>> endpoints;
   std::chrono::steady_clock::duration elapsed{};
 };
 
-bool HasStatus(const std::string& response, const std::string& status) {
-  return response.size() > 12 && response.substr(9, 3) == status;
-}
-
 BOOST_FIXTURE_TEST_SUITE(an_endless_head, EndlessFixture)
 
 BOOST_AUTO_TEST_CASE(of_informational_responses_ends_the_attempt) {
   Start("desk", 1, [](const std::string&, const std::string&, int) {
-    Reply reply;
-    reply.repeated = "HTTP/1.1 102 Processing\r\n\r\n";
-    return reply;
+    return Endless("", "HTTP/1.1 102 Processing\r\n\r\n");
   });
   BOOST_TEST(HasStatus(Send("/order/", seconds(2)), "502"));
   BOOST_TEST((elapsed < milliseconds(1'000)));
@@ -105,10 +94,7 @@
 
 BOOST_AUTO_TEST_CASE(of_one_line_ends_the_attempt) {
   Start("desk", 1, [](const std::string&, const std::string&, int) {
-    Reply reply;
-    reply.bytes = "HTTP/1.1 200 OK\r\nX-Filler: ";
-    reply.repeated = std::string(1'000, 'x');
-    return reply;
+    return Endless("HTTP/1.1 200 OK\r\nX-Filler: ", std::string(1'000, 'x'));
   });
   BOOST_TEST(HasStatus(Send("/order/", seconds(2)), "502"));
   BOOST_TEST((elapsed < milliseconds(1'000)));
@@ -117,11 +103,7 @@
 
 BOOST_AUTO_TEST_CASE(of_one_line_that_arrives_slowly_ends_at_the_deadline) {
   Start("desk", 1, [](const std::string&, const std::string&, int) {
-    Reply reply;
-    reply.bytes = "HTTP/1.1 200 OK\r\nX-Filler: ";
-    reply.repeated = "x";
-    reply.pause = milliseconds(1);
-    return reply;
+    return Endless("HTTP/1.1 200 OK\r\nX-Filler: ", "x", milliseconds(1));
   });
   BOOST_TEST(HasStatus(Send("/order/"), "504"));
   BOOST_TEST(EndedInTime());
@@ -130,9 +112,7 @@
 
 BOOST_AUTO_TEST_CASE(of_white_space_ends_the_attempt) {
   Start("desk", 1, [](const std::string&, const std::string&, int) {
-    Reply reply;
-    reply.repeated = "\r\n";
-    return reply;
+    return Endless("", "\r\n");
   });
   BOOST_TEST(HasStatus(Send("/order/", seconds(2)), "502"));
   BOOST_TEST((elapsed < milliseconds(1'000)));
@@ -141,9 +121,7 @@
 
 BOOST_AUTO_TEST_CASE(of_unrelated_responses_ends_the_attempt) {
   Start("desk", 1, [](const std::string&, const std::string&, int) {
-    Reply reply;
-    reply.repeated = MakeResponse("id-other", "not yours");
-    return reply;
+    return Endless("", MakeResponse("id-other", "not yours"));
   });
   BOOST_TEST(HasStatus(Send("/order/", seconds(2)), "502"));
   BOOST_TEST((elapsed < milliseconds(1'000)));
@@ -156,11 +134,9 @@
 
 BOOST_AUTO_TEST_CASE(is_not_kept_beyond_its_bound) {
   Start("desk", 1, [](const std::string&, const std::string& id, int) {
-    Reply reply;
-    reply.bytes =
-        "HTTP/1.1 200 OK\r\n" + Field(platform::kRequestId, id) + "\r\n";
-    reply.repeated = std::string(64'000, 'x');
-    return reply;
+    return Endless(
+        "HTTP/1.1 200 OK\r\n" + Field(platform::kRequestId, id) + "\r\n",
+        std::string(64'000, 'x'));
   });
   BOOST_TEST(HasStatus(Send("/order/", seconds(2)), "502"));
   BOOST_TEST(IsIdle());
@@ -168,12 +144,9 @@
 
 BOOST_AUTO_TEST_CASE(that_arrives_slowly_ends_at_the_deadline) {
   Start("desk", 1, [](const std::string&, const std::string& id, int) {
-    Reply reply;
-    reply.bytes =
-        "HTTP/1.1 200 OK\r\n" + Field(platform::kRequestId, id) + "\r\n";
-    reply.repeated = "x";
-    reply.pause = milliseconds(1);
-    return reply;
+    return Endless(
+        "HTTP/1.1 200 OK\r\n" + Field(platform::kRequestId, id) + "\r\n", "x",
+        milliseconds(1));
   });
   BOOST_TEST(HasStatus(Send("/order/"), "504"));
   BOOST_TEST(EndedInTime());
@@ -182,11 +155,9 @@
 
 BOOST_AUTO_TEST_CASE(of_an_unrelated_response_is_not_read_to_its_bound) {
   Start("desk", 1, [](const std::string&, const std::string&, int) {
-    Reply reply;
-    reply.bytes = "HTTP/1.1 200 OK\r\n" +
-                  Field(platform::kRequestId, "id-other") + "\r\n";
-    reply.repeated = std::string(64'000, 'x');
-    return reply;
+    return Endless("HTTP/1.1 200 OK\r\n" +
+                       Field(platform::kRequestId, "id-other") + "\r\n",
+                   std::string(64'000, 'x'));
   });
   BOOST_TEST(HasStatus(Send("/order/", seconds(2)), "502"));
   BOOST_TEST((elapsed < milliseconds(1'000)));
@@ -195,10 +166,7 @@
 
 BOOST_AUTO_TEST_CASE(of_chunk_extensions_ends_the_attempt) {
   Start("desk", 1, [](const std::string&, const std::string& id, int) {
-    Reply reply;
-    reply.bytes = StreamHead(id) + "5;";
-    reply.repeated = std::string(1'000, 'x');
-    return reply;
+    return Endless(StreamHead(id) + "5;", std::string(1'000, 'x'));
   });
   BOOST_TEST(HasStatus(Send("/order/", seconds(2)), "502"));
   BOOST_TEST((elapsed < milliseconds(1'000)));
@@ -207,10 +175,7 @@
 
 BOOST_AUTO_TEST_CASE(of_trailers_ends_the_attempt) {
   Start("desk", 1, [](const std::string&, const std::string& id, int) {
-    Reply reply;
-    reply.bytes = StreamHead(id) + "4\r\nbody\r\n0\r\n";
-    reply.repeated = "X-Trailer: x\r\n";
-    return reply;
+    return Endless(StreamHead(id) + "4\r\nbody\r\n0\r\n", "X-Trailer: x\r\n");
   });
   BOOST_TEST(HasStatus(Send("/order/", seconds(2)), "502"));
   BOOST_TEST((elapsed < milliseconds(1'000)));
@@ -223,10 +188,7 @@
 
 BOOST_AUTO_TEST_CASE(in_which_no_event_ends_does_not_occupy_the_gateway) {
   Start("pool", 2, [](const std::string&, const std::string& id, int) {
-    Reply reply;
-    reply.bytes = StreamHead(id);
-    reply.repeated = Chunk(std::string(4'000, 'x'));
-    return reply;
+    return Endless(StreamHead(id), Chunk(std::string(4'000, 'x')));
   });
   BOOST_TEST(HasStatus(Send("/chat/", seconds(2)), "502"));
   BOOST_TEST((elapsed < milliseconds(1'500)));
@@ -235,10 +197,7 @@
 
 BOOST_AUTO_TEST_CASE(of_comments_does_not_occupy_the_gateway) {
   Start("pool", 2, [](const std::string&, const std::string& id, int) {
-    Reply reply;
-    reply.bytes = StreamHead(id);
-    reply.repeated = Chunk(": ping\n\n");
-    return reply;
+    return Endless(StreamHead(id), Chunk(": ping\n\n"));
   });
   BOOST_TEST(HasStatus(Send("/chat/", seconds(2)), "502"));
   BOOST_TEST(IsIdle());
@@ -246,10 +205,7 @@
 
 BOOST_AUTO_TEST_CASE(of_events_ends_at_the_deadline) {
   Start("pool", 1, [](const std::string&, const std::string& id, int) {
-    Reply reply;
-    reply.bytes = StreamHead(id);
-    reply.repeated = Chunk("data: x\n\n");
-    return reply;
+    return Endless(StreamHead(id), Chunk("data: x\n\n"));
   });
   const std::string response = Send("/chat/");
   BOOST_TEST(EndedInTime());
@@ -261,10 +217,7 @@
 BOOST_AUTO_TEST_CASE(is_cancelled_when_its_caller_disconnects) {
   for (const char* repeated : {"data: x\n\n", "data: x", ": x\n\n"}) {
     Start("pool", 1, [=](const std::string&, const std::string& id, int) {
-      Reply reply;
-      reply.bytes = StreamHead(id);
-      reply.repeated = Chunk(repeated);
-      return reply;
+      return Endless(StreamHead(id), Chunk(repeated));
     });
   }
   for (int i = 0; i < 6; ++i) {
@@ -277,10 +230,7 @@
 
 BOOST_AUTO_TEST_CASE(leaves_the_gateway_to_other_callers) {
   Start("pool", 1, [](const std::string&, const std::string& id, int) {
-    Reply reply;
-    reply.bytes = StreamHead(id);
-    reply.repeated = Chunk("data: x\n\n");
-    return reply;
+    return Endless(StreamHead(id), Chunk("data: x\n\n"));
   });
   Start("desk", 1, [](const std::string&, const std::string& id, int) {
     return Reply{MakeResponse(id, "done")};
@@ -304,11 +254,8 @@
   int seen = 0;
   Start("pool", 2, [&](const std::string& head, const std::string& id, int) {
     if (seen++ == 0) {
-      Reply reply;
-      reply.bytes = StreamHead(id) + EventChunk(1);
-      reply.repeated = Chunk("x");
-      reply.pause = milliseconds(20);
-      return reply;
+      return Endless(StreamHead(id) + EventChunk(1), Chunk("x"),
+                     milliseconds(20));
     }
     BOOST_TEST(head.find("Last-Event-Id: 1") != std::string::npos);
     return Reply{StreamHead(id) + EventChunk(2) + kLastChunk};
@@ -324,11 +271,8 @@
   int seen = 0;
   Start("pool", 2, [&](const std::string&, const std::string& id, int) {
     if (seen++ == 0) {
-      Reply reply;
-      reply.bytes = StreamHead(id) + EventChunk(1);
-      reply.repeated = Chunk(": ping\n\n");
-      reply.pause = milliseconds(20);
-      return reply;
+      return Endless(StreamHead(id) + EventChunk(1), Chunk(": ping\n\n"),
+                     milliseconds(20));
     }
     return Reply{StreamHead(id) + EventChunk(2) + kLastChunk};
   });
@@ -342,11 +286,9 @@
   SetEventGap(kEventGap);
   // One event every 90 ms.
   Start("pool", 1, [](const std::string&, const std::string& id, int) {
-    Reply reply;
-    reply.bytes = StreamHead(id) + EventChunk(1);
-    reply.repeated = Chunk("da") + Chunk("ta") + Chunk(": x\n") + Chunk("\n");
-    reply.pause = milliseconds(90);
-    return reply;
+    return Endless(StreamHead(id) + EventChunk(1),
+                   Chunk("da") + Chunk("ta") + Chunk(": x\n") + Chunk("\n"),
+                   milliseconds(90));
   });
   const std::string response = Send("/chat/", seconds(1));
   BOOST_TEST((elapsed >= milliseconds(900)));
--- a/tests/gateway/endpoint_answers_test.cc
+++ b/tests/gateway/endpoint_answers_test.cc
@@ -9,6 +9,7 @@
 using std::chrono::milliseconds;
 using test::EventChunk;
 using test::Field;
+using test::HasStatus;
 using test::IsComplete;
 using test::kLastChunk;
 using test::MakeRequest;
@@ -19,18 +20,7 @@
 
 const std::string kNotRun = test::Field(platform::kNotExecuted, "1");
 
-struct EndpointResponseFixture {
-  // Starts `count` endpoints of a service that run the same script.
-  void Start(const std::string& service,
-             int count,
-             const ScriptedEndpoint::Script& script) {
-    for (int i = 0; i < count; ++i) {
-      endpoints.push_back(
-          std::make_unique<ScriptedEndpoint>(&harness.io(), script));
-      harness.AddEndpoint(service + "-" + std::to_string(i), service,
-                          *endpoints.back());
-    }
-  }
+struct EndpointResponseFixture : test::ScriptedEndpointsFixture {
   std::string Send(const std::string& path, const std::string& id) {
     return harness.Exchange(MakeRequest("POST", path, id, "body"), IsComplete);
   }
@@ -40,15 +30,8 @@
       total += endpoint->heads().size();
     return total;
   }
-
-  test::GatewayHarness harness;
-  std::vector<std::unique_ptr<ScriptedEndpoint>> endpoints;
 };
 
-bool HasStatus(const std::string& response, const std::string& status) {
-  return response.size() > 12 && response.substr(9, 3) == status;
-}
-
 BOOST_FIXTURE_TEST_SUITE(a_non_idempotent_request, EndpointResponseFixture)
 
 BOOST_AUTO_TEST_CASE(is_retried_at_another_endpoint_if_rejected) {
--- a/tests/gateway/gateway_harness.cc
+++ b/tests/gateway/gateway_harness.cc
@@ -199,6 +199,17 @@
   io_.run_for(time);
 }
 
+void ScriptedEndpointsFixture::Start(const std::string& service,
+                                     int count,
+                                     const ScriptedEndpoint::Script& script) {
+  for (int i = 0; i < count; ++i) {
+    endpoints.push_back(
+        std::make_unique<ScriptedEndpoint>(&harness.io(), script));
+    harness.AddEndpoint(service + "-" + std::to_string(i), service,
+                        *endpoints.back());
+  }
+}
+
 std::string Field(std::string_view name, const std::string& value) {
   return std::string(name) + ": " + value + "\r\n";
 }
@@ -233,13 +244,20 @@
          "Transfer-Encoding: chunked\r\n\r\n";
 }
 
-std::string EventChunk(int id) {
-  const std::string event = "id: " + std::to_string(id) + "\ndata: piece\n\n";
+std::string Chunk(const std::string& bytes) {
   std::ostringstream chunk;
-  chunk << std::hex << event.size() << "\r\n" << event << "\r\n";
+  chunk << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
   return chunk.str();
 }
 
+std::string EventChunk(int id) {
+  return Chunk("id: " + std::to_string(id) + "\ndata: piece\n\n");
+}
+
+bool HasStatus(const std::string& response, const std::string& status) {
+  return response.size() > 12 && response.substr(9, 3) == status;
+}
+
 bool IsComplete(const std::string& response) {
   const size_t head_end = response.find("\r\n\r\n");
   if (head_end == std::string::npos)
--- a/tests/gateway/gateway_harness.h
+++ b/tests/gateway/gateway_harness.h
@@ -86,6 +86,17 @@
   boost::system::error_code last_failure_;
 };
 
+// A gateway with endpoints that run scripts.
+struct ScriptedEndpointsFixture {
+  // Starts `count` endpoints of a service that run the same script.
+  void Start(const std::string& service,
+             int count,
+             const ScriptedEndpoint::Script& script);
+
+  GatewayHarness harness;
+  std::vector<std::unique_ptr<ScriptedEndpoint>> endpoints;
+};
+
 // One header line.
 std::string Field(std::string_view name, const std::string& value);
 // A request in the platform's format with the API key "key-1".
@@ -101,9 +112,12 @@
                          const std::string& more_fields = "");
 // The response header of an event stream with chunked encoding.
 std::string StreamHead(const std::string& id);
+// `bytes` as a chunk of a body with chunked encoding.
+std::string Chunk(const std::string& bytes);
 std::string EventChunk(int id);
 inline constexpr char kLastChunk[] = "0\r\n\r\n";
 
+bool HasStatus(const std::string& response, const std::string& status);
 // Whether a response with a Content-Length or chunked encoding is complete.
 bool IsComplete(const std::string& response);
 
