--- a/src/libteaselthread/endpoints/endpoint_selector.cc
+++ b/src/libteaselthread/endpoints/endpoint_selector.cc
@@ -166,6 +166,9 @@
   const double requests = ServiceRequests(in_service, context, now);
   const double mean = requests / static_cast<double>(in_service.size());
   selection.load_bound = kLoadMultiple * mean + kLoadSlack;
+  selection.mean_load = mean;
+  selection.engines_counted = static_cast<uint32_t>(in_service.size());
+  selection.engines_usable = static_cast<uint32_t>(usable.size());
   RankFor(selection.affinity_part, candidates.begin(), candidates.end());
   selection.spread = EngineCountFor(query.affinity_share * requests,
                                     selection.load_bound - mean);
@@ -177,6 +180,7 @@
     }
     ++selection.rank;
   }
+  selection.over_bound = true;
   selection.endpoint = LeastLoaded(usable, now);
   return selection;
 }
--- a/src/libteaselthread/endpoints/endpoint_selector.h
+++ b/src/libteaselthread/endpoints/endpoint_selector.h
@@ -46,6 +46,14 @@
   uint32_t shared_tokens = 0;
   uint32_t rank = 0;
   double load_bound = 0;
+  // The mean load that the bound was computed from, and the number of engines
+  // that it was taken over.
+  double mean_load = 0;
+  uint32_t engines_counted = 0;
+  // Number of engines that could receive the request.
+  uint32_t engines_usable = 0;
+  // All of them were over the bound.
+  bool over_bound = false;
   // Number of engines over which requests for that part are spread; 1 unless
   // the part is hot.
   uint32_t spread = 1;
--- a/src/teaselthread/gateway/request_handler.cc
+++ b/src/teaselthread/gateway/request_handler.cc
@@ -403,6 +403,10 @@
         .Add("shared_tokens", selection.shared_tokens)
         .Add("rank", selection.rank)
         .AddRounded("load_bound", selection.load_bound)
+        .AddRounded("mean_load", selection.mean_load)
+        .Add("engines_counted", selection.engines_counted)
+        .Add("engines_usable", selection.engines_usable)
+        .Add("over_bound", selection.over_bound)
         .Add("spread", selection.spread);
   }
   if (selection.kv_source)
