A relayed count of an engine's requests no longer swallows later ones

Cause: counts arrive from other gateways up to 1.5 s after the engine made them. The requests of other gateways were taken as the count less the local requests of now, so that local requests which were sent after the count were taken for ones that it held: an estimate of 8 with 3 requests sent since.

Change: the times of recent local sends and ends give the local requests at the time of the count.

The test failed before (8 in place of 9.7).

--- a/src/libteaselthread/emulator/emulated_fleet.cc
+++ b/src/libteaselthread/emulator/emulated_fleet.cc
@@ -163,7 +163,7 @@
   };
   request.on_end = [this, endpoint_state, &gateway, part] {
     --running_requests_;
-    endpoint_state->OnEnd();
+    endpoint_state->OnEnd(clock_.now());
     gateway.demand.OnEnd(kServiceName, part, clock_.now());
   };
   engine->Submit(std::move(request));
--- a/src/libteaselthread/endpoints/endpoint_state.cc
+++ b/src/libteaselthread/endpoints/endpoint_state.cc
@@ -9,6 +9,17 @@
 // current load.
 constexpr Duration kReportLifetime = std::chrono::milliseconds(4'000);
 
+uint32_t CountSince(const std::deque<Timestamp>& times, Timestamp time) {
+  const auto first = std::upper_bound(times.begin(), times.end(), time);
+  return static_cast<uint32_t>(times.end() - first);
+}
+
+void Append(Timestamp now, std::deque<Timestamp>* times) {
+  while (!times->empty() && times->front() + kReportLifetime < now)
+    times->pop_front();
+  times->push_back(now);
+}
+
 }  // namespace
 
 EndpointState::EndpointState(EndpointRecord record,
@@ -38,20 +49,26 @@
 
 void EndpointState::OnSend(Timestamp now) {
   ++local_requests_;
+  Append(now, &sends_);
   cold_quota_.OnSend(now);
   health_.OnSend(now);
 }
 
-void EndpointState::OnEnd() {
+void EndpointState::OnEnd(Timestamp now) {
   if (local_requests_ > 0)
     --local_requests_;
+  Append(now, &ends_);
 }
 
 void EndpointState::OnReport(const LoadReport& report, Timestamp reported_at) {
   if (latest_count_ && latest_count_->at > reported_at)
     return;
   const uint32_t total = report.running + report.waiting;
-  remote_requests_ = total > local_requests_ ? total - local_requests_ : 0;
+  // Local requests at the time of the count, which is before now if another
+  // node has passed it on.
+  const uint32_t local = local_requests_ + CountSince(ends_, reported_at) -
+                         CountSince(sends_, reported_at);
+  remote_requests_ = total > local ? total - local : 0;
   latest_count_ = CountedRequests{total, reported_at};
 }
 
--- a/src/libteaselthread/endpoints/endpoint_state.h
+++ b/src/libteaselthread/endpoints/endpoint_state.h
@@ -1,6 +1,7 @@
 #ifndef TEASELTHREAD_ENDPOINTS_ENDPOINT_STATE_H_
 #define TEASELTHREAD_ENDPOINTS_ENDPOINT_STATE_H_
 
+#include <deque>
 #include <optional>
 
 #include "libteaselthread/endpoints/cold_start_quota.h"
@@ -29,12 +30,12 @@
   void ExtendCold(Timestamp until);
 
   // Estimated requests at the endpoint from all nodes: the local requests plus
-  // those that the endpoint's latest report counted in addition. The weight of
-  // the latter decreases with the age of the report.
+  // those of other nodes that the endpoint's latest report counted. The weight
+  // of the latter decreases with the age of the report.
   double EstimatedLoad(Timestamp now) const;
 
   void OnSend(Timestamp now);
-  void OnEnd();
+  void OnEnd(Timestamp now);
   // Stores the endpoint's count of its requests unless a later one is known.
   void OnReport(const LoadReport& report, Timestamp reported_at);
   // The latest count and its time, if it is no older than `max_age`.
@@ -50,7 +51,9 @@
   Timestamp seen_at_;
   Timestamp cold_until_;
   uint32_t local_requests_ = 0;
-  double remote_requests_ = 0;
+  std::deque<Timestamp> sends_;  // of recent local requests
+  std::deque<Timestamp> ends_;
+  double remote_requests_ = 0;  // at the time of the latest count
   std::optional<CountedRequests> latest_count_;
   EndpointHealth health_;
   ColdStartQuota cold_quota_;
--- a/src/teaselthread/gateway/request_handler.cc
+++ b/src/teaselthread/gateway/request_handler.cc
@@ -163,7 +163,7 @@
   };
   AttemptResult result = co_await attempt.Run(
       message, exchange.request.head.id, limits, relay, std::move(on_silence));
-  endpoint.OnEnd();
+  endpoint.OnEnd(state_->Now());
   if (!selection.affinity_part.empty())
     state_->demand().OnEnd(service, selection.affinity_part, state_->Now());
   UpdateEndpointHealth(endpoint, result);
--- a/tests/gateway/load_update_test.cc
+++ b/tests/gateway/load_update_test.cc
@@ -90,6 +90,21 @@
   BOOST_TEST(LoadAtReceiver("e1", At(seconds(1))) == 8);
 }
 
+// Regression test: requests that were sent after another node's count were
+// taken for requests that the count included.
+BOOST_AUTO_TEST_CASE(do_not_include_later_local_requests) {
+  const EndpointPtr engine = Find(receiver, "e1");
+  engine->OnSend(At(milliseconds(500)));
+  engine->OnSend(At(milliseconds(600)));
+  engine->OnEnd(At(milliseconds(1'100)));
+  Find(sender, "e1")->OnReport({8, 0}, At(seconds(1)));
+  for (int i = 0; i < 3; ++i)
+    engine->OnSend(At(milliseconds(1'200)));
+  SendUpdates(16, At(milliseconds(1'200)));
+  // Six requests of other nodes, a twentieth of which is taken to have ended.
+  BOOST_TEST(LoadAtReceiver("e1", At(milliseconds(1'200))) == 4 + 6 * 0.95);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(demand_for_a_prompt_part)
