--- a/src/teaselthread/gateway/gateway_settings.cc
+++ b/src/teaselthread/gateway/gateway_settings.cc
@@ -134,7 +134,7 @@
     }
   }
   heartbeat_interval_ =
-      reader.Milliseconds("heartbeat_interval_ms", 250, kMillisecondsRange);
+      reader.Milliseconds("heartbeat_interval_ms", 100, kMillisecondsRange);
   heartbeat_timeout_ =
       reader.Milliseconds("heartbeat_timeout_ms", 1'300, kMillisecondsRange);
   reader.RejectUnknownKeys();
