Engines stay within the load bound while few of them can be used

What callers saw: late answers from crowded engines while a zone was evacuated and engines of the others were replaced or left.

Change: a gateway has a share of each engine's bound, which it knows at once, beside the estimate; over the bound it takes the engine with the fewest local requests; at the operators' bound the request waits for room, by priority and arrival, half of the objective at most, and is then refused as not run. The bound is of the deployment's setting, load_multiple.

--- a/src/libteaselthread/emulator/emulated_fleet.cc
+++ b/src/libteaselthread/emulator/emulated_fleet.cc
@@ -16,6 +16,7 @@
 // Operators require an engine's load to stay within factor x mean + slack.
 constexpr double kLoadBoundFactor = 2;
 constexpr double kLoadBoundSlack = 3;
+constexpr Duration kRoomCheckInterval = std::chrono::milliseconds(20);
 // Engines are registered this long before the load begins.
 constexpr Duration kWarmUp = std::chrono::seconds(60);
 
@@ -53,19 +54,24 @@
   auto gateway = std::make_unique<EmulatedGateway>();
   gateway->name = "gateway-" + std::to_string(index);
   gateway->zone = ZoneName(index);
-  for (uint32_t i = 0; i < scenario_->engines; ++i) {
-    EndpointRecord record;
-    record.id = std::to_string(i);
-    record.service = kServiceName;
-    // The port is the engine's index, by which the source of a copy is found.
-    record.address = {"192.0.2.1", static_cast<uint16_t>(i)};
-    record.zone = ZoneName(i);
-    record.slots = scenario_->engine_parameters.slots;
-    gateway->table.Put(record, clock_.now());
-  }
+  for (uint32_t i = 0; i < scenario_->gateways; ++i)
+    gateway->fleet.push_back("gateway-" + std::to_string(i));
+  for (uint32_t i = 0; i < scenario_->engines; ++i)
+    gateway->table.Put(MakeRecord(i), clock_.now());
   return gateway;
 }
 
+EndpointRecord EmulatedFleet::MakeRecord(uint32_t index) const {
+  EndpointRecord record;
+  record.id = std::to_string(index);
+  record.service = kServiceName;
+  // The port is the engine's index, by which the source of a copy is found.
+  record.address = {"192.0.2.1", static_cast<uint16_t>(index)};
+  record.zone = ZoneName(index);
+  record.slots = scenario_->engine_parameters.slots;
+  return record;
+}
+
 Duration EmulatedFleet::Elapsed() const {
   return clock_.now().time_since_epoch() - kWarmUp;
 }
@@ -79,6 +85,14 @@
   SendLoadUpdates();
   if (scenario_->crash_share > 0)
     clock_.Schedule(scenario_->crash.begin, [this] { Crash(); });
+  if (scenario_->drain_share > 0)
+    clock_.Schedule(scenario_->drain.begin, [this] { Drain(); });
+  if (scenario_->evacuation.length > Duration::zero()) {
+    clock_.Schedule(scenario_->evacuation.begin,
+                    [this] { SetEvacuatedZones({ZoneName(0)}); });
+    clock_.Schedule(scenario_->evacuation.begin + scenario_->evacuation.length,
+                    [this] { SetEvacuatedZones({}); });
+  }
   clock_.RunUntil(Timestamp(kWarmUp + scenario_->length));
   for (const EnginePtr& engine : engines_) {
     result_.tokens_prefilled += engine->tokens_prefilled();
@@ -117,16 +131,30 @@
 void EmulatedFleet::OnArrival(const ChatClass& chat_class) {
   EmulatedGateway& gateway = *gateways_[std::uniform_int_distribution<size_t>(
       0, gateways_.size() - 1)(load_random_)];
-  std::vector<PromptPart> prompt = GeneratePrompt(chat_class);
-  const Placement placement =
+  Place(gateway, chat_class, GeneratePrompt(chat_class), clock_.now());
+}
+
+void EmulatedFleet::Place(EmulatedGateway& gateway,
+                          const ChatClass& chat_class,
+                          const std::vector<PromptPart>& prompt,
+                          Timestamp arrived_at) {
+  const std::optional<Placement> placement =
       strategy_->Place(gateway, prompt, engines_, clock_.now());
-  Send(gateway, placement, chat_class, std::move(prompt));
+  if (placement) {
+    Send(gateway, *placement, chat_class, prompt, arrived_at);
+    return;
+  }
+  clock_.Schedule(kRoomCheckInterval,
+                  [this, &gateway, &chat_class, prompt, arrived_at] {
+                    Place(gateway, chat_class, prompt, arrived_at);
+                  });
 }
 
 void EmulatedFleet::Send(EmulatedGateway& gateway,
                          const Placement& placement,
                          const ChatClass& chat_class,
-                         std::vector<PromptPart> prompt) {
+                         std::vector<PromptPart> prompt,
+                         Timestamp arrived_at) {
   const Timestamp sent_at = clock_.now();
   const std::string part = AffinityPart(prompt).id;
   EmulatedEngine* engine = engines_[placement.engine].get();
@@ -149,9 +177,9 @@
   }
   request.prompt = std::move(prompt);
   const size_t window = static_cast<size_t>(Elapsed() / kWindow);
-  request.on_first_token = [this, endpoint_state, engine, sent_at, window,
+  request.on_first_token = [this, endpoint_state, engine, arrived_at, window,
                             objective = chat_class.objective] {
-    const Duration first_token_time = clock_.now() - sent_at;
+    const Duration first_token_time = clock_.now() - arrived_at;
     result_.first_token_seconds.push_back(
         std::chrono::duration<double>(first_token_time).count());
     if (first_token_time <= objective) {
@@ -177,8 +205,12 @@
 }
 
 void EmulatedFleet::CountSend(size_t engine) {
-  const double mean = static_cast<double>(running_requests_) /
-                      static_cast<double>(engines_.size());
+  // Draining engines do not count for the operators' bound.
+  double requests = 0;
+  for (size_t i = 0; i < engines_.size(); ++i)
+    requests += draining_.contains(i) ? 0 : engines_[i]->load();
+  const double mean =
+      requests / static_cast<double>(engines_.size() - draining_.size());
   WindowStats& window = CurrentWindow();
   ++window.requests;
   ++result_.requests;
@@ -220,4 +252,21 @@
   }
 }
 
+void EmulatedFleet::SetEvacuatedZones(const std::set<std::string>& zones) {
+  for (const auto& gateway : gateways_)
+    gateway->table.SetEvacuatedZones(zones, clock_.now());
+}
+
+void EmulatedFleet::Drain() {
+  for (uint32_t i = 0; i < engines_.size(); ++i) {
+    if (!std::bernoulli_distribution(scenario_->drain_share)(random_))
+      continue;
+    draining_.insert(i);
+    EndpointRecord record = MakeRecord(i);
+    record.draining = true;
+    for (const auto& gateway : gateways_)
+      gateway->table.Put(record, clock_.now());
+  }
+}
+
 }  // namespace teaselthread::emulator
--- a/src/libteaselthread/emulator/emulated_fleet.h
+++ b/src/libteaselthread/emulator/emulated_fleet.h
@@ -3,6 +3,8 @@
 
 #include <memory>
 #include <random>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "libteaselthread/emulator/placement_strategy.h"
@@ -56,15 +58,25 @@
   void ScheduleArrival(const ChatClass& chat_class);
   std::vector<PromptPart> GeneratePrompt(const ChatClass& chat_class);
   void OnArrival(const ChatClass& chat_class);
+  // Sends the request, or waits until there is room for it.
+  void Place(EmulatedGateway& gateway,
+             const ChatClass& chat_class,
+             const std::vector<PromptPart>& prompt,
+             Timestamp arrived_at);
   void Send(EmulatedGateway& gateway,
             const Placement& placement,
             const ChatClass& chat_class,
-            std::vector<PromptPart> prompt);
+            std::vector<PromptPart> prompt,
+            Timestamp arrived_at);
   WindowStats& CurrentWindow();
   void CountSend(size_t engine);
   void ExchangeRequestTotals();
   void SendLoadUpdates();
   void Crash();
+  void SetEvacuatedZones(const std::set<std::string>& zones);
+  // A share of the engines get no new requests from now on.
+  void Drain();
+  EndpointRecord MakeRecord(uint32_t index) const;
   Duration Elapsed() const;
 
   const Scenario* scenario_;
@@ -78,6 +90,7 @@
   std::vector<std::unique_ptr<EmulatedGateway>> gateways_;
   uint64_t prompt_count_ = 0;
   uint32_t running_requests_ = 0;
+  std::set<size_t> draining_;  // indexes of engines
   FleetResult result_;
 };
 
--- a/src/libteaselthread/emulator/placement_strategy.cc
+++ b/src/libteaselthread/emulator/placement_strategy.cc
@@ -21,10 +21,10 @@
 
   std::string_view name() const override { return "product"; }
 
-  Placement Place(EmulatedGateway& gateway,
-                  const std::vector<PromptPart>& prompt,
-                  const std::vector<EnginePtr>& /*engines*/,
-                  Timestamp now) override {
+  std::optional<Placement> Place(EmulatedGateway& gateway,
+                                 const std::vector<PromptPart>& prompt,
+                                 const std::vector<EnginePtr>& /*engines*/,
+                                 Timestamp now) override {
     SelectionQuery query;
     query.service = service_;
     query.prompt = prompt;
@@ -33,11 +33,13 @@
     SelectionContext context;
     context.zone = gateway.zone;
     context.node = gateway.name;
-    context.nodes = {gateway.name};
+    context.nodes = gateway.fleet;
     context.service_requests = gateway.service_requests;
     const EndpointSelector selector(&gateway.table);
-    const Selection selection =
-        std::get<Selection>(selector.Select(query, context, now));
+    const SelectionResult result = selector.Select(query, context, now);
+    if (std::holds_alternative<NoEndpointReason>(result))
+      return std::nullopt;
+    const Selection& selection = std::get<Selection>(result);
     Placement placement{IndexOf(*selection.endpoint), std::nullopt};
     if (selection.kv_source)
       placement.copy_from = selection.kv_source->port;
@@ -52,11 +54,11 @@
  public:
   std::string_view name() const override { return "round robin"; }
 
-  Placement Place(EmulatedGateway& gateway,
-                  const std::vector<PromptPart>& /*prompt*/,
-                  const std::vector<EnginePtr>& engines,
-                  Timestamp /*now*/) override {
-    return {gateway.next_engine++ % engines.size(), std::nullopt};
+  std::optional<Placement> Place(EmulatedGateway& gateway,
+                                 const std::vector<PromptPart>& /*prompt*/,
+                                 const std::vector<EnginePtr>& engines,
+                                 Timestamp /*now*/) override {
+    return Placement{gateway.next_engine++ % engines.size(), std::nullopt};
   }
 };
 
@@ -66,10 +68,10 @@
 
   std::string_view name() const override { return "least requests"; }
 
-  Placement Place(EmulatedGateway& gateway,
-                  const std::vector<PromptPart>& /*prompt*/,
-                  const std::vector<EnginePtr>& /*engines*/,
-                  Timestamp now) override {
+  std::optional<Placement> Place(EmulatedGateway& gateway,
+                                 const std::vector<PromptPart>& /*prompt*/,
+                                 const std::vector<EnginePtr>& /*engines*/,
+                                 Timestamp now) override {
     const std::vector<EndpointPtr> all =
         gateway.table.Available(service_->name);
     const auto least_loaded =
@@ -77,7 +79,7 @@
                          [now](const EndpointPtr& a, const EndpointPtr& b) {
                            return a->EstimatedLoad(now) < b->EstimatedLoad(now);
                          });
-    return {IndexOf(**least_loaded), std::nullopt};
+    return Placement{IndexOf(**least_loaded), std::nullopt};
   }
 
  private:
@@ -88,10 +90,10 @@
  public:
   std::string_view name() const override { return "hash"; }
 
-  Placement Place(EmulatedGateway& /*gateway*/,
-                  const std::vector<PromptPart>& prompt,
-                  const std::vector<EnginePtr>& engines,
-                  Timestamp /*now*/) override {
+  std::optional<Placement> Place(EmulatedGateway& /*gateway*/,
+                                 const std::vector<PromptPart>& prompt,
+                                 const std::vector<EnginePtr>& engines,
+                                 Timestamp /*now*/) override {
     const RendezvousKey key(AffinityPart(prompt).id);
     size_t best = 0;
     uint64_t best_weight = 0;
@@ -102,7 +104,7 @@
         best_weight = weight;
       }
     }
-    return {best, std::nullopt};
+    return Placement{best, std::nullopt};
   }
 };
 
@@ -110,10 +112,10 @@
  public:
   std::string_view name() const override { return "oracle"; }
 
-  Placement Place(EmulatedGateway& /*gateway*/,
-                  const std::vector<PromptPart>& prompt,
-                  const std::vector<EnginePtr>& engines,
-                  Timestamp /*now*/) override {
+  std::optional<Placement> Place(EmulatedGateway& /*gateway*/,
+                                 const std::vector<PromptPart>& prompt,
+                                 const std::vector<EnginePtr>& engines,
+                                 Timestamp /*now*/) override {
     const auto cost = [&](const EnginePtr& engine) {
       return engine->load() * kPrefillTokensPerRequest -
              static_cast<double>(engine->cache().CachedTokens(prompt));
@@ -129,8 +131,8 @@
                            return a->cache().CachedTokens(prompt) <
                                   b->cache().CachedTokens(prompt);
                          });
-    return {static_cast<size_t>(least_loaded - engines.begin()),
-            static_cast<size_t>(most_cached - engines.begin())};
+    return Placement{static_cast<size_t>(least_loaded - engines.begin()),
+                     static_cast<size_t>(most_cached - engines.begin())};
   }
 };
 
--- a/src/libteaselthread/emulator/placement_strategy.h
+++ b/src/libteaselthread/emulator/placement_strategy.h
@@ -19,6 +19,7 @@
 struct EmulatedGateway {
   std::string name;
   std::string zone;
+  std::vector<std::string> fleet;  // names of all gateways
   EndpointTable table;
   PromptPartDemand demand;
   double service_requests = 0;  // of all gateways, as last exchanged
@@ -38,10 +39,11 @@
  public:
   virtual ~PlacementStrategy() = default;
   virtual std::string_view name() const = 0;
-  virtual Placement Place(EmulatedGateway& gateway,
-                          const std::vector<PromptPart>& prompt,
-                          const std::vector<EnginePtr>& engines,
-                          Timestamp now) = 0;
+  // Empty if the request has to wait for room at an engine.
+  virtual std::optional<Placement> Place(EmulatedGateway& gateway,
+                                         const std::vector<PromptPart>& prompt,
+                                         const std::vector<EnginePtr>& engines,
+                                         Timestamp now) = 0;
 };
 
 // The product's EndpointSelector, round robin, least requests by the
--- a/src/libteaselthread/emulator/scenario.cc
+++ b/src/libteaselthread/emulator/scenario.cc
@@ -71,6 +71,10 @@
   scenario->slowness = reader.Number("slowness", 1, 1, 1'000);
   scenario->crash = {Seconds(reader, "crash_from_s", 0), Duration::zero()};
   scenario->crash_share = reader.Number("crash_share", 0, 0, 1);
+  scenario->evacuation = {Seconds(reader, "evacuate_from_s", 0),
+                          Seconds(reader, "evacuate_for_s", 0)};
+  scenario->drain = {Seconds(reader, "drain_from_s", 0), Duration::zero()};
+  scenario->drain_share = reader.Number("drain_share", 0, 0, 1);
 }
 
 ChatClass ReadClass(SectionReader& reader, const std::string& name) {
--- a/src/libteaselthread/emulator/scenario.h
+++ b/src/libteaselthread/emulator/scenario.h
@@ -49,9 +49,12 @@
   TimeInterval burst;  // when the arrival rate is multiplied
   double burst_multiple = 1;
   uint32_t slow_engines = 0;
-  double slowness = 1;     // step time factor of the slow engines
-  TimeInterval crash;      // engines lose their caches at its begin
-  double crash_share = 0;  // share of engines that crash
+  double slowness = 1;      // step time factor of the slow engines
+  TimeInterval crash;       // engines lose their caches at its begin
+  double crash_share = 0;   // share of engines that crash
+  TimeInterval evacuation;  // when the first zone gets no new requests
+  TimeInterval drain;       // engines leave at its begin
+  double drain_share = 0;   // share of engines that leave
 
   // Sections: [fleet], [engine], [trouble] and one [class NAME] per class.
   static Result<Scenario> Parse(const std::string& text,
--- a/src/libteaselthread/endpoints/endpoint_selector.cc
+++ b/src/libteaselthread/endpoints/endpoint_selector.cc
@@ -18,6 +18,20 @@
 // below the one that the operators set (cap_x times the mean, plus 3).
 constexpr double kLoadMultiple = 1.6;
 constexpr double kLoadSlack = 3;
+// Limits the local requests at one engine to a multiple of this node's share of
+// the load bound, but not below a few requests.
+struct LocalLimit {
+  double share_multiple;
+  double min_requests;
+};
+constexpr LocalLimit kUsualLimit = {2, 3};
+// While no more than kCrowdedShare of the engines are usable. They get twice
+// the mean load or nearly so, which leaves little headroom.
+constexpr LocalLimit kCrowdedLimit = {1.5, 2};
+constexpr double kCrowdedShare = 0.6;
+// Share of the operators' multiple of the mean load that is used. The rest is a
+// margin, since loads are estimates.
+constexpr double kUsableLoadMultiple = 0.9;
 // The share of the headroom between the mean load and the bound that requests
 // for one part may use. The rest is a margin: nodes that get few requests for a
 // part underestimate its demand, and their requests all go to the first few
@@ -103,6 +117,30 @@
                            });
 }
 
+// The engine with the fewest local requests, or the least loaded one of several
+// such. If all nodes choose like this, their requests are spread evenly without
+// any knowledge of each other's; the least loaded engine by counts would be the
+// same one for all nodes until the next count.
+const EndpointPtr& LeastUsed(const std::vector<EndpointPtr>& endpoints,
+                             Timestamp now) {
+  const auto use = [&](const EndpointPtr& endpoint) {
+    return std::pair(endpoint->local_requests(), endpoint->EstimatedLoad(now));
+  };
+  return *std::min_element(endpoints.begin(), endpoints.end(),
+                           [&](const EndpointPtr& a, const EndpointPtr& b) {
+                             return use(a) < use(b);
+                           });
+}
+
+// The local requests that an engine may have if its load is not to exceed
+// `load_bound` while each of the `nodes` sends as much as this one.
+double LocalBound(double load_bound, double usable_share, size_t nodes) {
+  const LocalLimit& limit =
+      usable_share <= kCrowdedShare ? kCrowdedLimit : kUsualLimit;
+  return std::max(limit.min_requests, limit.share_multiple * load_bound /
+                                          static_cast<double>(nodes));
+}
+
 bool IsBusy(const EndpointState& endpoint, Timestamp now) {
   return endpoint.EstimatedLoad(now) >= kBusyShare * endpoint.record().slots;
 }
@@ -126,6 +164,8 @@
       return "all-cold";
     case NoEndpointReason::kAllTried:
       return "all-tried";
+    case NoEndpointReason::kAllAtBound:
+      return "all-at-bound";
   }
   return "unknown";
 }
@@ -145,15 +185,22 @@
   return healthy.size() * 2 >= endpoints.size() ? healthy : endpoints;
 }
 
+std::vector<EndpointPtr> NotDraining(std::vector<EndpointPtr> endpoints) {
+  std::erase_if(endpoints, [](const EndpointPtr& endpoint) {
+    return endpoint->record().draining;
+  });
+  return endpoints;
+}
+
 // Chooses one of the `usable` engines, all of which may receive the request.
 // The mean load is taken over all engines `in_service`, as the operators do:
-// some receive requests from other nodes only, and those in evacuated zones, or
-// draining, none at all.
-Selection SelectEngine(const std::vector<EndpointPtr>& usable,
-                       const std::vector<EndpointPtr>& in_service,
-                       const SelectionQuery& query,
-                       const SelectionContext& context,
-                       Timestamp now) {
+// some receive requests from other nodes only, and those in evacuated zones
+// none at all.
+SelectionResult SelectEngine(const std::vector<EndpointPtr>& usable,
+                             const std::vector<EndpointPtr>& in_service,
+                             const SelectionQuery& query,
+                             const SelectionContext& context,
+                             Timestamp now) {
   std::vector<EndpointPtr> candidates = usable;
   if (SharedTokens(query.prompt) < kMinCrossZoneTokens) {
     std::vector<EndpointPtr> local = InZone(usable, context.zone);
@@ -169,19 +216,35 @@
   selection.mean_load = mean;
   selection.engines_counted = static_cast<uint32_t>(in_service.size());
   selection.engines_usable = static_cast<uint32_t>(usable.size());
+  // Whether one more request keeps an engine within the bound. Its load is
+  // known late, the local requests at once.
+  const auto has_room = [&](const EndpointState& engine, double load_bound) {
+    const double usable_share = static_cast<double>(usable.size()) /
+                                static_cast<double>(in_service.size());
+    const size_t nodes = std::max<size_t>(1, context.nodes.size());
+    return engine.EstimatedLoad(now) + 1 <= load_bound &&
+           engine.local_requests() + 1 <=
+               LocalBound(load_bound, usable_share, nodes);
+  };
   RankFor(selection.affinity_part, candidates.begin(), candidates.end());
   selection.spread = EngineCountFor(query.affinity_share * requests,
                                     selection.load_bound - mean);
   RerankFirst(selection.spread, query.prompt.back().id, &candidates);
   for (const EndpointPtr& endpoint : candidates) {
-    if (endpoint->EstimatedLoad(now) + 1 <= selection.load_bound) {
+    if (has_room(*endpoint, selection.load_bound)) {
       selection.endpoint = endpoint;
       return selection;
     }
     ++selection.rank;
   }
   selection.over_bound = true;
-  selection.endpoint = LeastLoaded(usable, now);
+  selection.endpoint = LeastUsed(usable, now);
+  const double operators_bound =
+      kUsableLoadMultiple * context.load_multiple * mean + kLoadSlack;
+  if (!query.ignores_load_bound &&
+      !has_room(*selection.endpoint, operators_bound)) {
+    return NoEndpointReason::kAllAtBound;
+  }
   return selection;
 }
 
@@ -257,8 +320,11 @@
   if (!query.prompt.empty()) {
     const std::vector<EndpointPtr> running =
         table_->Running(query.service->name);
-    selection =
-        SelectEngine(usable, HealthyOf(running, now), query, context, now);
+    const SelectionResult engine = SelectEngine(
+        usable, HealthyOf(NotDraining(running), now), query, context, now);
+    if (std::holds_alternative<NoEndpointReason>(engine))
+      return engine;
+    selection = std::get<Selection>(engine);
     selection.kv_source = KvSource(running, query, *selection.endpoint);
   } else {
     selection.endpoint = SelectPlain(usable, context.zone, now);
--- a/src/libteaselthread/endpoints/endpoint_selector.h
+++ b/src/libteaselthread/endpoints/endpoint_selector.h
@@ -28,6 +28,8 @@
   // Share of the service's recent requests that have the same affinity part,
   // from 0 to 1.
   double affinity_share = 0;
+  // Whether the request is sent even if each engine is at its load bound.
+  bool ignores_load_bound = false;
 };
 
 // The part of a prompt that decides the placement: the longest shared part, or
@@ -52,7 +54,7 @@
   uint32_t engines_counted = 0;
   // Number of engines that could receive the request.
   uint32_t engines_usable = 0;
-  // All of them were over the bound.
+  // All of them were over load_bound, and the least loaded one was chosen.
   bool over_bound = false;
   // Number of engines over which requests for that part are spread; 1 unless
   // the part is hot.
@@ -64,6 +66,7 @@
   kNoneAvailable,  // all are removed, draining or in evacuated zones
   kAllCold,        // this node's shares of their cold-start limits are used up
   kAllTried,       // all were tried before for this request
+  kAllAtBound,     // all engines are at the load bound of the operators
 };
 std::string_view ToString(NoEndpointReason reason);
 
@@ -76,6 +79,7 @@
   std::vector<std::string> nodes;  // all that may be alive, this one included
   double cold_over = 1;            // multiple of a service's cold-start rate
   double cold_slack = 0;           // requests per second in addition
+  double load_multiple = 2;  // operators' bound: multiple of the mean load
   // The service's requests in progress, from all nodes. If it is not set, the
   // sum of the endpoints' estimated loads is used.
   std::optional<double> service_requests;
@@ -86,7 +90,9 @@
 // Model engines: a long shared part of the prompt has a primary engine. All
 // nodes choose the same one by rendezvous hashing, without communicating. If
 // the primary engine has more than its fair share of the load, requests go to
-// the next in rank, which copies the KV cache from it. For short shared parts,
+// the next in rank, which copies the KV cache from it. If all have, the least
+// loaded one is chosen, and if that one is at the operators' bound, none is:
+// more requests there would only wait in its queue. For short shared parts,
 // one prefill in each availability zone is cheaper than sending requests across
 // zones, so they have a primary engine in each zone.
 // Load pattern: many recurring chats on few long documents, one of which
--- a/src/teaselthread/gateway/gateway_settings.cc
+++ b/src/teaselthread/gateway/gateway_settings.cc
@@ -89,6 +89,7 @@
       << "\nretry_window_s = " << InSeconds(limits_.retries.window)
       << "\ncold_over = " << limits_.cold_over
       << "\ncold_slack = " << limits_.cold_slack
+      << "\nload_multiple = " << limits_.load_multiple
       << "\nleaving_grace_s = " << InSeconds(limits_.leaving_grace) << "\n";
   return out.str();
 }
@@ -156,6 +157,7 @@
       reader.Milliseconds("contact_ms", 3'000, kMillisecondsRange);
   limits_.cold_over = reader.Number("cold_over", 1.5, 0, 100);
   limits_.cold_slack = reader.Number("cold_slack", 5, 0, 1e6);
+  limits_.load_multiple = reader.Number("load_multiple", 2, 1, 1e6);
   limits_.leaving_grace =
       std::chrono::seconds(reader.Integer("leaving_grace_s", 8, {1, 3'600}));
   reader.RejectUnknownKeys();
--- a/src/teaselthread/gateway/gateway_settings.h
+++ b/src/teaselthread/gateway/gateway_settings.h
@@ -21,7 +21,9 @@
   RetryLimit retries;           // shared by all nodes
   double cold_over = 1;         // multiple of a service's cold request rate
   double cold_slack = 0;        // requests per second on top of that
-  Duration leaving_grace{};     // from SIGTERM until the process is killed
+  // No engine's load may exceed this multiple of the mean load, plus 3.
+  double load_multiple = 2;
+  Duration leaving_grace{};  // from SIGTERM until the process is killed
 
   friend auto operator<=>(const GatewayLimits&, const GatewayLimits&) = default;
 };
--- a/src/teaselthread/gateway/gateway_state.cc
+++ b/src/teaselthread/gateway/gateway_state.cc
@@ -75,6 +75,7 @@
   context.nodes = peers_.NodesSharingLimits(now);
   context.cold_over = settings_.limits().cold_over;
   context.cold_slack = settings_.limits().cold_slack;
+  context.load_multiple = settings_.limits().load_multiple;
   context.service_requests = peers_.FleetRequests(
       ShortHash(service), endpoints_.LocalRequests(service), now);
   return context;
--- a/src/teaselthread/gateway/gateway_state.h
+++ b/src/teaselthread/gateway/gateway_state.h
@@ -10,6 +10,7 @@
 #include "libteaselthread/endpoints/endpoint_selector.h"
 #include "libteaselthread/endpoints/endpoint_table.h"
 #include "libteaselthread/endpoints/prompt_part_demand.h"
+#include "libteaselthread/endpoints/waiting_requests.h"
 #include "libteaselthread/peers/peer_set.h"
 #include "libteaselthread/peers/revision_announcement.h"
 #include "libteaselthread/routes/configuration_freshness.h"
@@ -62,6 +63,9 @@
   RevisionAnnouncement& endpoint_changes() { return endpoint_changes_; }
   RevisionAnnouncement& evacuation_changes() { return evacuation_changes_; }
   PromptPartDemand& demand() { return demand_; }
+  WaitingRequests& WaitingFor(const std::string& service) {
+    return waiting_[service];
+  }
   GatewayMetrics& metrics() { return metrics_; }
   BufferQuota& response_buffers() { return response_buffers_; }
   DecisionLog& log() { return log_; }
@@ -99,6 +103,7 @@
   EndpointTable endpoints_;
   EndpointSelector selector_;
   PromptPartDemand demand_;
+  std::map<std::string, WaitingRequests> waiting_;  // by service
   PeerSet peers_;
   std::map<std::string, RetryAllowance> retries_;
   GatewayMetrics metrics_;
--- a/src/teaselthread/gateway/request_handler.cc
+++ b/src/teaselthread/gateway/request_handler.cc
@@ -8,6 +8,15 @@
 namespace teaselthread {
 namespace {
 
+constexpr auto kRoomCheckInterval = std::chrono::milliseconds(20);
+
+// 0 is the most urgent.
+int PriorityOf(const ClassifiedRequest& request) {
+  return request.customer && request.customer->priority
+             ? *request.customer->priority
+             : request.route->priority;
+}
+
 std::string_view PathOf(const CallerHttpRequest& message) {
   const std::string_view target(message.target().data(),
                                 message.target().size());
@@ -26,6 +35,7 @@
     case NoEndpointReason::kAllCold:
       return RefusalReason::kEndpointsCold;
     case NoEndpointReason::kAllTried:
+    case NoEndpointReason::kAllAtBound:
       return RefusalReason::kEndpointBusy;
     case NoEndpointReason::kNoneAvailable:
       break;
@@ -135,7 +145,7 @@
     co_await EndWithoutAttempt(exchange, *refusal);
     co_return true;
   }
-  const SelectionResult selected = Select(exchange);
+  const SelectionResult selected = co_await SelectOrWait(exchange);
   if (const auto* reason = std::get_if<NoEndpointReason>(&selected)) {
     co_await EndWithoutAttempt(exchange, ToRefusal(*reason));
     co_return true;
@@ -250,10 +260,52 @@
         state_->demand().ShareOf(service, AffinityPart(query.prompt).id, now);
   }
   query.excluded = exchange.attempts.tried();
+  // A stream that was broken off is not kept waiting.
+  query.ignores_load_bound = exchange.attempts.may_have_run();
   return state_->selector().Select(query, state_->MakeSelectionContext(service),
                                    now);
 }
 
+asio::awaitable<SelectionResult> RequestHandler::SelectOrWait(
+    Exchange& exchange) {
+  const ClassifiedRequest& request = exchange.request;
+  WaitingRequests& waiting = state_->WaitingFor(request.service->name);
+  const int priority = PriorityOf(request);
+  const bool is_queued =
+      waiting.HasAheadOf(priority) && !exchange.attempts.may_have_run();
+  SelectionResult result =
+      is_queued ? NoEndpointReason::kAllAtBound : Select(exchange);
+  const auto is_at_bound = [&result] {
+    const auto* reason = std::get_if<NoEndpointReason>(&result);
+    return reason && *reason == NoEndpointReason::kAllAtBound;
+  };
+  if (!is_at_bound())
+    co_return result;
+  const Timestamp entered_at = state_->Now();
+  const Timestamp until =
+      entered_at + WaitingRequests::MaxWait(request.route->objective,
+                                            request.deadline - entered_at);
+  const WaitingRequests::Place place = waiting.Enter(priority);
+  asio::steady_timer timer(state_->io());
+  while (is_at_bound() && state_->Now() < until &&
+         !exchange.guard->is_final()) {
+    timer.expires_after(kRoomCheckInterval);
+    co_await timer.async_wait(kAsTuple);
+    if (waiting.IsFirst(place))
+      result = Select(exchange);
+  }
+  waiting.Leave(place);
+  LogLine line("waited-for-room");
+  line.Add("id", request.head.id)
+      .Add("service", request.service->name)
+      .Add("priority", priority)
+      .Add("waiting", waiting.size())
+      .Add("found_room", !is_at_bound())
+      .AddTime("elapsed", state_->Now() - entered_at);
+  state_->log().Info(line);
+  co_return result;
+}
+
 std::shared_ptr<EndpointHttpRequest> RequestHandler::MakeEndpointRequest(
     const Exchange& exchange,
     const Selection& selection) const {
@@ -265,12 +317,8 @@
   instructions.time_left = request.deadline - state_->Now();
   instructions.resume_after = exchange.relay.events().last_id();
   instructions.kv_source = selection.kv_source;
-  if (request.service->engine) {
-    const int priority = request.customer && request.customer->priority
-                             ? *request.customer->priority
-                             : request.route->priority;
-    instructions.engine_priority = std::clamp(priority, 0, 9);
-  }
+  if (request.service->engine)
+    instructions.engine_priority = std::clamp(PriorityOf(request), 0, 9);
   auto message = std::make_shared<EndpointHttpRequest>();
   message->version(11);
   message->method_string(exchange.message.method_string());
--- a/src/teaselthread/gateway/request_handler.h
+++ b/src/teaselthread/gateway/request_handler.h
@@ -38,6 +38,9 @@
                                       AttemptResult result,
                                       bool* is_final);
   SelectionResult Select(const Exchange& exchange);
+  // Selects an endpoint. If all are at their load bound, waits until one is not
+  // or the request can no longer be served in time.
+  asio::awaitable<SelectionResult> SelectOrWait(Exchange& exchange);
   std::shared_ptr<EndpointHttpRequest> MakeEndpointRequest(
       const Exchange& exchange,
       const Selection& selection) const;
--- a/tests/emulator/placement_test.cc
+++ b/tests/emulator/placement_test.cc
@@ -63,6 +63,16 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_few_engines_with_all_requests)
+
+// Guards against engines over the load bound while a zone is evacuated and
+// engines of the other zones drain.
+BOOST_AUTO_TEST_CASE(keep_the_load_bound) {
+  CheckLoadBound(LoadScenario("few-engines.ini"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(placement_by_the_state_of_gateways)
 
 BOOST_AUTO_TEST_CASE(is_close_to_the_placement_of_an_oracle) {
--- a/tests/gateway/endpoint_selector_test.cc
+++ b/tests/gateway/endpoint_selector_test.cc
@@ -209,6 +209,81 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Load pattern: a zone is evacuated and engines of the others drain, so that a
+// few engines get all requests of the service.
+BOOST_AUTO_TEST_SUITE(when_few_engines_are_usable)
+
+struct FewEnginesFixture : SelectorFixture {
+  FewEnginesFixture() {
+    table.SetEvacuatedZones({"a"}, now);
+    for (const EndpointPtr& engine : table.Available("pool")) {
+      if (table.Available("pool").size() <= 2)
+        break;
+      EndpointRecord record = engine->record();
+      record.draining = true;
+      table.Put(record, now);
+    }
+  }
+
+  SelectionResult TryWith(double service_requests, size_t nodes) const {
+    SelectionQuery query;
+    query.service = routes.FindService("pool");
+    query.prompt = kLongPrompt;
+    SelectionContext context;
+    context.zone = "b";
+    context.node = "node-0";
+    for (size_t i = 0; i < nodes; ++i)
+      context.nodes.push_back("node-" + std::to_string(i));
+    context.service_requests = service_requests;
+    return selector.Select(query, context, now);
+  }
+  void ReportAll(uint32_t running) {
+    for (const EndpointPtr& engine : table.Available("pool"))
+      engine->OnReport({running, 0}, now);
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(draining_engines_do_not_count_for_the_mean_load,
+                        FewEnginesFixture) {
+  const auto selection = std::get<Selection>(TryWith(20, 1));
+  BOOST_TEST(selection.engines_counted == 5u);
+  BOOST_TEST(selection.engines_usable == 2u);
+  BOOST_TEST(selection.mean_load == 4);
+}
+
+BOOST_FIXTURE_TEST_CASE(none_gets_a_request_at_the_operators_bound,
+                        FewEnginesFixture) {
+  // The operators' bound is 2 x 20 / 5 + 3 = 11.
+  ReportAll(11);
+  const SelectionResult result = TryWith(20, 1);
+  BOOST_REQUIRE(std::holds_alternative<NoEndpointReason>(result));
+  BOOST_TEST(
+      (std::get<NoEndpointReason>(result) == NoEndpointReason::kAllAtBound));
+  ReportAll(8);
+  BOOST_TEST(std::holds_alternative<Selection>(TryWith(20, 1)));
+}
+
+// Regression test: nine nodes sent up to 26 requests to one engine before its
+// next count, each of them within the bound by its own estimate.
+BOOST_FIXTURE_TEST_CASE(each_node_sends_only_its_share_before_the_next_count,
+                        FewEnginesFixture) {
+  constexpr size_t kNodes = 9;
+  std::map<std::string, uint32_t> sent;
+  for (int i = 0; i < 20; ++i) {
+    const SelectionResult result = TryWith(20, kNodes);
+    if (std::holds_alternative<NoEndpointReason>(result))
+      break;
+    const EndpointPtr& engine = std::get<Selection>(result).endpoint;
+    engine->OnSend(now);
+    ++sent[engine->record().id];
+  }
+  BOOST_TEST(sent.size() == 2u);
+  for (const auto& [id, count] : sent)
+    BOOST_TEST(count == 2u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(when_engines_fail)
 
 // Regression test: two hunted days on which one of three zones was evacuated.
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -24,7 +24,7 @@
 FRONT, ADMIN, PEER, STORE, SERVICE = 8000, 8001, 8002, 7000, 9000
 BOUNDS = {"revoke_ms": 5000, "drain_ms": 2000, "contact_ms": 3000,
           "budget_ratio": 0.2, "budget_slack": 50, "budget_window_s": 10, "cold_over": 1.5,
-          "cold_slack": 5, "grace_s": GRACE_S}
+          "cold_slack": 5, "cap_x": 2, "grace_s": GRACE_S}
 
 
 class Gateway:
