--- a/src/libteaselthread/endpoints/endpoint_selector.cc
+++ b/src/libteaselthread/endpoints/endpoint_selector.cc
@@ -320,7 +320,7 @@
   if (!query.prompt.empty()) {
     const std::vector<EndpointPtr> running =
         table_->Running(query.service->name);
-    const SelectionResult engine = SelectEngine(
+    SelectionResult engine = SelectEngine(
         usable, HealthyOf(NotDraining(running), now), query, context, now);
     if (std::holds_alternative<NoEndpointReason>(engine))
       return engine;
