--- a/src/libteaselthread/attempts/retry_after.cc
+++ b/src/libteaselthread/attempts/retry_after.cc
@@ -16,6 +16,8 @@
 constexpr Duration kRecoveryDelay = milliseconds(500);
 // Outages of the store last for seconds, and callers retry only a few times.
 constexpr Duration kStoreOutageDelay = milliseconds(2'000);
+// Until a prompt part that crashes endpoints is tried again.
+constexpr Duration kCrashTrialDelay = std::chrono::seconds(30);
 // The delay is shortened or lengthened by up to this fraction.
 constexpr double kJitterShare = 0.4;
 // A caller may wait for at most this share of the time that it has left.
@@ -34,6 +36,8 @@
       return kColdEndpointsDelay;
     case RefusalReason::kFleetStale:
       return kStoreOutageDelay;
+    case RefusalReason::kCrashesEndpoints:
+      return kCrashTrialDelay;
     case RefusalReason::kNoEndpoint:
     case RefusalReason::kEndpointBusy:
     case RefusalReason::kRetryLimit:
--- a/src/libteaselthread/requests/reasons.cc
+++ b/src/libteaselthread/requests/reasons.cc
@@ -55,6 +55,7 @@
     {"endpoints-cold", kServiceUnavailable},
     {"retry-limit", kServiceUnavailable},
     {"fleet-stale", kServiceUnavailable},
+    {"crashes-endpoints", kServiceUnavailable},
 }};
 
 constexpr std::array<ReasonRow, kUnknownReasonCount> kUnknowns = {{
--- a/src/libteaselthread/requests/reasons.h
+++ b/src/libteaselthread/requests/reasons.h
@@ -39,9 +39,10 @@
   kHeaderOversized,
   kEndpointsCold,
   kRetryLimit,
-  kFleetStale,  // like kStaleConfiguration, and other nodes cannot help
+  kFleetStale,        // like kStaleConfiguration, and other nodes cannot help
+  kCrashesEndpoints,  // a part of the prompt has crashed several endpoints
 };
-inline constexpr size_t kRefusalReasonCount = 31;
+inline constexpr size_t kRefusalReasonCount = 32;
 
 // Why it is unknown whether a request ran.
 enum class UnknownReason : uint8_t {
--- a/src/teaselthread/gateway/gateway_metrics.cc
+++ b/src/teaselthread/gateway/gateway_metrics.cc
@@ -118,6 +118,7 @@
          gauges.configuration_age_seconds);
   Scalar(out, "endpoints", "gauge", gauges.endpoints);
   Scalar(out, "peers_alive", "gauge", gauges.peers_alive);
+  Scalar(out, "blocked_parts", "gauge", gauges.blocked_parts);
   Scalar(out, "requests_in_progress", "gauge", gauges.requests_in_progress);
   Scalar(out, "connections", "gauge", gauges.connections);
   Scalar(out, "ready", "gauge", gauges.ready ? 1 : 0);
--- a/src/teaselthread/gateway/gateway_metrics.h
+++ b/src/teaselthread/gateway/gateway_metrics.h
@@ -38,6 +38,7 @@
   double configuration_age_seconds = -1;  // -1: not confirmed yet
   uint64_t endpoints = 0;
   uint64_t peers_alive = 0;
+  uint64_t blocked_parts = 0;  // of prompts, since they crash engines
   uint64_t requests_in_progress = 0;
   uint64_t connections = 0;
   uint64_t log_lines_dropped = 0;
--- a/src/teaselthread/gateway/gateway_state.cc
+++ b/src/teaselthread/gateway/gateway_state.cc
@@ -122,6 +122,7 @@
   }
   gauges.endpoints = endpoints_.size();
   gauges.peers_alive = peers_.alive_count(Now());
+  gauges.blocked_parts = crash_suspects_.blocked_count(Now());
   gauges.requests_in_progress = requests_in_progress;
   gauges.connections = connections;
   gauges.log_lines_dropped = log_.dropped();
--- a/src/teaselthread/gateway/gateway_state.h
+++ b/src/teaselthread/gateway/gateway_state.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "libteaselthread/attempts/retry_allowance.h"
+#include "libteaselthread/endpoints/crash_suspects.h"
 #include "libteaselthread/endpoints/endpoint_selector.h"
 #include "libteaselthread/endpoints/endpoint_table.h"
 #include "libteaselthread/endpoints/prompt_part_demand.h"
@@ -63,6 +64,7 @@
   RevisionAnnouncement& endpoint_changes() { return endpoint_changes_; }
   RevisionAnnouncement& evacuation_changes() { return evacuation_changes_; }
   PromptPartDemand& demand() { return demand_; }
+  CrashSuspects& crash_suspects() { return crash_suspects_; }
   WaitingRequests& WaitingFor(const std::string& service) {
     return waiting_[service];
   }
@@ -103,6 +105,7 @@
   EndpointTable endpoints_;
   EndpointSelector selector_;
   PromptPartDemand demand_;
+  CrashSuspects crash_suspects_;
   std::map<std::string, WaitingRequests> waiting_;  // by service
   PeerSet peers_;
   std::map<std::string, RetryAllowance> retries_;
--- a/src/teaselthread/gateway/peer_heartbeat.cc
+++ b/src/teaselthread/gateway/peer_heartbeat.cc
@@ -25,6 +25,8 @@
 
 // Maximum number of load updates in a heartbeat: about 100 bytes.
 constexpr size_t kMaxLoadUpdates = 16;
+// Maximum number of suspected prompt parts in a heartbeat: about 700 bytes.
+constexpr size_t kMaxSuspects = 20;
 constexpr Duration kAgeUnit = std::chrono::milliseconds(10);
 
 uint64_t ToMicroseconds(Timestamp time) {
@@ -117,8 +119,14 @@
 void PeerHeartbeat::SendIfDue(Timestamp now) {
   const Duration interval =
       std::chrono::duration_cast<Duration>(Interval() * interval_factor_);
-  if (now - last_sent_at_ >= interval)
+  if (state_->crash_suspects().TakeUrgent()) {
+    passes_on_suspects_ = false;
+    SendNow();
+  } else if (std::exchange(passes_on_suspects_, false)) {
+    Send(false);
+  } else if (now - last_sent_at_ >= interval) {
     Send(heartbeat_rounds_ % PeerSet::kHeartbeatsPerRemoteHeartbeat == 0);
+  }
 }
 
 Duration PeerHeartbeat::Interval() const {
@@ -147,6 +155,7 @@
   const std::vector<SocketAddress> remote = state_->peers().RemoteTargets(now);
   std::shuffle(zone.begin(), zone.end(), state_->random());
   wire::GatewayHeartbeat without_load = MakeMessage();
+  SetSuspects(&without_load);
   const ServiceRequests local = LocalRequests();
   wire::GatewayHeartbeat remote_message = without_load;
   SetListStatuses(&without_load);
@@ -368,6 +377,7 @@
     on_peer_status_(status);
   if (message.has_changes())
     OnChangePart(message.changes());
+  OnSuspects(message, state_->peers().IsZonePeer(from));
   const bool is_from_leader =
       message.has_endpoints() || message.has_evacuations();
   if (!is_from_leader && state_->peers().IsZonePeer(from))
@@ -386,6 +396,31 @@
     SendTo(follower, std::move(message));
 }
 
+void PeerHeartbeat::SetSuspects(wire::GatewayHeartbeat* message) const {
+  for (const CrashEvidence& evidence :
+       state_->crash_suspects().ToShare(kMaxSuspects, state_->Now())) {
+    wire::PartEvidence* field = message->add_suspects();
+    field->set_part(evidence.part);
+    for (const uint32_t crash : evidence.crashes)
+      field->add_crashes(crash);
+    for (const uint32_t crash : evidence.cleared)
+      field->add_cleared(crash);
+  }
+}
+
+void PeerHeartbeat::OnSuspects(const wire::GatewayHeartbeat& message,
+                               bool is_zone_peer) {
+  CrashSuspects& suspects = state_->crash_suspects();
+  for (const wire::PartEvidence& field : message.suspects()) {
+    const CrashEvidence evidence{
+        field.part(),
+        {field.crashes().begin(), field.crashes().end()},
+        {field.cleared().begin(), field.cleared().end()}};
+    const bool is_new = suspects.Merge(evidence, state_->Now());
+    passes_on_suspects_ = passes_on_suspects_ || (is_new && !is_zone_peer);
+  }
+}
+
 void PeerHeartbeat::SetRequests(const ServiceRequests& requests,
                                 wire::LoadReport* report) {
   report->clear_services();
--- a/src/teaselthread/gateway/peer_heartbeat.h
+++ b/src/teaselthread/gateway/peer_heartbeat.h
@@ -59,6 +59,9 @@
   void SetListStatuses(wire::GatewayHeartbeat* message) const;
   void OnChangePart(const wire::ChangePart& part);
   void ReplyAsLeader(const SocketAddress& follower);
+  // Adds what this node knows of prompt parts that crash engines.
+  void SetSuspects(wire::GatewayHeartbeat* message) const;
+  void OnSuspects(const wire::GatewayHeartbeat& message, bool is_zone_peer);
   static void SetRequests(const ServiceRequests& requests,
                           wire::LoadReport* report);
   static void SetLoadUpdates(const std::vector<LoadUpdate>& updates,
@@ -78,6 +81,8 @@
   ListStatusSource list_status_source_;
   uint32_t heartbeat_rounds_ = 0;
   Timestamp last_sent_at_{};
+  // Evidence from another zone is to be passed on in this one.
+  bool passes_on_suspects_ = false;
   double interval_factor_ = 1;  // of the time until the next heartbeat
 };
 
--- a/src/teaselthread/gateway/request_handler.cc
+++ b/src/teaselthread/gateway/request_handler.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "libteaselthread/attempts/retry_after.h"
+#include "libteaselthread/rendezvous_hash.h"
 #include "teaselthread/callers/problem.h"
 
 namespace teaselthread {
@@ -123,6 +124,8 @@
   if (refusal) {
     co_await Refuse(exchange, *refusal);
   } else {
+    exchange.relay.set_on_first_event(
+        [this, &exchange] { OnAnswerBegun(exchange.request); });
     exchange.guard->Start();
     co_await RunAttempts(exchange);
     exchange.guard->Finish();
@@ -145,6 +148,10 @@
     co_await EndWithoutAttempt(exchange, *refusal);
     co_return true;
   }
+  if (IsBlocked(exchange)) {
+    co_await EndWithoutAttempt(exchange, RefusalReason::kCrashesEndpoints);
+    co_return true;
+  }
   const SelectionResult selected = co_await SelectOrWait(exchange);
   if (const auto* reason = std::get_if<NoEndpointReason>(&selected)) {
     co_await EndWithoutAttempt(exchange, ToRefusal(*reason));
@@ -154,7 +161,8 @@
   EndpointState& endpoint = *selection.endpoint;
   exchange.endpoint = endpoint.record().id;
   exchange.attempts.OnStart(endpoint.record().id);
-  endpoint.OnSend(state_->Now());
+  const Timestamp sent_at = state_->Now();
+  endpoint.OnSend(sent_at);
   const std::string& service = exchange.request.service->name;
   if (!selection.affinity_part.empty())
     state_->demand().OnStart(service, selection.affinity_part, state_->Now());
@@ -171,12 +179,16 @@
     silent.failure = AttemptFailure::kSilent;
     UpdateEndpointHealth(endpoint, silent);
   };
+  const uint32_t events_before = exchange.relay.events().event_count();
   AttemptResult result = co_await attempt.Run(
       message, exchange.request.head.id, limits, relay, std::move(on_silence));
   endpoint.OnEnd(state_->Now());
   if (!selection.affinity_part.empty())
     state_->demand().OnEnd(service, selection.affinity_part, state_->Now());
   UpdateEndpointHealth(endpoint, result);
+  if (result.failure == AttemptFailure::kBroken &&
+      exchange.relay.events().event_count() == events_before)
+    OnEngineCrash(exchange, endpoint, sent_at);
   bool is_final = true;
   if (result.failure) {
     co_await HandleFailure(exchange, selection, std::move(result), &is_final);
@@ -184,6 +196,7 @@
     exchange.outcome = "answered";
     exchange.status = 200;
     if (result.head) {
+      OnAnswerBegun(exchange.request);
       exchange.status = result.head->status;
       ResponseHead head = *std::move(result.head);
       std::string body = std::move(result.body);
@@ -389,6 +402,73 @@
   state_->log().Info(line);
 }
 
+std::vector<std::string> RequestHandler::SharedParts(
+    const ClassifiedRequest& request) {
+  std::vector<std::string> parts;
+  const std::vector<PromptPart>& prompt = request.head.prompt;
+  if (!request.service->engine)
+    return parts;
+  for (size_t i = 0; i + 1 < prompt.size(); ++i)
+    parts.push_back(prompt[i].id);
+  return parts;
+}
+
+bool RequestHandler::IsBlocked(const Exchange& exchange) {
+  CrashSuspects& suspects = state_->crash_suspects();
+  const Timestamp now = state_->Now();
+  const auto part = suspects.FindBlocked(SharedParts(exchange.request), now);
+  if (!part)
+    return false;
+  const std::vector<std::string> nodes =
+      state_->peers().NodesSharingLimits(now);
+  const RendezvousKey key(*part);
+  const std::string& self = state_->settings().name();
+  const bool is_responsible =
+      std::all_of(nodes.begin(), nodes.end(), [&](const std::string& node) {
+        return node == self || key.WeightOf(node) < key.WeightOf(self);
+      });
+  const bool is_trial = suspects.TakeTrial(*part, is_responsible, now);
+  LogLine line(is_trial ? "part-tried" : "part-refused");
+  line.Add("id", exchange.request.head.id)
+      .Add("part", *part)
+      .Add("crashes", suspects.open_crashes(*part));
+  state_->log().Info(line);
+  return !is_trial;
+}
+
+void RequestHandler::OnAnswerBegun(const ClassifiedRequest& request) {
+  const std::vector<std::string> cleared =
+      state_->crash_suspects().OnAnswerBegun(SharedParts(request),
+                                             state_->Now());
+  if (cleared.empty())
+    return;
+  LogLine line("parts-cleared");
+  line.Add("id", request.head.id)
+      .Add("parts", boost::json::value_from(cleared));
+  state_->log().Info(line);
+}
+
+void RequestHandler::OnEngineCrash(const Exchange& exchange,
+                                   const EndpointState& endpoint,
+                                   Timestamp sent_at) {
+  const std::vector<std::string> parts = SharedParts(exchange.request);
+  if (parts.empty())
+    return;
+  CrashSuspects& suspects = state_->crash_suspects();
+  const EndpointRecord& record = endpoint.record();
+  suspects.OnCrash(
+      parts, ShortHash(record.id + "@" + std::to_string(record.started_at_ms)),
+      sent_at, state_->Now());
+  boost::json::object crashes;
+  for (const std::string& part : parts)
+    crashes[part] = suspects.open_crashes(part);
+  LogLine line("parts-suspected");
+  line.Add("id", exchange.request.head.id)
+      .Add("endpoint", record.id)
+      .Add("crashes_by_part", std::move(crashes));
+  state_->log().Info(line);
+}
+
 asio::awaitable<void> RequestHandler::Refuse(Exchange& exchange,
                                              RefusalReason reason) {
   state_->metrics().OnRefusal(reason);
--- a/src/teaselthread/gateway/request_handler.h
+++ b/src/teaselthread/gateway/request_handler.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "teaselthread/gateway/endpoint_attempt.h"
 #include "teaselthread/gateway/request_checks.h"
@@ -49,6 +50,16 @@
   void UpdateEndpointHealth(EndpointState& endpoint,
                             const AttemptResult& result);
 
+  // The parts of the prompt that other requests may have too, if the request is
+  // for a model engine.
+  static std::vector<std::string> SharedParts(const ClassifiedRequest& request);
+  // Whether the request must not be sent, as it would probably crash an engine.
+  bool IsBlocked(const Exchange& exchange);
+  void OnAnswerBegun(const ClassifiedRequest& request);
+  void OnEngineCrash(const Exchange& exchange,
+                     const EndpointState& endpoint,
+                     Timestamp sent_at);
+
   asio::awaitable<void> Refuse(Exchange& exchange, RefusalReason reason);
   // Ends the request when no further attempt can be made. Refuses it only if no
   // earlier attempt may have run it.
--- a/src/teaselthread/gateway/stream_relay.cc
+++ b/src/teaselthread/gateway/stream_relay.cc
@@ -4,13 +4,19 @@
 
 void StreamRelay::OnHead(ResponseHead head) {
   events_.Restart();
+  events_before_attempt_ = events_.event_count();
   first_comments_.clear();
   if (!writer_->begun())
     head_ = std::move(head);
 }
 
 asio::awaitable<bool> StreamRelay::OnBytes(std::string_view bytes) {
+  const uint32_t events_before = events_.event_count();
   std::string complete_events = events_.Feed(bytes);
+  const bool is_first = events_before == events_before_attempt_ &&
+                        events_.event_count() > events_before;
+  if (is_first && on_first_event_)
+    on_first_event_();
   if (complete_events.empty())
     co_return true;
   if (writer_->begun())
--- a/src/teaselthread/gateway/stream_relay.h
+++ b/src/teaselthread/gateway/stream_relay.h
@@ -18,6 +18,11 @@
  public:
   explicit StreamRelay(ResponseWriter* writer) : writer_(writer) {}
 
+  // Sets a callback for the first event of each attempt.
+  void set_on_first_event(std::function<void()> on_first_event) {
+    on_first_event_ = std::move(on_first_event);
+  }
+
   // Called when the response of a new attempt begins.
   void OnHead(ResponseHead head);
   // Both return false once writing to the caller has failed.
@@ -35,6 +40,8 @@
  private:
   ResponseWriter* writer_;
   EventSplitter events_;
+  std::function<void()> on_first_event_;
+  uint32_t events_before_attempt_ = 0;
   std::optional<ResponseHead> head_;  // until it has been written
   std::string first_comments_;        // until the first event is written
   std::optional<std::chrono::steady_clock::time_point> first_event_at_;
