--- a/src/teaselthread/gateway/request_checks.cc
+++ b/src/teaselthread/gateway/request_checks.cc
@@ -4,6 +4,10 @@
 
 namespace teaselthread {
 
+int ClassifiedRequest::Priority() const {
+  return customer && customer->priority ? *customer->priority : route->priority;
+}
+
 const RequestChecks::Check RequestChecks::kChecks[] = {
     &RequestChecks::CheckRoute,
     &RequestChecks::CheckConfigurationFreshness,
--- a/src/teaselthread/gateway/request_checks.h
+++ b/src/teaselthread/gateway/request_checks.h
@@ -22,6 +22,9 @@
   const Customer* customer = nullptr;
   const ServiceSpec* service = nullptr;
   Timestamp deadline{};
+
+  // 0 is the most urgent. Not to be called before the checks have passed.
+  int Priority() const;
 };
 
 // The checks that a request must pass before it is sent to an endpoint. The
--- a/src/teaselthread/gateway/request_handler.cc
+++ b/src/teaselthread/gateway/request_handler.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include "libteaselthread/attempts/retry_after.h"
-#include "libteaselthread/rendezvous_hash.h"
 #include "teaselthread/callers/problem.h"
 
 namespace teaselthread {
@@ -11,13 +10,6 @@
 
 constexpr auto kRoomCheckInterval = std::chrono::milliseconds(20);
 
-// 0 is the most urgent.
-int PriorityOf(const ClassifiedRequest& request) {
-  return request.customer && request.customer->priority
-             ? *request.customer->priority
-             : request.route->priority;
-}
-
 std::string_view PathOf(const CallerHttpRequest& message) {
   const std::string_view target(message.target().data(),
                                 message.target().size());
@@ -125,7 +117,7 @@
     co_await Refuse(exchange, *refusal);
   } else {
     exchange.relay.set_on_first_event(
-        [this, &exchange] { OnAnswerBegun(exchange.request); });
+        [this, &exchange] { crash_guard_.OnAnswerBegun(exchange.request); });
     exchange.guard->Start();
     co_await RunAttempts(exchange);
     exchange.guard->Finish();
@@ -148,7 +140,7 @@
     co_await EndWithoutAttempt(exchange, *refusal);
     co_return true;
   }
-  if (IsBlocked(exchange)) {
+  if (crash_guard_.Blocks(exchange.request)) {
     co_await EndWithoutAttempt(exchange, RefusalReason::kCrashesEndpoints);
     co_return true;
   }
@@ -188,7 +180,7 @@
   UpdateEndpointHealth(endpoint, result);
   if (result.failure == AttemptFailure::kBroken &&
       exchange.relay.events().event_count() == events_before)
-    OnEngineCrash(exchange, endpoint, sent_at);
+    crash_guard_.OnCrash(exchange.request, endpoint, sent_at);
   bool is_final = true;
   if (result.failure) {
     co_await HandleFailure(exchange, selection, std::move(result), &is_final);
@@ -196,7 +188,7 @@
     exchange.outcome = "answered";
     exchange.status = 200;
     if (result.head) {
-      OnAnswerBegun(exchange.request);
+      crash_guard_.OnAnswerBegun(exchange.request);
       exchange.status = result.head->status;
       ResponseHead head = *std::move(result.head);
       std::string body = std::move(result.body);
@@ -283,7 +275,7 @@
     Exchange& exchange) {
   const ClassifiedRequest& request = exchange.request;
   WaitingRequests& waiting = state_->WaitingFor(request.service->name);
-  const int priority = PriorityOf(request);
+  const int priority = request.Priority();
   const bool is_queued =
       waiting.HasAheadOf(priority) && !exchange.attempts.may_have_run();
   SelectionResult result =
@@ -331,7 +323,7 @@
   instructions.resume_after = exchange.relay.events().last_id();
   instructions.kv_source = selection.kv_source;
   if (request.service->engine)
-    instructions.engine_priority = std::clamp(PriorityOf(request), 0, 9);
+    instructions.engine_priority = std::clamp(request.Priority(), 0, 9);
   auto message = std::make_shared<EndpointHttpRequest>();
   message->version(11);
   message->method_string(exchange.message.method_string());
@@ -402,73 +394,6 @@
   state_->log().Info(line);
 }
 
-std::vector<std::string> RequestHandler::SharedParts(
-    const ClassifiedRequest& request) {
-  std::vector<std::string> parts;
-  const std::vector<PromptPart>& prompt = request.head.prompt;
-  if (!request.service->engine)
-    return parts;
-  for (size_t i = 0; i + 1 < prompt.size(); ++i)
-    parts.push_back(prompt[i].id);
-  return parts;
-}
-
-bool RequestHandler::IsBlocked(const Exchange& exchange) {
-  CrashSuspects& suspects = state_->crash_suspects();
-  const Timestamp now = state_->Now();
-  const auto part = suspects.FindBlocked(SharedParts(exchange.request), now);
-  if (!part)
-    return false;
-  const std::vector<std::string> nodes =
-      state_->peers().NodesSharingLimits(now);
-  const RendezvousKey key(*part);
-  const std::string& self = state_->settings().name();
-  const bool is_responsible =
-      std::all_of(nodes.begin(), nodes.end(), [&](const std::string& node) {
-        return node == self || key.WeightOf(node) < key.WeightOf(self);
-      });
-  const bool is_trial = suspects.TakeTrial(*part, is_responsible, now);
-  LogLine line(is_trial ? "part-tried" : "part-refused");
-  line.Add("id", exchange.request.head.id)
-      .Add("part", *part)
-      .Add("crashes", suspects.open_crashes(*part));
-  state_->log().Info(line);
-  return !is_trial;
-}
-
-void RequestHandler::OnAnswerBegun(const ClassifiedRequest& request) {
-  const std::vector<std::string> cleared =
-      state_->crash_suspects().OnAnswerBegun(SharedParts(request),
-                                             state_->Now());
-  if (cleared.empty())
-    return;
-  LogLine line("parts-cleared");
-  line.Add("id", request.head.id)
-      .Add("parts", boost::json::value_from(cleared));
-  state_->log().Info(line);
-}
-
-void RequestHandler::OnEngineCrash(const Exchange& exchange,
-                                   const EndpointState& endpoint,
-                                   Timestamp sent_at) {
-  const std::vector<std::string> parts = SharedParts(exchange.request);
-  if (parts.empty())
-    return;
-  CrashSuspects& suspects = state_->crash_suspects();
-  const EndpointRecord& record = endpoint.record();
-  suspects.OnCrash(
-      parts, ShortHash(record.id + "@" + std::to_string(record.started_at_ms)),
-      sent_at, state_->Now());
-  boost::json::object crashes;
-  for (const std::string& part : parts)
-    crashes[part] = suspects.open_crashes(part);
-  LogLine line("parts-suspected");
-  line.Add("id", exchange.request.head.id)
-      .Add("endpoint", record.id)
-      .Add("crashes_by_part", std::move(crashes));
-  state_->log().Info(line);
-}
-
 asio::awaitable<void> RequestHandler::Refuse(Exchange& exchange,
                                              RefusalReason reason) {
   state_->metrics().OnRefusal(reason);
--- a/src/teaselthread/gateway/request_handler.h
+++ b/src/teaselthread/gateway/request_handler.h
@@ -3,8 +3,8 @@
 
 #include <memory>
 #include <string>
-#include <vector>
 
+#include "teaselthread/gateway/crash_guard.h"
 #include "teaselthread/gateway/endpoint_attempt.h"
 #include "teaselthread/gateway/request_checks.h"
 
@@ -18,7 +18,7 @@
 class RequestHandler {
  public:
   explicit RequestHandler(GatewayState* state)
-      : state_(state), checks_(state) {}
+      : state_(state), checks_(state), crash_guard_(state) {}
 
   asio::awaitable<void> Serve(const CallerHttpRequest& message,
                               Timestamp received_at,
@@ -50,16 +50,6 @@
   void UpdateEndpointHealth(EndpointState& endpoint,
                             const AttemptResult& result);
 
-  // The parts of the prompt that other requests may have too, if the request is
-  // for a model engine.
-  static std::vector<std::string> SharedParts(const ClassifiedRequest& request);
-  // Whether the request must not be sent, as it would probably crash an engine.
-  bool IsBlocked(const Exchange& exchange);
-  void OnAnswerBegun(const ClassifiedRequest& request);
-  void OnEngineCrash(const Exchange& exchange,
-                     const EndpointState& endpoint,
-                     Timestamp sent_at);
-
   asio::awaitable<void> Refuse(Exchange& exchange, RefusalReason reason);
   // Ends the request when no further attempt can be made. Refuses it only if no
   // earlier attempt may have run it.
@@ -72,6 +62,7 @@
 
   GatewayState* state_;
   RequestChecks checks_;
+  CrashGuard crash_guard_;
   EndpointConnections connections_;
 };
 
