Parts at the same crashes are blocked only together

Cause: the log shows that all deadly requests had the same first parts. Those were at the same three crashes, no other request cleared them within the second before parts are blocked, and once they were blocked no request could.

Change: a part is blocked only in requests that also have each blocked part with the same evidence. A request that lacks one of them is sent, and its answer clears the innocent ones, or its crash tells them apart.

--- a/src/libteaselthread/endpoints/crash_suspects.cc
+++ b/src/libteaselthread/endpoints/crash_suspects.cc
@@ -21,6 +21,20 @@
 constexpr size_t kMaxSuspects = 1'024;
 constexpr size_t kMaxPartLength = 64;
 constexpr size_t kMaxCrashes = 32;
+// One of this many crashes of a part may lack evidence against the part that
+// explains the others.
+constexpr size_t kCrashesPerException = 4;
+
+// Whether the crashes speak against `other` as much as against `part`.
+bool IsExplainedBy(const CrashEvidence& part, const CrashEvidence& other) {
+  const auto exceptions = static_cast<size_t>(std::count_if(
+      part.crashes.begin(), part.crashes.end(), [&](uint32_t crash) {
+        return !part.cleared.contains(crash) &&
+               (!other.crashes.contains(crash) ||
+                other.cleared.contains(crash));
+      }));
+  return exceptions <= part.open_crashes() / kCrashesPerException;
+}
 
 }  // namespace
 
@@ -90,12 +104,24 @@
     Timestamp now) const {
   for (const std::string& part : parts) {
     const auto found = suspects_.find(part);
-    if (found != suspects_.end() && IsBlocked(found->second, now))
+    if (found != suspects_.end() && IsBlocked(found->second, now) &&
+        !IsExplainedByAbsent(found->second, parts, now))
       return part;
   }
   return std::nullopt;
 }
 
+bool CrashSuspects::IsExplainedByAbsent(const Suspect& suspect,
+                                        const std::vector<std::string>& parts,
+                                        Timestamp now) const {
+  return std::any_of(suspects_.begin(), suspects_.end(), [&](const auto& item) {
+    const auto& [name, other] = item;
+    return std::find(parts.begin(), parts.end(), name) == parts.end() &&
+           IsBlocked(other, now) &&
+           IsExplainedBy(suspect.evidence, other.evidence);
+  });
+}
+
 bool CrashSuspects::TakeTrial(const std::string& part,
                               bool is_responsible,
                               Timestamp now) {
--- a/src/libteaselthread/endpoints/crash_suspects.h
+++ b/src/libteaselthread/endpoints/crash_suspects.h
@@ -30,7 +30,8 @@
 // part is cleared as soon as any engine begins to answer a request with it, and
 // blocked after several crashes in a row. Crashes count as in a row only if the
 // request was sent after the crash before, as engines that crash for another
-// reason often do so at the same time.
+// reason often do so at the same time. Parts that were at the same crashes are
+// blocked only together, as only one of them may be to blame.
 //
 // Nodes exchange their evidence. It only grows, so that it can be merged in any
 // order and more than once.
@@ -80,6 +81,10 @@
   using Suspects = std::map<std::string, Suspect>;  // by part
 
   bool IsBlocked(const Suspect& suspect, Timestamp now) const;
+  // Whether a blocked part that is not among `parts` was at the same crashes.
+  bool IsExplainedByAbsent(const Suspect& suspect,
+                           const std::vector<std::string>& parts,
+                           Timestamp now) const;
   // Null if the part cannot be recorded.
   Suspect* FindOrAdd(const std::string& part, Timestamp now);
   void AddCrashes(const std::set<uint32_t>& crashes,
