Evidence of crashes fits into a datagram, however long it grows

What callers saw: nothing; found by reading the change.

Cause: a heartbeat held up to 20 parts, but each with up to 32 crashes and as many cleared ones: up to 5 KB, where gateways receive 1,500 bytes. Longer heartbeats would have been cut and ignored, and their sender taken for dead, just while engines crash. A part with 32 cleared crashes was never suspected again.

Change: evidence is shared up to 700 bytes, the most important first; a part whose crashes are all cleared starts anew when its record is full.

Evidence: fits_into_a_datagram and of_a_part_that_was_often_cleared_still_counts, new; they were not run on the code before.

--- a/src/libteaselthread/endpoints/crash_suspects.cc
+++ b/src/libteaselthread/endpoints/crash_suspects.cc
@@ -21,6 +21,8 @@
 constexpr size_t kMaxSuspects = 1'024;
 constexpr size_t kMaxPartLength = 64;
 constexpr size_t kMaxCrashes = 32;
+// Tags and lengths of the fields in which evidence is encoded.
+constexpr size_t kMaxFieldBytes = 12;
 // One of this many crashes of a part may lack evidence against the part that
 // explains the others.
 constexpr size_t kCrashesPerException = 4;
@@ -44,6 +46,11 @@
                     [&](uint32_t crash) { return !cleared.contains(crash); }));
 }
 
+size_t CrashEvidence::ByteSize() const {
+  return kMaxFieldBytes + part.size() +
+         sizeof(uint32_t) * (crashes.size() + cleared.size());
+}
+
 void CrashSuspects::OnCrash(const std::vector<std::string>& parts,
                             uint32_t crash,
                             Timestamp sent_at,
@@ -54,7 +61,10 @@
       continue;
     const bool is_in_a_row = suspect->evidence.open_crashes() == 0 ||
                              sent_at > suspect->last_crash_at;
-    if (!is_in_a_row || suspect->evidence.crashes.size() >= kMaxCrashes)
+    CrashEvidence& evidence = suspect->evidence;
+    if (evidence.crashes.size() >= kMaxCrashes && evidence.open_crashes() == 0)
+      evidence = {part, {}, {}};
+    if (!is_in_a_row || evidence.crashes.size() >= kMaxCrashes)
       continue;
     AddCrashes({crash}, now, suspect);
     is_urgent_ = true;
@@ -138,7 +148,7 @@
   return true;
 }
 
-std::vector<CrashEvidence> CrashSuspects::ToShare(size_t max_count,
+std::vector<CrashEvidence> CrashSuspects::ToShare(size_t max_bytes,
                                                   Timestamp now) const {
   std::vector<const Suspect*> recent;
   for (const auto& [part, suspect] : suspects_) {
@@ -150,11 +160,14 @@
               return std::pair(a->evidence.open_crashes(), a->changed_at) >
                      std::pair(b->evidence.open_crashes(), b->changed_at);
             });
-  recent.resize(std::min(recent.size(), max_count));
   std::vector<CrashEvidence> evidence;
-  evidence.reserve(recent.size());
-  for (const Suspect* suspect : recent)
+  size_t bytes = 0;
+  for (const Suspect* suspect : recent) {
+    bytes += suspect->evidence.ByteSize();
+    if (bytes > max_bytes)
+      break;
     evidence.push_back(suspect->evidence);
+  }
   return evidence;
 }
 
--- a/src/libteaselthread/endpoints/crash_suspects.h
+++ b/src/libteaselthread/endpoints/crash_suspects.h
@@ -21,6 +21,8 @@
   std::set<uint32_t> cleared;
 
   size_t open_crashes() const;
+  // Upper bound of its encoded size.
+  size_t ByteSize() const;
 
   friend auto operator<=>(const CrashEvidence&, const CrashEvidence&) = default;
 };
@@ -60,8 +62,9 @@
   // node is the one of the fleet that sends trials for the part.
   bool TakeTrial(const std::string& part, bool is_responsible, Timestamp now);
 
-  // The evidence to send to other nodes, the most important first.
-  std::vector<CrashEvidence> ToShare(size_t max_count, Timestamp now) const;
+  // The evidence to send to other nodes, the most important first, as far as it
+  // fits into `max_bytes` of a message.
+  std::vector<CrashEvidence> ToShare(size_t max_bytes, Timestamp now) const;
   // Whether there is evidence that other nodes should receive at once. Resets
   // it.
   bool TakeUrgent();
--- a/src/teaselthread/gateway/peer_heartbeat.cc
+++ b/src/teaselthread/gateway/peer_heartbeat.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 #include "heartbeat.pb.h"
 #include "libteaselthread/peers/change_assembler.h"
@@ -25,8 +26,8 @@
 
 // Maximum number of load updates in a heartbeat: about 100 bytes.
 constexpr size_t kMaxLoadUpdates = 16;
-// Maximum number of suspected prompt parts in a heartbeat: about 700 bytes.
-constexpr size_t kMaxSuspects = 20;
+// Share of suspected prompt parts in a datagram of 1,500 bytes.
+constexpr size_t kMaxSuspectBytes = 700;
 constexpr Duration kAgeUnit = std::chrono::milliseconds(10);
 
 uint64_t ToMicroseconds(Timestamp time) {
@@ -398,7 +399,7 @@
 
 void PeerHeartbeat::SetSuspects(wire::GatewayHeartbeat* message) const {
   for (const CrashEvidence& evidence :
-       state_->crash_suspects().ToShare(kMaxSuspects, state_->Now())) {
+       state_->crash_suspects().ToShare(kMaxSuspectBytes, state_->Now())) {
     wire::PartEvidence* field = message->add_suspects();
     field->set_part(evidence.part);
     for (const uint32_t crash : evidence.crashes)
--- a/tests/crashes/crash_suspects_test.cc
+++ b/tests/crashes/crash_suspects_test.cc
@@ -146,7 +146,7 @@
 struct NodesFixture {
   void Exchange(Duration time) {
     for (const CrashSuspects& from : nodes) {
-      for (const CrashEvidence& item : from.ToShare(20, At(time))) {
+      for (const CrashEvidence& item : from.ToShare(700, At(time))) {
         for (CrashSuspects& to : nodes)
           to.Merge(item, At(time));
       }
@@ -170,7 +170,7 @@
                         NodesFixture) {
   nodes[0].OnCrash(kSound, 1, At(seconds(1)), At(seconds(2)));
   nodes[1].OnCrash(kSound, 2, At(seconds(1)), At(seconds(2)));
-  const std::vector<CrashEvidence> old = nodes[0].ToShare(20, At(seconds(2)));
+  const std::vector<CrashEvidence> old = nodes[0].ToShare(700, At(seconds(2)));
   Exchange(seconds(3));
   nodes[5].OnAnswerBegun(kSound, At(seconds(4)));
   Exchange(seconds(5));
@@ -187,7 +187,7 @@
     nodes[0].OnCrash(kTainted, i, At(seconds(1 + i)),
                      At(seconds(1 + i) + milliseconds(100)));
   // Blocked parts are shared for as long as they are blocked.
-  const auto evidence = nodes[0].ToShare(20, At(minutes(10)));
+  const auto evidence = nodes[0].ToShare(700, At(minutes(10)));
   BOOST_REQUIRE(evidence.size() == 2u);
   CrashSuspects late;
   for (const CrashEvidence& item : evidence)
@@ -196,6 +196,32 @@
       late.FindBlocked(kTainted, At(minutes(10) + seconds(1))).has_value());
 }
 
+// Regression test: a heartbeat with 20 parts of many crashes was longer than a
+// datagram.
+BOOST_FIXTURE_TEST_CASE(fits_into_a_datagram, CrashSuspectsFixture) {
+  for (int part = 0; part < 50; ++part) {
+    for (uint32_t engine = 0; engine < 30; ++engine)
+      Crash({"part-" + std::to_string(part)}, engine, seconds(engine));
+  }
+  const auto evidence = suspects.ToShare(700, At(seconds(31)));
+  size_t bytes = 0;
+  for (const CrashEvidence& item : evidence)
+    bytes += item.ByteSize();
+  BOOST_TEST(!evidence.empty());
+  BOOST_TEST(bytes <= 700u);
+}
+
+BOOST_FIXTURE_TEST_CASE(of_a_part_that_was_often_cleared_still_counts,
+                        CrashSuspectsFixture) {
+  for (uint32_t engine = 1; engine <= 100; ++engine) {
+    Crash(kSound, engine, seconds(10 * engine));
+    suspects.OnAnswerBegun(kSound, At(seconds(10 * engine + 1)));
+  }
+  for (uint32_t engine = 101; engine <= 103; ++engine)
+    Crash(kSound, engine, seconds(10 * engine));
+  BOOST_TEST(suspects.FindBlocked(kSound, At(seconds(1'100))).has_value());
+}
+
 BOOST_FIXTURE_TEST_CASE(is_bounded_however_many_parts_callers_invent,
                         CrashSuspectsFixture) {
   CrashThreeInARow();
