review: a caller that leaves as its stream ends crashes the gateway

EndpointAttempt::Stream releases the connection to the endpoint before it awaits the end of the stream, and the request guard still points to it. If the pool was full, the connection is freed, and a caller's leaving cancels a freed socket. A build with AddressSanitizer reports that use after free.

--- /dev/null
+++ b/review/1/case.cc
@@ -0,0 +1,217 @@
+// Some callers leave just before the end of their streams. The gateway then
+// uses a connection to a worker that it has freed already, and crashes.
+
+#include <signal.h>
+#include <sys/wait.h>
+
+#include <cmath>
+#include <iostream>
+#include <random>
+
+#include "../harness/deployment.h"
+
+namespace review {
+namespace {
+
+constexpr int kCallers = 120;
+// One in kLeavingDivisor callers leaves: 30 in 100, as in the sites' days.
+constexpr int kLeavingTenths = 3;
+constexpr double kLongestRun = 90;
+constexpr int kDeadlineMs = 10'000;
+
+// A stream: its first event comes after the prefill, and its end shortly after
+// the last event.
+constexpr double kPrefillTime = 0.1;
+constexpr double kEventInterval = 0.04;
+constexpr int kEvents = 4;
+constexpr double kLongestTail = 0.0003;
+
+// Callers come in waves, and those of a wave within this time.
+constexpr double kWaveInterval = 0.45;
+constexpr double kStaggerTime = 0.02;
+
+struct Totals {
+  std::atomic<int> left = 0;
+  // Requests on kept connections of callers that stayed, by how they ended.
+  std::atomic<int> complete = 0;
+  std::atomic<int> cut = 0;
+  std::atomic<int> unanswered = 0;  // of those cut, that got no status either
+};
+
+double RandomTime(double longest) {
+  thread_local std::mt19937 random{std::random_device()()};
+  return std::uniform_real_distribution<double>(0, longest)(random);
+}
+
+void AwaitNextWave() {
+  const double wave = std::ceil(Now() / kWaveInterval);
+  SleepUntil(wave * kWaveInterval + RandomTime(kStaggerTime));
+}
+
+std::string Chunk(const std::string& bytes) {
+  char size[16];
+  (void)std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+  return size + bytes + "\r\n";
+}
+
+bool Stream(Record& record,
+            Worker& worker,
+            const HttpMessage& request,
+            Connection& connection) {
+  const std::string id = request.Field("x-teaselthread-request-id");
+  record.Write(worker.name() + " runs " + id);
+  std::string text = worker.AnswerHead(request, "200 OK") +
+                     "Content-Type: text/event-stream\r\n"
+                     "Transfer-Encoding: chunked\r\n\r\n";
+  SleepFor(kPrefillTime);
+  for (int i = 1; i <= kEvents; ++i) {
+    text +=
+        Chunk("id: " + std::to_string(i) + "\ndata: text of " + id + "\n\n");
+    if (connection.PeerHasClosed() || !connection.Write(text)) {
+      record.Write(worker.name() + " loses the connection of " + id +
+                   " while it works");
+      return false;
+    }
+    text.clear();
+    SleepFor(i < kEvents ? kEventInterval : RandomTime(kLongestTail));
+  }
+  record.Write(worker.name() + " ends " + id);
+  return connection.Write("0\r\n\r\n");
+}
+
+std::string Request(Record& record, const std::string& id) {
+  record.Write("client sends " + id);
+  return MakeRequest("summary", id, kDeadlineMs, "go on");
+}
+
+// Reads the events of its stream and leaves when it has the last one.
+void AskAndLeave(Record& record,
+                 uint16_t front,
+                 const std::string& id,
+                 Totals* totals) {
+  const std::unique_ptr<Connection> connection = Connect(front);
+  if (!connection || !connection->Write(Request(record, id)))
+    return;
+  const auto head = connection->ReadHead();
+  if (!head || head->Status() != 200)
+    return;
+  for (int events = 0; events < kEvents;) {
+    const auto line = connection->ReadLine();
+    if (!line)
+      return;
+    events +=
+        line->starts_with("id: ") || line->find("\nid: ") != std::string::npos
+            ? 1
+            : 0;
+  }
+  connection->Close();
+  record.Write("client leaves " + id);
+  ++totals->left;
+}
+
+// Sends requests on one connection, which it keeps, and reads the answers.
+void AskAndStay(Record& record,
+                uint16_t front,
+                const std::string& name,
+                const std::atomic<bool>& stopping,
+                Totals* totals) {
+  std::unique_ptr<Connection> connection = Connect(front);
+  for (int number = 0; !stopping && connection; ++number) {
+    const std::string id = name + "-" + std::to_string(number);
+    AwaitNextWave();
+    if (!connection->Write(Request(record, id)))
+      return;
+    const ClientAnswer answer = ReadAnswer(*connection);
+    record.Write("client has " + std::to_string(answer.status) + " for " + id +
+                 (answer.is_complete ? ", complete" : ", cut off"));
+    if (number > 0 && answer.is_complete)
+      ++totals->complete;
+    if (number > 0 && !answer.is_complete) {
+      ++totals->cut;
+      totals->unanswered += answer.status == 0 ? 1 : 0;
+    }
+    if (!answer.is_complete || !answer.keeps_alive)
+      return;
+  }
+}
+
+void RunCaller(Record& record,
+               uint16_t front,
+               int number,
+               const std::atomic<bool>& stopping,
+               Totals* totals) {
+  const std::string name = "c" + std::to_string(number);
+  const bool leaves = HasTrouble() && number % 10 < kLeavingTenths;
+  if (!leaves) {
+    AskAndStay(record, front, name, stopping, totals);
+    return;
+  }
+  for (int i = 0; !stopping; ++i) {
+    AwaitNextWave();
+    AskAndLeave(record, front, name + "-" + std::to_string(i), totals);
+  }
+}
+
+std::string Describe(int status) {
+  return WIFSIGNALED(status)
+             ? "signal " + std::to_string(WTERMSIG(status))
+             : "exit code " + std::to_string(WEXITSTATUS(status));
+}
+
+int Run() {
+  Record record("review/1/record.txt");
+  const Worker::Handler engine = [&](Worker& worker, const HttpMessage& request,
+                                     Connection& connection) {
+    return Stream(record, worker, request, connection);
+  };
+  const Worker::Handler desk = [](Worker& worker, const HttpMessage& request,
+                                  Connection& connection) {
+    return connection.Write(worker.Answer(request, "200 OK", "done"));
+  };
+  Deployment deployment({.gateways = 2, .engines = 2, .desks = 1}, engine,
+                        desk);
+  if (!deployment.WaitUntilReady())
+    return kCannotRun;
+  Totals totals;
+  std::atomic<bool> stopping = false;
+  std::vector<std::thread> callers;
+  for (int i = 0; i < kCallers; ++i) {
+    callers.emplace_back([&, i] {
+      const size_t gateway = static_cast<size_t>(i) % deployment.gateways();
+      RunCaller(record, deployment.gateway(gateway).front(), i, stopping,
+                &totals);
+    });
+  }
+  const double started_at = Now();
+  const Gateway* crashed = nullptr;
+  while (!crashed && Now() < started_at + kLongestRun) {
+    SleepFor(0.05);
+    for (size_t i = 0; i < deployment.gateways(); ++i) {
+      if (!deployment.gateway(i).IsRunning())
+        crashed = &deployment.gateway(i);
+    }
+  }
+  const double ran_for = Now() - started_at;
+  stopping = true;
+  for (std::thread& caller : callers)
+    caller.join();
+  std::string summary = crashed ? crashed->name() + " ended by itself after " +
+                                      std::to_string(ran_for) + " s (" +
+                                      Describe(crashed->exit_status()) + ")"
+                                : "no gateway ended by itself";
+  summary += "; " + std::to_string(totals.left) +
+             " requests were left before their end; on kept connections, " +
+             std::to_string(totals.complete) + " had a complete answer, " +
+             std::to_string(totals.cut) + " were cut off, " +
+             std::to_string(totals.unanswered) + " of them without any answer";
+  record.Write(summary);
+  std::cout << summary << "\n";
+  return crashed || totals.unanswered > 3 ? kBroken : kHeld;
+}
+
+}  // namespace
+}  // namespace review
+
+int main() {
+  return review::Run();
+}
