Close connections that become idle during a shutdown

Cause: keep-alive was decided when a request had been read. A connection whose stream had begun before the signal stayed open after it. Only connections that were idle 1.5 s after the signal were closed; the next request on a later one was passed on and cut by the exit.

Ruled out: an exit that comes too early, and callers that use an old address.

Change: LeavingSchedule holds the times of the shutdown and which requests are still served. A response decides about its connection when its head is written. A connection whose last response has ended is closed, or its next request is refused if it could outlast the process. What the exit cuts off is logged, and reset.

--- a/src/teaselthread/gateway/front_connection.cc
+++ b/src/teaselthread/gateway/front_connection.cc
@@ -71,10 +71,17 @@
   --state_->connections;
   // An aborted response is ended by a reset: an orderly close could be taken
   // for the regular end of a response without a length.
-  if (is_aborted_)
-    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
-  else
-    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+  if (is_aborted_) {
+    Reset();
+    co_return;
+  }
+  socket_.shutdown(tcp::socket::shutdown_send, ignored);
+  socket_.close(ignored);
+}
+
+void FrontConnection::Reset() {
+  boost::system::error_code ignored;
+  socket_.set_option(asio::socket_base::linger(true, 0), ignored);
   socket_.close(ignored);
 }
 
@@ -85,7 +92,14 @@
   socket_.cancel(ignored);
 }
 
+bool FrontConnection::HasInput() const {
+  boost::system::error_code ignored;
+  return buffer_.size() > 0 || socket_.available(ignored) > 0;
+}
+
 asio::awaitable<bool> FrontConnection::ServeNextRequest() {
+  if (!HasInput() && !state_->KeepsIdleConnections())
+    co_return false;
   const ConnectionBounds bounds =
       state_->routes() ? state_->routes()->bounds() : kDefaultBounds;
   buffer_.max_size(bounds.max_header_bytes + kReadBytes);
@@ -105,9 +119,10 @@
   }
   const CallerHttpRequest& message = parser.get();
   ResponseWriter writer(
-      &socket_, {.keep_alive = message.keep_alive() && !state_->leaving(),
+      &socket_, {.keep_alive = message.keep_alive(),
                  .is_http11 = message.version() == kHttp11,
-                 .is_head = message.method() == http::verb::head});
+                 .is_head = message.method() == http::verb::head,
+                 .may_keep_alive = [this] { return !state_->leaving(); }});
   co_await handler_->Serve(message, state_->Now(), &socket_, &writer);
   is_aborted_ = writer.is_aborted();
   co_return writer.is_usable();
--- a/src/teaselthread/gateway/front_connection.h
+++ b/src/teaselthread/gateway/front_connection.h
@@ -20,12 +20,16 @@
   asio::awaitable<void> Run();
   // Closes the connection unless a request is in progress on it.
   void CloseIfIdle();
+  // Closes the connection in such a way that the caller sees an error.
+  void Reset();
 
  private:
   using Parser = http::request_parser<http::string_body>;
 
   // Returns false if the connection is to be closed.
   asio::awaitable<bool> ServeNextRequest();
+  // Whether the caller has sent bytes that have not been processed.
+  bool HasInput() const;
   asio::awaitable<bool> AwaitBytes(Duration timeout);
   // Returns a reason if the request cannot be served; the connection is then
   // closed.
--- a/src/teaselthread/gateway/front_server.cc
+++ b/src/teaselthread/gateway/front_server.cc
@@ -26,6 +26,11 @@
     connection->CloseIfIdle();
 }
 
+void FrontServer::ResetConnections() {
+  for (const auto& connection : connections_)
+    connection->Reset();
+}
+
 asio::awaitable<void> FrontServer::Serve(
     std::shared_ptr<FrontConnection> connection) {
   connections_.insert(connection);
--- a/src/teaselthread/gateway/front_server.h
+++ b/src/teaselthread/gateway/front_server.h
@@ -18,6 +18,9 @@
   Result<bool> Start();
   // Stops accepting new connections and closes idle ones.
   void StopAccepting();
+  // Resets the connections that are still open, so that callers do not take
+  // partial responses for complete ones.
+  void ResetConnections();
   RequestHandler& handler() { return handler_; }
 
  private:
--- a/src/teaselthread/gateway/gateway.cc
+++ b/src/teaselthread/gateway/gateway.cc
@@ -8,11 +8,6 @@
 using std::chrono::milliseconds;
 
 constexpr Duration kDrainPoll = milliseconds(50);
-// The listener stays open for this long after the signal, for callers that got
-// this node's address from the directory just before it began to leave.
-constexpr Duration kLateRequestPeriod = milliseconds(1'500);
-// The process exits this long before the platform would kill it.
-constexpr Duration kShutdownMargin = milliseconds(500);
 constexpr Duration kSweepInterval = milliseconds(1'000);
 
 }  // namespace
@@ -104,24 +99,23 @@
 asio::awaitable<void> Gateway::LeaveOnSignal() {
   asio::signal_set signals(*io_, SIGTERM, SIGINT);
   co_await signals.async_wait(kAsTuple);
-  const Timestamp signalled_at = state_.Now();
-  state_.BeginLeaving();
+  state_.BeginLeaving(state_.Now());
+  const LeavingSchedule schedule = *state_.leaving_schedule();
   heartbeat_->SendNow();
   LogLine leaving("leaving");
   leaving.Add("requests", state_.requests_in_progress);
   state_.log().Info(leaving);
   asio::co_spawn(*io_, registrar_.Deregister(), asio::detached);
-  const Timestamp kill_at =
-      signalled_at + state_.settings().limits().leaving_grace - kShutdownMargin;
   asio::steady_timer pause(*io_);
-  const auto wait = [&](Duration time) {
-    pause.expires_after(time);
-    return pause.async_wait(kAsTuple);
-  };
-  co_await wait(kLateRequestPeriod);
+  pause.expires_at(GatewayState::ToSteady(schedule.accepts_until()));
+  co_await pause.async_wait(kAsTuple);
   front_.StopAccepting();
-  while (state_.requests_in_progress > 0 && state_.Now() < kill_at)
-    co_await wait(kDrainPoll);
+  while (state_.connections > 0 && state_.Now() < schedule.exits_at()) {
+    pause.expires_after(kDrainPoll);
+    co_await pause.async_wait(kAsTuple);
+  }
+  front_.handler().LogCutRequests();
+  front_.ResetConnections();
   LogLine left("left");
   left.Add("requests_cut", state_.requests_in_progress);
   state_.log().Info(left);
--- a/src/teaselthread/gateway/gateway_state.cc
+++ b/src/teaselthread/gateway/gateway_state.cc
@@ -81,13 +81,18 @@
   return context;
 }
 
-void GatewayState::BeginLeaving() {
-  leaving_ = true;
+void GatewayState::BeginLeaving(Timestamp now) {
+  leaving_schedule_ =
+      LeavingSchedule::Begin(now, settings_.limits().leaving_grace);
   peers_.SetServing(false);
 }
 
+bool GatewayState::KeepsIdleConnections() const {
+  return !leaving_schedule_ || leaving_schedule_->AcceptsConnections(Now());
+}
+
 bool GatewayState::IsReady() const {
-  return routes_ && endpoints_known_ && !leaving_ &&
+  return routes_ && endpoints_known_ && !leaving() &&
          (!routes_->needs_keys() ||
           configuration_freshness_.IsFresh(BootNow()));
 }
--- a/src/teaselthread/gateway/gateway_state.h
+++ b/src/teaselthread/gateway/gateway_state.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -14,6 +15,7 @@
 #include "libteaselthread/endpoints/waiting_requests.h"
 #include "libteaselthread/peers/peer_set.h"
 #include "libteaselthread/peers/revision_announcement.h"
+#include "libteaselthread/requests/leaving_schedule.h"
 #include "libteaselthread/routes/configuration_freshness.h"
 #include "libteaselthread/routes/route_table.h"
 #include "libteaselthread/timer_service.h"
@@ -74,8 +76,16 @@
   TimerService& timers() { return timers_; }
   std::mt19937_64& random() { return random_; }
 
-  bool leaving() const { return leaving_; }
-  void BeginLeaving();
+  bool leaving() const { return leaving_schedule_.has_value(); }
+  // Empty until BeginLeaving.
+  const std::optional<LeavingSchedule>& leaving_schedule() const {
+    return leaving_schedule_;
+  }
+  // The process was told at `now` to leave. Fixes the times of the shutdown.
+  void BeginLeaving(Timestamp now);
+  // Whether a caller's connection stays open while no request is in progress on
+  // it.
+  bool KeepsIdleConnections() const;
   // Whether callers' requests can be served: the configuration and endpoints
   // are known, the configuration is fresh if it has keys, and the node is not
   // leaving.
@@ -113,7 +123,7 @@
   BufferQuota response_buffers_;
   DecisionLog log_;
   TimerService timers_;
-  bool leaving_ = false;
+  std::optional<LeavingSchedule> leaving_schedule_;
   bool endpoints_known_ = false;
   RevisionAnnouncement endpoint_changes_;
   RevisionAnnouncement evacuation_changes_;
--- a/src/teaselthread/gateway/request_checks.cc
+++ b/src/teaselthread/gateway/request_checks.cc
@@ -9,10 +9,9 @@
 }
 
 const RequestChecks::Check RequestChecks::kChecks[] = {
-    &RequestChecks::CheckRoute,
-    &RequestChecks::CheckConfigurationFreshness,
-    &RequestChecks::CheckKey,
-    &RequestChecks::CheckDeadline,
+    &RequestChecks::CheckRoute,   &RequestChecks::CheckConfigurationFreshness,
+    &RequestChecks::CheckKey,     &RequestChecks::CheckDeadline,
+    &RequestChecks::CheckLeaving,
 };
 
 std::optional<RefusalReason> RequestChecks::Apply(
@@ -77,4 +76,12 @@
   return std::nullopt;
 }
 
+std::optional<RefusalReason> RequestChecks::CheckLeaving(
+    ClassifiedRequest& request) const {
+  const auto& schedule = state_->leaving_schedule();
+  if (schedule && !schedule->Serves(state_->Now(), request.deadline))
+    return RefusalReason::kLeaving;
+  return std::nullopt;
+}
+
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/request_checks.h
+++ b/src/teaselthread/gateway/request_checks.h
@@ -46,6 +46,7 @@
   std::optional<RefusalReason> CheckRoute(ClassifiedRequest& request) const;
   std::optional<RefusalReason> CheckKey(ClassifiedRequest& request) const;
   std::optional<RefusalReason> CheckDeadline(ClassifiedRequest& request) const;
+  std::optional<RefusalReason> CheckLeaving(ClassifiedRequest& request) const;
 
   static const Check kChecks[];
 
--- a/src/teaselthread/gateway/request_handler.cc
+++ b/src/teaselthread/gateway/request_handler.cc
@@ -113,6 +113,7 @@
       std::make_shared<RequestGuard>(socket, GatewayState::ToSteady(deadline)),
       std::move(attempts));
   ++state_->requests_in_progress;
+  exchanges_.insert(&exchange);
   if (refusal) {
     co_await Refuse(exchange, *refusal);
   } else {
@@ -123,9 +124,18 @@
     exchange.guard->Finish();
   }
   --state_->requests_in_progress;
+  exchanges_.erase(&exchange);
   LogEnd(exchange);
 }
 
+void RequestHandler::LogCutRequests() {
+  for (Exchange* exchange : exchanges_) {
+    exchange->outcome = "cut";
+    exchange->reason = "leaving";
+    LogEnd(*exchange);
+  }
+}
+
 asio::awaitable<void> RequestHandler::RunAttempts(Exchange& exchange) {
   state_->RetryAllowanceFor(exchange.request.service->name)
       .OnRequest(state_->Now());
--- a/src/teaselthread/gateway/request_handler.h
+++ b/src/teaselthread/gateway/request_handler.h
@@ -2,6 +2,7 @@
 #define TEASELTHREAD_GATEWAY_REQUEST_HANDLER_H_
 
 #include <memory>
+#include <set>
 #include <string>
 
 #include "teaselthread/gateway/crash_guard.h"
@@ -26,6 +27,9 @@
                               ResponseWriter* writer);
   // Closes idle endpoint connections whose keep-alive time has passed.
   void Sweep() { connections_.Sweep(); }
+  // Logs the end of the requests in progress, which the exit of the process
+  // cuts off.
+  void LogCutRequests();
 
  private:
   struct Exchange;
@@ -64,6 +68,7 @@
   RequestChecks checks_;
   CrashGuard crash_guard_;
   EndpointConnections connections_;
+  std::set<Exchange*> exchanges_;  // in progress
 };
 
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/response_writer.cc
+++ b/src/teaselthread/gateway/response_writer.cc
@@ -24,7 +24,7 @@
   for (const auto& field : head.fields)
     response.insert(field.name_string(), field.value());
   response.body() = std::move(body);
-  response.keep_alive(options_.keep_alive);
+  response.keep_alive(DecideKeepAlive());
   if (!options_.is_head)
     response.prepare_payload();
   begun_ = true;
@@ -52,7 +52,7 @@
   // response.
   if (!options_.is_http11)
     options_.keep_alive = false;
-  response.keep_alive(options_.keep_alive);
+  response.keep_alive(DecideKeepAlive());
   if (options_.is_http11)
     response.chunked(true);
   begun_ = true;
@@ -87,6 +87,11 @@
   co_return usable_;
 }
 
+bool ResponseWriter::DecideKeepAlive() {
+  options_.keep_alive = options_.keep_alive && options_.may_keep_alive();
+  return options_.keep_alive;
+}
+
 std::string ResponseWriter::Chunk(const std::string& bytes) const {
   if (bytes.empty() || !options_.is_http11)
     return bytes;
--- a/src/teaselthread/gateway/response_writer.h
+++ b/src/teaselthread/gateway/response_writer.h
@@ -1,6 +1,7 @@
 #ifndef TEASELTHREAD_GATEWAY_RESPONSE_WRITER_H_
 #define TEASELTHREAD_GATEWAY_RESPONSE_WRITER_H_
 
+#include <functional>
 #include <string>
 
 #include "teaselthread/asio.h"
@@ -23,10 +24,13 @@
     bool keep_alive = true;
     bool is_http11 = true;  // chunked transfer encoding is supported
     bool is_head = false;   // the response has no body
+    // Queried when the head is written, as the gateway may begin to leave while
+    // the request is in progress.
+    std::function<bool()> may_keep_alive = [] { return true; };
   };
 
   ResponseWriter(tcp::socket* socket, Options options)
-      : socket_(socket), options_(options) {}
+      : socket_(socket), options_(std::move(options)) {}
 
   // Whether writing of the response has begun.
   bool begun() const { return begun_; }
@@ -47,6 +51,8 @@
  private:
   asio::awaitable<bool> WriteText(std::string text);
   std::string Chunk(const std::string& bytes) const;
+  // Decides whether the response that begins keeps the connection open.
+  bool DecideKeepAlive();
 
   tcp::socket* socket_;
   Options options_;
--- a/tests/gateway/callers_port_test.cc
+++ b/tests/gateway/callers_port_test.cc
@@ -116,7 +116,7 @@
 
 BOOST_FIXTURE_TEST_CASE(is_served_and_its_connection_closed,
                         CallersPortFixture) {
-  harness.state().BeginLeaving();
+  harness.state().BeginLeaving(harness.state().Now());
   const std::string response = Send(MakeRequest("GET", "/order/", "id-1"));
   BOOST_TEST(response.find("200 OK") != std::string::npos);
   BOOST_TEST(response.find("Connection: close") != std::string::npos);
--- a/tests/gateway/gateway_harness.cc
+++ b/tests/gateway/gateway_harness.cc
@@ -85,6 +85,11 @@
     if (reply.reads_body)
       buffer.erase(0, body_size);
     co_await asio::async_write(socket, asio::buffer(reply.bytes), kAsTuple);
+    if (!reply.rest.empty()) {
+      asio::steady_timer pause(acceptor_.get_executor(), reply.pause);
+      co_await pause.async_wait(kAsTuple);
+      co_await asio::async_write(socket, asio::buffer(reply.rest), kAsTuple);
+    }
     if (!reply.repeated.empty()) {
       co_await Repeat(socket, reply);
       co_return;
@@ -97,7 +102,8 @@
       socket.close(ignored);
     if (reply.resets || reply.closes)
       co_return;
-    if (!reply.bytes.empty() && IsComplete(reply.bytes))
+    const std::string sent = reply.bytes + reply.rest;
+    if (!sent.empty() && IsComplete(sent))
       continue;
     char byte = 0;
     auto [closed, count] =
--- a/tests/gateway/gateway_harness.h
+++ b/tests/gateway/gateway_harness.h
@@ -27,6 +27,8 @@
     // connection, each time after a pause.
     std::string repeated = {};
     Duration pause = Duration::zero();
+    // Sent once after the bytes and a pause.
+    std::string rest = {};
   };
   // Called with the request's header, its id and its number, starting at 0.
   using Script = std::function<
