Detach the guard before a connection returns to the pool

Cause: a stream's connection was returned to the pool before the end of the stream had been written to the caller. Until then the request's guard still had the address of its socket. If the caller left in between, the guard cancelled the operations of another request, or of a connection that had been destroyed since the pool was full.

Ruled out: two requests that read from one connection; with the guard detached and nothing else changed the test passes.

stream_end_test failed before: the next user of the connection had its read cancelled.

--- a/src/teaselthread/gateway/endpoint_attempt.cc
+++ b/src/teaselthread/gateway/endpoint_attempt.cc
@@ -332,6 +332,8 @@
                            *request_written_ && !guard_->interruption();
   if (!is_reusable)
     return;
+  // From here on another request may use the connection, or it is destroyed.
+  guard_->Detach();
   connection_->usable_until =
       std::chrono::steady_clock::now() + KeepAliveTime(parser.get().base());
   connections_->Return(endpoint_->record().id, std::move(connection_));
