Make overlapping calls on a connection to the store wait for each other

HttpConnection::Call waits until the call in progress has ended. calls_that_overlap_are_made_one_after_another failed before, with three connections for three calls and no reply of the first two.

--- a/src/teaselthread/http_connection.cc
+++ b/src/teaselthread/http_connection.cc
@@ -11,6 +11,7 @@
 // Limits the wait for a connection even if the call may wait long for its
 // response, since a round trip takes only milliseconds.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(800);
+constexpr Duration kIdleCheckInterval = std::chrono::milliseconds(10);
 
 }  // namespace
 
@@ -25,6 +26,7 @@
                                                         std::string target,
                                                         std::string body,
                                                         Duration timeout) {
+  co_await WaitUntilIdle();
   busy_ = true;
   superseded_ = false;
   Result<HttpReply> reply =
@@ -35,6 +37,14 @@
   co_return reply;
 }
 
+asio::awaitable<void> HttpConnection::WaitUntilIdle() const {
+  asio::steady_timer pause(co_await asio::this_coro::executor);
+  while (busy_) {
+    pause.expires_after(kIdleCheckInterval);
+    co_await pause.async_wait(kAsTuple);
+  }
+}
+
 void HttpConnection::Reconnect() {
   if (!busy_) {
     socket_.reset();
--- a/src/teaselthread/http_connection.h
+++ b/src/teaselthread/http_connection.h
@@ -9,7 +9,8 @@
 namespace teaselthread {
 
 // A persistent connection to one address. It is kept open between calls and is
-// re-established after a failed call. Handles one call at a time.
+// re-established after a failed call. Handles one call at a time: a call that
+// is made while another one is in progress waits until that one has ended.
 class HttpConnection {
  public:
   explicit HttpConnection(SocketAddress address)
@@ -28,6 +29,7 @@
   void Reconnect();
 
  private:
+  asio::awaitable<void> WaitUntilIdle() const;
   asio::awaitable<Result<HttpReply>> TryCall(http::verb method,
                                              std::string target,
                                              std::string body,
--- a/tests/gateway/http_connection_test.cc
+++ b/tests/gateway/http_connection_test.cc
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 #include <list>
 
+#include "gateway/gateway_harness.h"
 #include "teaselthread/keep_alive.h"
 
 namespace teaselthread {
@@ -94,6 +95,37 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against two calls that share a socket, of which one may destroy it
+// while the other waits for its response: a gateway that was told to leave
+// while it registered in the store.
+BOOST_AUTO_TEST_CASE(calls_that_overlap_are_made_one_after_another) {
+  asio::io_context io;
+  test::ScriptedEndpoint server(
+      &io, [](const std::string&, const std::string& id, int number) {
+        const std::string response =
+            test::MakeResponse(id, "body " + std::to_string(number));
+        return test::ScriptedEndpoint::Reply{.bytes = response.substr(0, 20),
+                                             .pause = milliseconds(30),
+                                             .rest = response.substr(20)};
+      });
+  HttpConnection connection(server.address());
+  std::vector<std::string> bodies;
+  for (int call = 0; call < 3; ++call) {
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+          const Result<HttpReply> reply =
+              co_await connection.Get("/list", seconds(1));
+          bodies.push_back(reply ? reply->body : "none");
+        },
+        asio::detached);
+  }
+  io.run_for(milliseconds(400));
+  const std::vector<std::string> expected = {"body 0", "body 1", "body 2"};
+  BOOST_TEST(bodies == expected, boost::test_tools::per_element());
+  BOOST_TEST(server.connections() == 1);
+}
+
 // A server with a full listen backlog: further connection attempts get no reply
 // at all.
 class FullBacklogServer {
