--- a/src/teaselthread/gateway/wire_codec.h
+++ b/src/teaselthread/gateway/wire_codec.h
@@ -65,8 +65,9 @@
 // A response to a list or watch call.
 struct StorePage {
   std::vector<StoreObject> objects;
-  uint64_t revision = 0;  // of the store; a watch starts from it
-  bool has_more = false;  // the list continues after the last name
+  uint64_t revision = 0;    // of the store; a watch starts from it
+  bool has_more = false;    // the list continues after the last name
+  size_t unidentified = 0;  // objects that were left out: unreadable names
 };
 
 // Encodes and decodes the names, formats and calls that one deployment's
--- a/src/teaselthread/store/store_watcher.cc
+++ b/src/teaselthread/store/store_watcher.cc
@@ -77,6 +77,7 @@
     // the changes made while the later pages are read.
     if (!first_revision)
       first_revision = page->revision;
+    LogUnidentified(*page);
     for (const StoreObject& object : page->objects)
       objects.push_back(object);
     if (!page->has_more || page->objects.empty())
@@ -112,6 +113,7 @@
   if (!page)
     co_return OnFailure(Describe(page.last_reason()));
   OnSuccess(page->objects);
+  LogUnidentified(*page);
   confirmed_at_ = requested_at;
   view_.OnConfirmed(called_at_);
   const bool has_changes = !page->objects.empty();
@@ -177,6 +179,17 @@
   failures_ = 0;
 }
 
+void StoreWatcher::LogUnidentified(const StorePage& page) {
+  if (page.unidentified == 0)
+    return;
+  state_->metrics().OnUnreadableEntry();
+  LogLine line("entries-unidentified");
+  line.Add("kind", ToString(kind_))
+      .Add("count", page.unidentified)
+      .Add("revision", page.revision);
+  state_->log().Warn(line);
+}
+
 asio::awaitable<void> StoreWatcher::WaitForResume() {
   suspended_since_ = state_->Now();
   pause_.expires_at(asio::steady_timer::time_point::max());
--- a/src/teaselthread/store/store_watcher.h
+++ b/src/teaselthread/store/store_watcher.h
@@ -116,6 +116,7 @@
   CallResult OnCallError(const Error& reason);
   CallResult OnFailure(const std::string& detail);
   void OnSuccess(const std::vector<StoreObject>& objects);
+  void LogUnidentified(const StorePage& page);
 
   GatewayState* state_;
   StoreKind kind_;
