Continue a stream only with an event stream

Reported by operators of similar systems: the text of an error, or its whole head, in the middle of a stream, or a stream that ends as if it were complete.

Cause: once a stream had broken off, a response of the next endpoint below 500 was taken for the final one and written into the stream that had begun, and a 2xx without events for its end.

Change: a response continues a stream if it is 200 and of the type text/event-stream. Any other one is a failed attempt, which is followed by another one or by a reset.

--- a/src/teaselthread/gateway/endpoint_attempt.cc
+++ b/src/teaselthread/gateway/endpoint_attempt.cc
@@ -33,6 +33,15 @@
   return status >= 500;
 }
 
+// Whether the response can continue a stream that has begun: its body is a
+// series of events, and not an error or an empty one.
+bool IsEventStream(const http::response_header<>& head) {
+  constexpr beast::string_view kMediaType = "text/event-stream";
+  const beast::string_view type = head[http::field::content_type];
+  return head.result() == http::status::ok &&
+         beast::iequals(type.substr(0, kMediaType.size()), kMediaType);
+}
+
 AttemptFailure ToAttemptFailure(const boost::system::error_code& failure) {
   if (failure == http::error::header_limit ||
       failure == http::error::buffer_overflow) {
@@ -218,7 +227,10 @@
     endpoint_->ExtendCold(state_->Now() + *endpoint_head_.cold_left);
   const int status = static_cast<int>(parser.get().result_int());
   const bool not_run = endpoint_head_.not_run || status == kMisdirectedRequest;
-  if (relay && IsSuccess(status) && !not_run)
+  const bool continues_stream = relay && relay->begun();
+  const bool is_stream =
+      continues_stream ? IsEventStream(parser.get()) : IsSuccess(status);
+  if (relay && is_stream && !not_run)
     co_return co_await Stream(parser, *relay);
   AttemptResult result;
   if (!co_await ReadBody(parser, &result.body)) {
@@ -231,7 +243,7 @@
     result.failure = status == kMisdirectedRequest
                          ? AttemptFailure::kMisdirected
                          : AttemptFailure::kRejected;
-  } else if (IsServerError(status)) {
+  } else if (IsServerError(status) || continues_stream) {
     result.failure = AttemptFailure::kServerError;
   }
   result.head = ResponseHead{status, EndToEndFields(parser.get().base())};
--- a/tests/gateway/endpoint_answers_test.cc
+++ b/tests/gateway/endpoint_answers_test.cc
@@ -111,6 +111,31 @@
   BOOST_TEST(response.find("seal-id-2") != std::string::npos);
 }
 
+// Shows that a second copy of an earlier refusal is not taken for a statement
+// on the request that is sent next, which the endpoint runs.
+BOOST_AUTO_TEST_CASE(is_skipped_if_it_refuses_an_earlier_request) {
+  for (const std::string& stray_id : {std::string("id-0"), std::string()}) {
+    const std::string refusal =
+        stray_id.empty()
+            ? "HTTP/1.1 503 Busy\r\n" + kNotRun + "Content-Length: 0\r\n\r\n"
+            : MakeResponse(stray_id, "", "503 Busy", kNotRun);
+    test::ScriptedEndpointsFixture fixture;
+    fixture.Start(
+        "desk", 1, [&](const std::string&, const std::string& id, int number) {
+          return Reply{number == 0 ? MakeResponse(id, "", "503 Busy", kNotRun)
+                                   : refusal + MakeResponse(id, "done")};
+        });
+    const auto send = [&](const std::string& id) {
+      return fixture.harness.Exchange(
+          MakeRequest("POST", "/order/", id, "body"), IsComplete);
+    };
+    BOOST_TEST(HasStatus(send("id-0"), "503"));
+    BOOST_TEST(HasStatus(send("id-1"), "200"));
+    BOOST_TEST(fixture.endpoints[0]->connections() == 1);
+    BOOST_TEST(fixture.endpoints[0]->heads().size() == 2u);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(closes_the_idle_connection_on_which_it_arrives) {
   Start("desk", 1, [](const std::string&, const std::string& id, int) {
     return Reply{MakeResponse(id, "yours") +
@@ -203,6 +228,41 @@
   }
 }
 
+// Guards against the text of an error in the middle of a stream: an endpoint
+// that was to resume it responded with a status below 500, and the response was
+// written into the stream.
+BOOST_AUTO_TEST_CASE(that_another_endpoint_does_not_resume_is_left_incomplete) {
+  struct Answer {
+    std::string status;
+    std::string body;
+  };
+  const Answer answers[] = {{"404 Not Found", "no such chat"},
+                            {"400 Bad Request", ""},
+                            {"302 Found", "elsewhere"},
+                            {"200 OK", "not a stream"},
+                            {"204 No Content", ""},
+                            {"500 Error", "failed"}};
+  for (const Answer& answer : answers) {
+    test::ScriptedEndpointsFixture fixture;
+    int seen = 0;
+    fixture.Start(
+        "pool", 2, [&](const std::string&, const std::string& id, int) {
+          return seen++ == 0
+                     ? Reply{StreamHead(id) + EventChunk(1), false, true}
+                     : Reply{MakeResponse(id, answer.body, answer.status)};
+        });
+    const std::string response =
+        fixture.harness.Exchange(MakeRequest("POST", "/chat/", "id-1", "body"),
+                                 [](const std::string&) { return false; });
+    BOOST_TEST_CONTEXT(answer.status << ": " << response) {
+      BOOST_TEST(seen == 2);
+      BOOST_TEST(response.ends_with(EventChunk(1)));
+      BOOST_TEST(fixture.harness.last_failure() ==
+                 asio::error::connection_reset);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(that_cannot_be_resumed_is_left_incomplete) {
   Start("pool", 1, [](const std::string&, const std::string& id, int) {
     return Reply{StreamHead(id) + EventChunk(1), false, true};
