Soak: check shutdowns and the age of configurations

Callers of the soak keep their connections, but nothing was red if a gateway that had got SIGTERM cut a request. It is now, unless the request was disturbed otherwise, or was sent within 3 s of the signal and still runs in the last sixth of the grace period. Some streams last up to 8 s, since short ones never met the exit.

Each configuration adds a route, and all gateways are asked for it 2.2 s after it was written; a gateway without a fault in the last 4 s must know it.

--- a/tests/soak/caller.py
+++ b/tests/soak/caller.py
@@ -18,7 +18,9 @@
 KEEP_CONNECTION_PROBABILITY = 0.8
 ABANDON_PROBABILITY = 0.03
 UNKNOWN_KEY_STATUS = 401
-DEADLINES_MS = {"safe": 1500, "unsafe": 1500, "stream": 6000}
+DEADLINES_MS = {"safe": 1500, "unsafe": 1500, "stream": 12000}
+LONG_STREAM_PROBABILITY = 0.1
+EVENTS, EVENTS_OF_LONG_STREAMS = (2, 40), (80, 200)
 
 
 class Caller:
@@ -86,7 +88,7 @@
         now = time.monotonic()
         key = self._fleet.key()
         sent = ledgers.SentRequest(request_id, order, kind, key, gateway, now,
-                                   ends_at, self._random.randint(2, 40))
+                                   ends_at, self._event_count())
         self._ledger.sent[request_id] = sent
         self._connection = None
         is_abandoned = self._random.random() < ABANDON_PROBABILITY
@@ -107,6 +109,11 @@
         self._ledger.on_end(sent, front)
         return sent
 
+    def _event_count(self):
+        is_long = self._random.random() < LONG_STREAM_PROBABILITY
+        return self._random.randint(*(
+            EVENTS_OF_LONG_STREAMS if is_long else EVENTS))
+
     def _message(self, sent):
         remaining_ms = int((sent.deadline_at - time.monotonic()) * 1000)
         fields = {"Host": self._fleet.host,
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -32,7 +32,8 @@
     gateway = random.choice(fleet.gateways)
     if gateway.is_stopping:
         return
-    with fleet.ledger.fault_interval(gateway.name):
+    with fleet.ledger.fault_interval(gateway.name,
+                                     is_planned=number == signal.SIGTERM):
         gateway.send_signal(signal.SIGCONT)
         await gateway.stop(number)
         await asyncio.sleep(random.uniform(0, 1.5))
@@ -73,16 +74,18 @@
 
 async def disturb_endpoint_link(fleet, random):
     slot = random.choice(fleet.slots)
-    slot.link.set_mode(random.choice(Proxy.MODES))
-    await asyncio.sleep(random_duration(random))
-    slot.link.set_mode("pass")
+    with fleet.ledger.fault_interval(slot.endpoint.name):
+        slot.link.set_mode(random.choice(Proxy.MODES))
+        await asyncio.sleep(random_duration(random))
+        slot.link.set_mode("pass")
 
 
 async def disturb_endpoint(fleet, random):
     endpoint = random.choice(fleet.slots).endpoint
-    endpoint.mode = random.choice(Endpoint.MODES)
-    await asyncio.sleep(random_duration(random))
-    endpoint.mode = "pass"
+    with fleet.ledger.fault_interval(endpoint.name):
+        endpoint.mode = random.choice(Endpoint.MODES)
+        await asyncio.sleep(random_duration(random))
+        endpoint.mode = "pass"
 
 
 async def disturb_store(fleet, random):
@@ -120,8 +123,9 @@
     if slot.endpoint.is_draining:
         return
     slot.endpoint.is_draining = True
-    slot.endpoint.stop()
-    await asyncio.sleep(DEREGISTRATION_DELAY_S)
+    with fleet.ledger.fault_interval(slot.endpoint.name):
+        slot.endpoint.stop()
+        await asyncio.sleep(DEREGISTRATION_DELAY_S)
     slot.deregister()
     await asyncio.sleep(REUSE_DELAY_S)
     await slot.start()
@@ -141,9 +145,10 @@
         slot.deregister()
     fleet.ledger.draining_since[endpoint.name] = time.monotonic()
     await asyncio.sleep(ledgers.DRAIN_S + 0.7)
-    endpoint.stop()
-    slot.deregister()
-    await asyncio.sleep(REUSE_DELAY_S)
+    with fleet.ledger.fault_interval(endpoint.name):
+        endpoint.stop()
+        slot.deregister()
+        await asyncio.sleep(REUSE_DELAY_S)
     await slot.start()
 
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -8,6 +8,7 @@
 import time
 
 import http_wire
+import ledger as ledgers
 import platform_wire as wire
 from endpoint import SLOTS, Endpoint
 from proxy import Proxy
@@ -16,15 +17,19 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 TEMPLATE = ROOT / "deploy" / "gateway.ini.template"
 ZONES = ("a", "b")
-GRACE_S = 8
 DEREGISTRATION_DELAY_S = 3.0
 REUSE_DELAY_S = 2.0
 MAX_MEMORY_KB = 64 * 1024
 MAX_GATEWAYS = 110
+# Versions whose own route is kept in the configuration.
+PROBED_VERSIONS = 60
+PROBE_MARGIN_S = 0.2
+PROBE_TIMEOUT_S = 1.0
 FRONT, ADMIN, PEER, STORE, SERVICE = 8000, 8001, 8002, 7000, 9000
 BOUNDS = {"revoke_ms": 5000, "drain_ms": 2000, "contact_ms": 3000,
           "budget_ratio": 0.2, "budget_slack": 50, "budget_window_s": 10, "cold_over": 1.5,
-          "cold_slack": 5, "cap_x": 2, "grace_s": GRACE_S}
+          "cold_slack": 5, "cap_x": 2, "apply_ms": 2000,
+          "grace_s": ledgers.GRACE_S}
 
 
 class Gateway:
@@ -83,15 +88,19 @@
         process has to exit with status 0 within its grace period."""
         self.is_stopping = True
         began = time.monotonic()
+        if number == signal.SIGTERM:
+            self._fleet.ledger.terminated_at[self.name].append(began)
         self.send_signal(number)
         try:
-            status = await asyncio.wait_for(self.process.wait(), GRACE_S + 1)
+            status = await asyncio.wait_for(self.process.wait(),
+                                            ledgers.GRACE_S + 1)
         except asyncio.TimeoutError:
             status = None
             self.process.kill()
             await self.process.wait()
         elapsed_s = time.monotonic() - began
-        if number == signal.SIGTERM and (status != 0 or elapsed_s > GRACE_S):
+        if number == signal.SIGTERM and (
+                status != 0 or elapsed_s > ledgers.GRACE_S):
             self._fleet.ledger.report_violation(
                 "leaving",
                 f"{self.name}: status {status} after {elapsed_s:.1f} s")
@@ -154,6 +163,7 @@
                       for index in range(endpoints)]
         self.keys = ["k1", "k2", "k3"]
         self._version = 0
+        self._probed = []  # versions whose routes are in the configuration
 
     @staticmethod
     def ip(last):
@@ -179,15 +189,44 @@
 
     def write_configuration(self):
         self._version += 3
+        self._probed = [*self._probed, self._version][-PROBED_VERSIONS:]
         routes = [
             wire.route("look", self.host, "idempotent", "desk", 1500),
             wire.route("order", self.host, "non_idempotent", "desk", 1500),
-            wire.route("chat", self.host, "streaming", "pool", 6000)]
+            wire.route("chat", self.host, "streaming", "pool", 12000)]
+        routes += [wire.route(f"v{version}", self.host, "idempotent", "desk",
+                              1500) for version in self._probed]
         services = [wire.service("desk"), wire.service("pool", SLOTS)]
         keys = {f"customer-of-{key}": [key] for key in self.keys}
         self.store.put(wire.CONFIGURATION, wire.CONFIGURATION_NAME,
                        wire.configuration(self._version, routes, services,
                                           keys))
+        asyncio.create_task(self._probe_gateways(self._version, self.keys[-1]))
+
+    async def _probe_gateways(self, version, key):
+        """Sends requests on the route that a version has added, to all
+        gateways, once they have to know it."""
+        written_at = time.monotonic()
+        await asyncio.sleep(ledgers.APPLY_S + PROBE_MARGIN_S)
+        if key in self.ledger.revoked_at or version not in self._probed:
+            return
+        await asyncio.gather(*[
+            self._probe(gateway, version, key, written_at)
+            for gateway in self.gateways])
+
+    async def _probe(self, gateway, version, key, written_at):
+        order = f"probe-{version}-{gateway.name}"
+        now = time.monotonic()
+        self.ledger.sent[order] = ledgers.SentRequest(
+            order, order, "safe", key, gateway.name, now, now + 1.5)
+        try:
+            status = await asyncio.wait_for(http_wire.request_status(
+                gateway.front_address, f"GET /v{version}/?order={order}",
+                {"Host": self.host, wire.REQUEST_ID: order, wire.KEY: key,
+                 wire.DEADLINE_MS: "1500"}), PROBE_TIMEOUT_S)
+        except (asyncio.TimeoutError, OSError, http_wire.HttpError):
+            return
+        self.ledger.on_probe(gateway.name, version, written_at, status)
 
     def revoke_oldest_key(self):
         oldest = self.keys.pop(0)
--- a/tests/soak/http_wire.py
+++ b/tests/soak/http_wire.py
@@ -77,6 +77,21 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
+async def request_status(address, start, fields):
+    """The status of the response to a request without a body, on a connection
+    of its own."""
+    host, port = address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        writer.write(message(f"{start} HTTP/1.1", fields))
+        head = await read_head(reader)
+        if not head:
+            raise HttpError("connection closed before a response")
+        return head.status
+    finally:
+        writer.close()
+
+
 async def serve(address, handle):
     """Starts a server that calls `handle` with the reader and writer of each
     connection."""
--- a/tests/soak/ledger_test.py
+++ b/tests/soak/ledger_test.py
@@ -85,6 +85,37 @@
         self.end(self.send())
         self.assertEqual(self.violated_promises(), {"revocation"})
 
+    def stop_and_cut(self, sent_after, cut_after):
+        """SIGTERM now; a stream that runs is cut off."""
+        self.ledger.terminated_at["g1"].append(self.now)
+        sent = SentRequest("r1", "order-1", "stream", "k1", "g1",
+                           self.now + sent_after, self.now + 20,
+                           error="body truncated")
+        self.ledger.sent[sent.id] = sent
+        self.run_at(after=sent_after)
+        self.end(sent, 0, cut_after)
+
+    def test_a_request_cut_off_by_a_shutdown(self):
+        self.stop_and_cut(sent_after=4, cut_after=7.5)
+        self.assertEqual(self.violated_promises(), {"shutdown"})
+
+    def test_an_early_request_that_outlasts_the_grace_period(self):
+        self.stop_and_cut(sent_after=1, cut_after=7.5)
+        self.assertEqual(self.violated_promises(), set())
+
+    def test_an_early_request_cut_off_before_the_end_of_the_grace_period(self):
+        self.stop_and_cut(sent_after=1, cut_after=2)
+        self.assertEqual(self.violated_promises(), {"shutdown"})
+
+    def test_an_old_configuration(self):
+        self.ledger.on_probe("g1", 3, self.now - 2.2, 404)
+        self.assertEqual(self.violated_promises(), {"configuration"})
+
+    def test_an_old_configuration_at_a_paused_gateway_is_allowed(self):
+        with self.ledger.fault_interval("g1"):
+            self.ledger.on_probe("g1", 3, self.now - 2.2, 404)
+        self.assertEqual(self.violated_promises(), set())
+
     def test_a_run_under_another_customers_name(self):
         self.send()
         self.run_at(customer="customer-of-k2")
