Confirm the configuration within the bound for applying it

Cause: a gateway relies on its zone leader for the configuration. If the leader had lost the store, the others asked only 0.7 of the revocation bound (3.5 s) after their last confirmation, but a configuration has to be in force after 2 to 4 s.

Change: setting configuration_ms; a gateway asks 0.6 s before the shorter of the two bounds, and up to 0.2 s earlier so that a zone does not ask at once.

The test of the old rule asserted no call within 3 s, which is over the bound of 2 s for applying a configuration; it asserts none within 1 s and one within 1.75 s instead, and a new one covers a leader that speaks but is behind.

--- a/src/libteaselthread/routes/configuration_freshness.cc
+++ b/src/libteaselthread/routes/configuration_freshness.cc
@@ -3,6 +3,25 @@
 #include <algorithm>
 
 namespace teaselthread {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Until the check that finds the age too high, for a call on a new connection
+// and for applying its response.
+constexpr Duration kCallTime = milliseconds(600);
+constexpr Duration kCallSpread = milliseconds(200);
+
+}  // namespace
+
+Duration ConfigurationFreshness::MaxUnconfirmedAge(Duration configuration_bound,
+                                                   Duration revocation_bound,
+                                                   double jitter) {
+  const Duration spread(static_cast<Duration::rep>(
+      static_cast<double>(kCallSpread.count()) * jitter));
+  const Duration bound = std::min(configuration_bound, revocation_bound);
+  return std::max(bound - kCallTime - spread, bound / 2);
+}
 
 void ConfigurationFreshness::OnConfirmed(Timestamp asked_at) {
   confirmed_at_ = confirmed_at_ ? std::max(*confirmed_at_, asked_at) : asked_at;
--- a/src/libteaselthread/routes/configuration_freshness.h
+++ b/src/libteaselthread/routes/configuration_freshness.h
@@ -26,6 +26,17 @@
   // node's clock nor on the transit time of the message.
   void OnConfirmedByPeer(Timestamp echoed_at, Duration age, Timestamp now);
 
+  // The age at which a node that its peers have not informed asks the store, so
+  // that it still applies a new configuration, and refuses a revoked key, in
+  // time. `jitter`, from 0 to 1, spreads the calls of nodes that lost the same
+  // peer.
+  //
+  // Load pattern: the peer that confirms the configuration for a whole
+  // availability zone loses the store, stops or is cut off.
+  static Duration MaxUnconfirmedAge(Duration configuration_bound,
+                                    Duration revocation_bound,
+                                    double jitter);
+
   bool IsFresh(Timestamp now) const;
   // Empty before the first confirmation.
   std::optional<Duration> Age(Timestamp now) const;
--- a/src/teaselthread/gateway/gateway_settings.cc
+++ b/src/teaselthread/gateway/gateway_settings.cc
@@ -82,6 +82,7 @@
       << "\nheartbeat_timeout_ms = " << InMilliseconds(heartbeat_timeout_)
       << "\n\n[limits]\n"
       << "revocation_ms = " << InMilliseconds(limits_.revocation_bound)
+      << "\nconfiguration_ms = " << InMilliseconds(limits_.configuration_bound)
       << "\ndrain_ms = " << InMilliseconds(limits_.drain_bound)
       << "\ncontact_ms = " << InMilliseconds(limits_.contact_bound)
       << "\nretry_ratio = " << limits_.retries.ratio
@@ -147,6 +148,8 @@
   SectionReader reader(section, source, errors);
   limits_.revocation_bound =
       reader.Milliseconds("revocation_ms", 5'000, kMillisecondsRange);
+  limits_.configuration_bound =
+      reader.Milliseconds("configuration_ms", 2'000, kMillisecondsRange);
   limits_.retries.ratio = reader.Number("retry_ratio", 0.2, 0, 10);
   limits_.retries.slack = reader.Number("retry_slack", 50, 0, 1e6);
   limits_.retries.window =
--- a/src/teaselthread/gateway/gateway_settings.h
+++ b/src/teaselthread/gateway/gateway_settings.h
@@ -15,12 +15,14 @@
 // Limits that the operators guarantee to callers and endpoints.
 struct GatewayLimits {
   Duration revocation_bound{};  // until a revoked key stops working
-  Duration drain_bound{};       // until a leaving endpoint gets no new requests
-  Duration contact_bound{};     // from the end of a network disruption at a
-                                // gateway until the other bounds hold again
-  RetryLimit retries;           // shared by all nodes
-  double cold_over = 1;         // multiple of a service's cold request rate
-  double cold_slack = 0;        // requests per second on top of that
+  // Until a new configuration is in force at every gateway.
+  Duration configuration_bound{};
+  Duration drain_bound{};    // until a leaving endpoint gets no new requests
+  Duration contact_bound{};  // from the end of a network disruption at a
+                             // gateway until the other bounds hold again
+  RetryLimit retries;        // shared by all nodes
+  double cold_over = 1;      // multiple of a service's cold request rate
+  double cold_slack = 0;     // requests per second on top of that
   // No engine's load may exceed this multiple of the mean load, plus 3.
   double load_multiple = 2;
   Duration leaving_grace{};  // from SIGTERM until the process is killed
--- a/src/teaselthread/store/store_controller.cc
+++ b/src/teaselthread/store/store_controller.cc
@@ -13,10 +13,6 @@
 // configuration for its whole availability zone, so the wait is well below the
 // revocation bound.
 constexpr Duration kShortWait = milliseconds(600);
-// In a zone of 60 gateways, which send a heartbeat every 1.2 s, confirmations
-// from the leader are up to 3 s old. The rest of the revocation bound is enough
-// for a call.
-constexpr double kMaxUnconfirmedShare = 0.7;
 // By these times, this gateway's own watch normally delivers a version that a
 // peer has announced.
 constexpr MissedChangeDetector::Timeouts kConfigurationTimeouts{
@@ -39,6 +35,8 @@
 StoreController::StoreController(GatewayState* state)
     : state_(state),
       removal_grace_period_(state->settings().limits().contact_bound),
+      call_jitter_(
+          std::uniform_real_distribution<double>(0, 1)(state->random())),
       missed_configuration_(kConfigurationTimeouts),
       configuration_(
           state,
@@ -107,8 +105,9 @@
 }
 
 Duration StoreController::MaxUnconfirmedAge() const {
-  const Duration bound = state_->settings().limits().revocation_bound;
-  return std::chrono::duration_cast<Duration>(bound * kMaxUnconfirmedShare);
+  const GatewayLimits& limits = state_->settings().limits();
+  return ConfigurationFreshness::MaxUnconfirmedAge(
+      limits.configuration_bound, limits.revocation_bound, call_jitter_);
 }
 
 // A gateway that is not the zone leader makes calls only if a peer has
--- a/src/teaselthread/store/store_controller.h
+++ b/src/teaselthread/store/store_controller.h
@@ -82,6 +82,7 @@
   // When the store was last found unreachable, or when a peer's heartbeat last
   // showed that it is back. On the clock that counts suspension.
   Timestamp last_unreachable_at_{};
+  double call_jitter_;  // of ConfigurationFreshness::MaxUnconfirmedAge
   MissedChangeDetector missed_configuration_;
   bool age_check_pending_ = false;  // CheckConfiguration has reconnected
   // The newest configuration cannot be read; the one in use is older.
--- a/tests/gateway/configuration_freshness_test.cc
+++ b/tests/gateway/configuration_freshness_test.cc
@@ -11,6 +11,33 @@
 using std::chrono::seconds;
 using test::At;
 
+BOOST_AUTO_TEST_SUITE(a_node_that_its_peers_do_not_inform)
+
+BOOST_AUTO_TEST_CASE(asks_well_before_any_bound_is_over) {
+  for (const Duration configuration_bound :
+       {seconds(1), seconds(2), seconds(3), seconds(4), seconds(9)}) {
+    for (const Duration revocation_bound : {seconds(2), seconds(5)}) {
+      for (const double jitter : {0.0, 0.3, 1.0}) {
+        const Duration age = ConfigurationFreshness::MaxUnconfirmedAge(
+            configuration_bound, revocation_bound, jitter);
+        BOOST_TEST((age <= configuration_bound - milliseconds(500)));
+        BOOST_TEST((age <= revocation_bound - milliseconds(500)));
+        BOOST_TEST((age > milliseconds(400)));
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(does_not_ask_at_the_same_time_as_the_others) {
+  const auto age = [](double jitter) {
+    return ConfigurationFreshness::MaxUnconfirmedAge(seconds(2), seconds(5),
+                                                     jitter);
+  };
+  BOOST_TEST((age(0) - age(1) >= milliseconds(100)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_configuration_is_fresh)
 
 BOOST_AUTO_TEST_CASE(only_after_a_confirmation) {
--- a/tests/gateway/store_controller_test.cc
+++ b/tests/gateway/store_controller_test.cc
@@ -142,7 +142,7 @@
     status.serving = true;
     status.configuration_version = announced_version;
     if (leader_confirms_configuration)
-      status.configuration_age = Duration::zero();
+      status.configuration_age = configuration_age_of_leader;
     status.echoed_at = GatewayState::BootNow();
     status.lists[0] = ListStatus{changed_at, changed_at, leader_status_age};
     status.lists[1] = status.lists[0];
@@ -168,6 +168,7 @@
   int configuration_watches = 0;
   uint64_t announced_version = 1;
   bool leader_confirms_configuration = true;
+  Duration configuration_age_of_leader = Duration::zero();
   bool store_responds = true;
   Duration leader_status_age = Duration::zero();
   std::string last_endpoint_target;
@@ -194,18 +195,27 @@
   BOOST_TEST(configuration_watches == 1);
 }
 
-// The revocation bound is 5 s.
+// Guards against configurations that are applied too late: the leaders of the
+// zones lost the store, and the others relied on them for 3.5 s, although a new
+// configuration has to be in force after 2 s.
 BOOST_AUTO_TEST_CASE(has_its_configuration_confirmed_if_no_peer_does) {
   leader_confirms_configuration = false;
-  RunFor(milliseconds(3'000), kRevision);
+  RunFor(milliseconds(1'000), kRevision);
   BOOST_TEST(configuration_watches == 0);
-  RunFor(milliseconds(800), kRevision);
+  RunFor(milliseconds(750), kRevision);
   BOOST_TEST(configuration_watches > 0);
   const auto age = state.configuration_freshness().Age(GatewayState::BootNow());
   BOOST_REQUIRE(age.has_value());
   BOOST_TEST((*age < milliseconds(600)));
 }
 
+// The leader's statements are young, but what it knows of the store is not.
+BOOST_AUTO_TEST_CASE(has_its_configuration_confirmed_if_the_leader_is_behind) {
+  configuration_age_of_leader = seconds(3);
+  RunFor(milliseconds(1'750), kRevision);
+  BOOST_TEST(configuration_watches > 0);
+}
+
 BOOST_AUTO_TEST_CASE(watches_the_list_when_the_leader_is_lost) {
   RunFor(milliseconds(400), kRevision);
   RunFor(milliseconds(1'100), std::nullopt);
