Allow either limit to end an endless stream of comments in its test

an_endless_stream/of_comments_does_not_occupy_the_gateway was red once beside a linter, and in 6 of 12 runs beside ten busy processes; in 8 of 8 runs without them it was green. Traced: the response came after 0.63 s with 504 instead of 502. Two limits end such a stream, 256 KB without an event (502) and the time without one, 0.3 s at each of two engines here (504). The endpoint of the test runs in the same thread as the gateway, and on a busy machine sends less than 256 KB in that time. Both say truly that the request may have run, and both end it early.

--- a/tests/gateway/endless_answers_test.cc
+++ b/tests/gateway/endless_answers_test.cc
@@ -199,7 +199,11 @@
   Start("pool", 2, [](const std::string&, const std::string& id, int) {
     return Endless(StreamHead(id), Chunk(": ping\n\n"));
   });
-  BOOST_TEST(HasStatus(Send("/chat/", seconds(2)), "502"));
+  // 502 if the limit on bytes without an event is reached first, and 504 if the
+  // limit on the time without one is.
+  const std::string response = Send("/chat/", seconds(2));
+  BOOST_TEST((HasStatus(response, "502") || HasStatus(response, "504")));
+  BOOST_TEST((elapsed < milliseconds(1'500)));
   BOOST_TEST(IsIdle());
 }
 
