Heed endpoints that say that they leave or want a pause

EndpointAnnouncements holds what an endpoint has said, for one start of it, so that an entry that still calls it ready, or lapses and is registered again, does not bring it back. EndpointTable::WhyUnusable is the one place that tells whether an endpoint may get new requests, and why not; the selection, the mean of the load bound (leaving engines are not counted, paused ones are) and the crash suspects use it. If all endpoints of a service pause, a caller is refused (endpoints-paused) and told to come back after the first of the pauses.

Counters endpoints_leaving_total and endpoint_pauses_total, log lines endpoint-leaving and endpoint-paused, which explain shows too. Both come from the soak's endpoints now.

--- a/src/libteaselthread/attempts/retry_after.cc
+++ b/src/libteaselthread/attempts/retry_after.cc
@@ -51,9 +51,14 @@
 
 Duration RetryAfterFor(RefusalReason reason,
                        double jitter,
-                       std::optional<Duration> time_left) {
-  const double factor = 1 - kJitterShare + 2 * kJitterShare * jitter;
-  auto delay = static_cast<double>(BaseDelayFor(reason).count());
+                       std::optional<Duration> time_left,
+                       Duration pause) {
+  // A caller that came back within the pause would be refused again.
+  const double factor = pause > Duration::zero()
+                            ? 1 + kJitterShare * jitter
+                            : 1 - kJitterShare + 2 * kJitterShare * jitter;
+  auto delay =
+      static_cast<double>(std::max(BaseDelayFor(reason), pause).count());
   if (time_left) {
     const double longest =
         kMaxShareOfTimeLeft * static_cast<double>(time_left->count());
--- a/src/libteaselthread/attempts/retry_after.h
+++ b/src/libteaselthread/attempts/retry_after.h
@@ -13,10 +13,12 @@
 // recover, zero if a retry cannot help. `jitter` is a random number from 0 to 1
 // that keeps callers that were refused at the same time from retrying at the
 // same time. If `time_left`, until the caller stops waiting, is known, enough
-// of it remains for the retry.
+// of it remains for the retry. `pause` is how long all endpoints still want no
+// requests, if that is why the caller was refused.
 Duration RetryAfterFor(RefusalReason reason,
                        double jitter,
-                       std::optional<Duration> time_left = std::nullopt);
+                       std::optional<Duration> time_left = std::nullopt,
+                       Duration pause = Duration::zero());
 
 }  // namespace teaselthread
 
--- a/src/libteaselthread/emulator/placement_strategy.cc
+++ b/src/libteaselthread/emulator/placement_strategy.cc
@@ -73,7 +73,7 @@
                                  const std::vector<EnginePtr>& /*engines*/,
                                  Timestamp now) override {
     const std::vector<EndpointPtr> all =
-        gateway.table.Available(service_->name);
+        gateway.table.Available(service_->name, now);
     const auto least_loaded =
         std::min_element(all.begin(), all.end(),
                          [now](const EndpointPtr& a, const EndpointPtr& b) {
--- a/src/libteaselthread/endpoints/endpoint_selector.cc
+++ b/src/libteaselthread/endpoints/endpoint_selector.cc
@@ -160,6 +160,8 @@
   switch (reason) {
     case NoEndpointReason::kNoneAvailable:
       return "none-available";
+    case NoEndpointReason::kAllPaused:
+      return "all-paused";
     case NoEndpointReason::kAllCold:
       return "all-cold";
     case NoEndpointReason::kAllTried:
@@ -185,17 +187,18 @@
   return healthy.size() * 2 >= endpoints.size() ? healthy : endpoints;
 }
 
-std::vector<EndpointPtr> NotDraining(std::vector<EndpointPtr> endpoints) {
-  std::erase_if(endpoints, [](const EndpointPtr& endpoint) {
-    return endpoint->record().draining;
+std::vector<EndpointPtr> NotLeaving(std::vector<EndpointPtr> endpoints,
+                                    const EndpointTable& table) {
+  std::erase_if(endpoints, [&](const EndpointPtr& endpoint) {
+    return table.IsLeaving(*endpoint);
   });
   return endpoints;
 }
 
 // Chooses one of the `usable` engines, all of which may receive the request.
 // The mean load is taken over all engines `in_service`, as the operators do:
-// some receive requests from other nodes only, and those in evacuated zones
-// none at all.
+// some receive requests from other nodes only, and those in evacuated zones or
+// in a pause none at all.
 SelectionResult SelectEngine(const std::vector<EndpointPtr>& usable,
                              const std::vector<EndpointPtr>& in_service,
                              const SelectionQuery& query,
@@ -268,7 +271,7 @@
 // The engine that most likely holds the prompt's KV cache if the target does
 // not. If the target is the primary engine and started later than others, this
 // is the previous primary engine; for any other target it is the primary
-// engine. Draining engines are included, since they still serve copies.
+// engine. Leaving engines are included, since they still serve copies.
 std::optional<SocketAddress> KvSource(std::vector<EndpointPtr> running,
                                       const SelectionQuery& query,
                                       const EndpointState& target) {
@@ -294,9 +297,12 @@
                                          const SelectionContext& context,
                                          Timestamp now) const {
   const std::vector<EndpointPtr> available =
-      table_->Available(query.service->name);
-  if (available.empty())
-    return NoEndpointReason::kNoneAvailable;
+      table_->Available(query.service->name, now);
+  if (available.empty()) {
+    return table_->ShortestPause(query.service->name, now)
+               ? NoEndpointReason::kAllPaused
+               : NoEndpointReason::kNoneAvailable;
+  }
   std::vector<EndpointPtr> usable = available;
   std::erase_if(usable, [&](const EndpointPtr& endpoint) {
     return query.excluded.contains(endpoint->record().id);
@@ -320,8 +326,9 @@
   if (!query.prompt.empty()) {
     const std::vector<EndpointPtr> running =
         table_->Running(query.service->name);
-    SelectionResult engine = SelectEngine(
-        usable, HealthyOf(NotDraining(running), now), query, context, now);
+    SelectionResult engine =
+        SelectEngine(usable, HealthyOf(NotLeaving(running, *table_), now),
+                     query, context, now);
     if (std::holds_alternative<NoEndpointReason>(engine))
       return engine;
     selection = std::get<Selection>(engine);
--- a/src/libteaselthread/endpoints/endpoint_selector.h
+++ b/src/libteaselthread/endpoints/endpoint_selector.h
@@ -63,7 +63,8 @@
 
 // Why no endpoint can be selected at the moment.
 enum class NoEndpointReason : uint8_t {
-  kNoneAvailable,  // all are removed, draining or in evacuated zones
+  kNoneAvailable,  // all are removed, leaving or in evacuated zones
+  kAllPaused,      // the others have asked for a pause
   kAllCold,        // this node's shares of their cold-start limits are used up
   kAllTried,       // all were tried before for this request
   kAllAtBound,     // all engines are at the load bound of the operators
--- a/src/libteaselthread/endpoints/endpoint_table.cc
+++ b/src/libteaselthread/endpoints/endpoint_table.cc
@@ -25,6 +25,12 @@
 
 }  // namespace
 
+std::string_view ToString(UnusableReason reason) {
+  constexpr std::string_view kNames[] = {"unregistered", "draining", "leaving",
+                                         "evacuated", "paused"};
+  return kNames[static_cast<size_t>(reason)];
+}
+
 void EndpointTable::ReplaceAll(const std::vector<EndpointRecord>& records,
                                Timestamp now) {
   const bool is_first = endpoints_.empty();
@@ -101,6 +107,7 @@
 }
 
 void EndpointTable::Sweep(Timestamp now) {
+  announcements_.Sweep(now);
   if (now < defer_until_)
     return;
   for (auto entry = endpoints_.begin(); entry != endpoints_.end();)
@@ -112,18 +119,27 @@
   return endpoints_.erase(entry);
 }
 
-std::vector<EndpointPtr> EndpointTable::Available(
-    const std::string& service) const {
-  std::vector<EndpointPtr> available;
-  for (const auto& [id, entry] : endpoints_) {
-    if (entry.endpoint->record().service == service &&
-        MayReceive(*entry.endpoint)) {
-      available.push_back(entry.endpoint);
-    }
-  }
+std::vector<EndpointPtr> EndpointTable::Available(const std::string& service,
+                                                  Timestamp now) const {
+  std::vector<EndpointPtr> available = Running(service);
+  std::erase_if(available, [&](const EndpointPtr& endpoint) {
+    return WhyUnusable(*endpoint, now).has_value();
+  });
   return available;
 }
 
+std::optional<Duration> EndpointTable::ShortestPause(const std::string& service,
+                                                     Timestamp now) const {
+  std::optional<Duration> shortest;
+  for (const EndpointPtr& endpoint : Running(service)) {
+    if (WhyUnusable(*endpoint, now) != UnusableReason::kPaused)
+      continue;
+    const Duration left = announcements_.PauseLeft(endpoint->record(), now);
+    shortest = std::min(shortest.value_or(left), left);
+  }
+  return shortest;
+}
+
 std::vector<EndpointPtr> EndpointTable::Running(
     const std::string& service) const {
   std::vector<EndpointPtr> running;
@@ -170,12 +186,27 @@
     found->second.endpoint->OnReport({update.requests, 0}, now - update.age);
 }
 
-bool EndpointTable::MayReceive(const EndpointState& endpoint) const {
+std::optional<UnusableReason> EndpointTable::WhyUnusable(
+    const EndpointState& endpoint,
+    Timestamp now) const {
   const EndpointRecord& record = endpoint.record();
   const auto found = endpoints_.find(record.id);
-  return found != endpoints_.end() &&
-         found->second.endpoint.get() == &endpoint && !record.draining &&
-         !evacuated_zones_.contains(record.zone);
+  if (found == endpoints_.end() || found->second.endpoint.get() != &endpoint)
+    return UnusableReason::kUnregistered;
+  if (record.draining)
+    return UnusableReason::kDraining;
+  if (announcements_.IsLeaving(record))
+    return UnusableReason::kLeaving;
+  if (evacuated_zones_.contains(record.zone))
+    return UnusableReason::kEvacuated;
+  if (announcements_.PauseLeft(record, now) > Duration::zero())
+    return UnusableReason::kPaused;
+  return std::nullopt;
+}
+
+bool EndpointTable::IsLeaving(const EndpointState& endpoint) const {
+  return endpoint.record().draining ||
+         announcements_.IsLeaving(endpoint.record());
 }
 
 double EndpointTable::ToleratedFailureRate(
--- a/src/libteaselthread/endpoints/endpoint_table.h
+++ b/src/libteaselthread/endpoints/endpoint_table.h
@@ -3,10 +3,13 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include "libteaselthread/endpoints/endpoint_announcements.h"
 #include "libteaselthread/endpoints/endpoint_state.h"
 #include "libteaselthread/routes/route_table.h"
 
@@ -14,6 +17,16 @@
 
 using EndpointPtr = std::shared_ptr<EndpointState>;
 
+// Why an endpoint must not get new requests, whatever its load and health.
+enum class UnusableReason : uint8_t {
+  kUnregistered,
+  kDraining,   // as its record in the store says
+  kLeaving,    // as it has announced itself
+  kEvacuated,  // its availability zone is
+  kPaused,     // it has asked for a pause
+};
+std::string_view ToString(UnusableReason reason);
+
 // The endpoints that are registered in the platform's store, and which of them
 // are draining or may receive requests.
 //
@@ -36,8 +49,16 @@
   // Carries out deferred removals that are due.
   void Sweep(Timestamp now);
 
+  // What the endpoints have said in their responses.
+  EndpointAnnouncements& announcements() { return announcements_; }
+
   // Endpoints of a service that may receive new requests.
-  std::vector<EndpointPtr> Available(const std::string& service) const;
+  std::vector<EndpointPtr> Available(const std::string& service,
+                                     Timestamp now) const;
+  // The time until the first of the service's paused endpoints wants requests
+  // again. Empty if none of them is paused.
+  std::optional<Duration> ShortestPause(const std::string& service,
+                                        Timestamp now) const;
   // All running endpoints of a service, including draining ones.
   std::vector<EndpointPtr> Running(const std::string& service) const;
   // Local requests in progress at the endpoints of a service.
@@ -49,8 +70,11 @@
   // Applies an endpoint's load as received from another node. Unknown endpoints
   // are ignored.
   void OnLoadUpdate(const LoadUpdate& update, Timestamp now);
-  // Whether the endpoint may receive new requests at the moment.
-  bool MayReceive(const EndpointState& endpoint) const;
+  // Empty if the endpoint may receive new requests at the moment.
+  std::optional<UnusableReason> WhyUnusable(const EndpointState& endpoint,
+                                            Timestamp now) const;
+  // Whether the endpoint will not get new requests any more.
+  bool IsLeaving(const EndpointState& endpoint) const;
   const std::set<std::string>& evacuated_zones() const {
     return evacuated_zones_;
   }
@@ -74,6 +98,7 @@
 
   Entries endpoints_;
   std::map<uint32_t, std::string> ids_;  // by ShortHash
+  EndpointAnnouncements announcements_;
   std::set<std::string> evacuated_zones_;
   std::map<std::string, Duration> cold_starts_;  // by service
   Timestamp defer_until_{};
--- a/src/libteaselthread/requests/reasons.cc
+++ b/src/libteaselthread/requests/reasons.cc
@@ -56,6 +56,7 @@
     {"retry-limit", kServiceUnavailable},
     {"fleet-stale", kServiceUnavailable},
     {"crashes-endpoints", kServiceUnavailable},
+    {"endpoints-paused", kServiceUnavailable},
 }};
 
 constexpr std::array<ReasonRow, kUnknownReasonCount> kUnknowns = {{
--- a/src/libteaselthread/requests/reasons.h
+++ b/src/libteaselthread/requests/reasons.h
@@ -41,8 +41,9 @@
   kRetryLimit,
   kFleetStale,        // like kStaleConfiguration, and other nodes cannot help
   kCrashesEndpoints,  // a part of the prompt has crashed several endpoints
+  kEndpointsPaused,   // all endpoints have asked for a pause
 };
-inline constexpr size_t kRefusalReasonCount = 32;
+inline constexpr size_t kRefusalReasonCount = 33;
 
 // Why it is unknown whether a request ran.
 enum class UnknownReason : uint8_t {
--- a/src/teaselthread/gateway/endpoint_attempt.cc
+++ b/src/teaselthread/gateway/endpoint_attempt.cc
@@ -28,6 +28,7 @@
 // endpoint may close it at any moment.
 constexpr milliseconds kKeepAliveMargin(1'000);
 constexpr int kMisdirectedRequest = 421;
+constexpr int kServiceUnavailable = 503;
 
 bool IsServerError(int status) {
   return status >= 500;
@@ -201,8 +202,10 @@
       continue;
     }
     endpoint_head_ = state_->codec().DecodeEndpoint((*parser)->get().base());
-    if (BelongsToRequest(endpoint_head_))
+    if (BelongsToRequest(endpoint_head_)) {
+      ObserveEndpoint((*parser)->get().result_int());
       co_return true;
+    }
     ++unrelated;
     if (!co_await SkipBody(**parser))
       co_return false;
@@ -218,13 +221,37 @@
   return head.request_id == request_id_;
 }
 
+// A response 421 comes from another endpoint that uses the address now.
+void EndpointAttempt::ObserveEndpoint(int status) {
+  if (status == kMisdirectedRequest)
+    return;
+  const Timestamp now = state_->Now();
+  const EndpointRecord& record = endpoint_->record();
+  EndpointAnnouncements& announcements = state_->endpoints().announcements();
+  if (endpoint_head_.load)
+    endpoint_->OnReport(*endpoint_head_.load, now);
+  if (endpoint_head_.cold_left)
+    endpoint_->ExtendCold(now + *endpoint_head_.cold_left);
+  if (endpoint_head_.is_leaving && announcements.OnLeaving(record, now)) {
+    state_->metrics().OnEndpointLeaving();
+    LogLine line("endpoint-leaving");
+    line.Add("endpoint", record.id).Add("id", request_id_);
+    state_->log().Info(line);
+  }
+  if (status == kServiceUnavailable && endpoint_head_.pause) {
+    announcements.OnPause(record, now + *endpoint_head_.pause, now);
+    state_->metrics().OnEndpointPaused();
+    LogLine line("endpoint-paused");
+    line.Add("endpoint", record.id)
+        .Add("id", request_id_)
+        .AddTime("pause", *endpoint_head_.pause);
+    state_->log().Info(line);
+  }
+}
+
 asio::awaitable<AttemptResult> EndpointAttempt::ReadResponse(
     Parser& parser,
     StreamRelay* relay) {
-  if (endpoint_head_.load)
-    endpoint_->OnReport(*endpoint_head_.load, state_->Now());
-  if (endpoint_head_.cold_left)
-    endpoint_->ExtendCold(state_->Now() + *endpoint_head_.cold_left);
   const int status = static_cast<int>(parser.get().result_int());
   const bool not_run = endpoint_head_.not_run || status == kMisdirectedRequest;
   const bool continues_stream = relay && relay->begun();
--- a/src/teaselthread/gateway/endpoint_attempt.h
+++ b/src/teaselthread/gateway/endpoint_attempt.h
@@ -64,6 +64,8 @@
   // Reads the next part of the body. Returns false on an error.
   asio::awaitable<bool> ReadBodyData(Parser& parser, std::string_view* bytes);
   bool BelongsToRequest(const EndpointHead& head) const;
+  // Takes note of what the endpoint says of itself in its response.
+  void ObserveEndpoint(int status);
   void ReleaseConnection(const Parser& parser);
   // Why reading has failed: the interruption, if any, or the last error.
   AttemptFailure ReadFailure() const;
--- a/src/teaselthread/gateway/gateway_metrics.cc
+++ b/src/teaselthread/gateway/gateway_metrics.cc
@@ -107,6 +107,8 @@
   Histograms(out, "request_seconds", responses_);
   Scalar(out, "unknown_outcomes_total", "counter", unknown_outcomes_);
   Scalar(out, "broken_streams_total", "counter", broken_streams_);
+  Scalar(out, "endpoints_leaving_total", "counter", endpoints_leaving_);
+  Scalar(out, "endpoint_pauses_total", "counter", endpoint_pauses_);
   Scalar(out, "store_calls_total", "counter", store_calls_);
   Scalar(out, "store_failures_total", "counter", store_failures_);
   Scalar(out, "unreadable_entries_total", "counter", unreadable_entries_);
--- a/src/teaselthread/gateway/gateway_metrics.h
+++ b/src/teaselthread/gateway/gateway_metrics.h
@@ -55,6 +55,8 @@
   void OnResponse(RequestKind kind, Duration latency);
   void OnUnknownOutcome() { ++unknown_outcomes_; }
   void OnBrokenStream() { ++broken_streams_; }
+  void OnEndpointLeaving() { ++endpoints_leaving_; }
+  void OnEndpointPaused() { ++endpoint_pauses_; }
   void OnStoreCall(bool succeeded);
   void OnUnreadableEntry() { ++unreadable_entries_; }
   void OnHeartbeatSent(size_t bytes);
@@ -71,6 +73,8 @@
   std::array<LatencyHistogram, kKinds> responses_;
   uint64_t unknown_outcomes_ = 0;
   uint64_t broken_streams_ = 0;
+  uint64_t endpoints_leaving_ = 0;
+  uint64_t endpoint_pauses_ = 0;
   uint64_t store_calls_ = 0;
   uint64_t store_failures_ = 0;
   uint64_t unreadable_entries_ = 0;
--- a/src/teaselthread/gateway/request_handler.cc
+++ b/src/teaselthread/gateway/request_handler.cc
@@ -25,6 +25,8 @@
 
 RefusalReason ToRefusal(NoEndpointReason reason) {
   switch (reason) {
+    case NoEndpointReason::kAllPaused:
+      return RefusalReason::kEndpointsPaused;
     case NoEndpointReason::kAllCold:
       return RefusalReason::kEndpointsCold;
     case NoEndpointReason::kAllTried:
@@ -189,7 +191,8 @@
     state_->demand().OnEnd(service, selection.affinity_part, state_->Now());
   UpdateEndpointHealth(endpoint, result);
   if (result.failure == AttemptFailure::kBroken &&
-      exchange.relay.events().event_count() == events_before)
+      exchange.relay.events().event_count() == events_before &&
+      !state_->endpoints().IsLeaving(endpoint))
     crash_guard_.OnCrash(exchange.request, endpoint, sent_at);
   bool is_final = true;
   if (result.failure) {
@@ -412,7 +415,13 @@
   std::optional<Duration> time_left = exchange.request.head.time_left;
   if (time_left)
     *time_left -= state_->Now() - exchange.request.received_at;
-  const Duration retry_after = RetryAfterFor(reason, spread, time_left);
+  Duration pause{};
+  if (reason == RefusalReason::kEndpointsPaused) {
+    pause = state_->endpoints()
+                .ShortestPause(exchange.request.service->name, state_->Now())
+                .value_or(Duration::zero());
+  }
+  const Duration retry_after = RetryAfterFor(reason, spread, time_left, pause);
   auto problem = MakeProblem(RefusedNotRun{reason, retry_after});
   if (retry_after > Duration::zero())
     problem.set(http::field::retry_after, RetryAfterText(retry_after));
--- a/src/teaselthread/gateway/wire_codec.h
+++ b/src/teaselthread/gateway/wire_codec.h
@@ -41,8 +41,11 @@
 struct EndpointHead {
   std::string request_id;  // empty if the endpoint does not echo it
   bool not_run = false;  // the endpoint states that it did not run the request
+  bool is_leaving = false;  // the endpoint must not get new requests
   std::optional<LoadReport> load;
   std::optional<Duration> cold_left;
+  // For how long the endpoint wants no requests if it has turned this one away.
+  std::optional<Duration> pause;
 };
 
 enum class StoreKind : uint8_t {
--- a/src/teaselthread/request_timeline.cc
+++ b/src/teaselthread/request_timeline.cc
@@ -15,7 +15,8 @@
 constexpr std::string_view kStoreEvents[] = {"store-lost", "store-regained",
                                              "zones-evacuated"};
 constexpr std::string_view kEndpointEvents[] = {
-    "endpoint-ejected", "endpoint-readmitted", "endpoints-changed"};
+    "endpoint-ejected", "endpoint-readmitted", "endpoints-changed",
+    "endpoint-leaving", "endpoint-paused"};
 // Fields of endpoints-changed that list endpoints.
 constexpr std::string_view kEndpointLists[] = {"ready", "draining", "removed"};
 
--- a/tests/gateway/endpoint_answers_test.cc
+++ b/tests/gateway/endpoint_answers_test.cc
@@ -156,6 +156,77 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+const std::string kLeaving = test::Field(platform::kServerLeaving, "1");
+
+BOOST_FIXTURE_TEST_SUITE(an_endpoint_that_says_that_it_leaves,
+                         EndpointResponseFixture)
+
+BOOST_AUTO_TEST_CASE(gets_no_further_requests) {
+  for (const char* status : {"200 OK", "404 Not Found", "500 Error"}) {
+    test::ScriptedEndpointsFixture fixture;
+    fixture.Start("desk", 2,
+                  [&](const std::string&, const std::string& id, int) {
+                    return Reply{MakeResponse(id, "done", status, kLeaving)};
+                  });
+    const auto send = [&](const std::string& id) {
+      return fixture.harness.Exchange(
+          MakeRequest("POST", "/order/", id, "body"), IsComplete);
+    };
+    send("id-1");
+    send("id-2");
+    BOOST_TEST(HasStatus(send("id-3"), "503"));
+    BOOST_TEST(fixture.endpoints[0]->heads().size() == 1u);
+    BOOST_TEST(fixture.endpoints[1]->heads().size() == 1u);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ends_the_stream_whose_head_says_so) {
+  Start("pool", 1, [](const std::string&, const std::string& id, int) {
+    std::string head = StreamHead(id);
+    head.insert(head.size() - 2, kLeaving);
+    return Reply{head + EventChunk(1) + EventChunk(2) + kLastChunk};
+  });
+  const std::string response = Send("/chat/", "id-1");
+  BOOST_TEST(response.find("id: 2\n") != std::string::npos);
+  BOOST_TEST(IsComplete(response));
+  BOOST_TEST(HasStatus(Send("/chat/", "id-2"), "503"));
+  BOOST_TEST(requests_received() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(is_not_meant_if_another_one_uses_its_address) {
+  Start("desk", 1, [](const std::string&, const std::string& id, int number) {
+    return Reply{number == 0 ? MakeResponse(id, "", "421 Other", kLeaving)
+                             : MakeResponse(id, "done")};
+  });
+  Send("/order/", "id-1");
+  harness.RunFor(milliseconds(1'200));
+  BOOST_TEST(HasStatus(Send("/order/", "id-2"), "200"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(an_endpoint_that_asks_for_a_pause,
+                         EndpointResponseFixture)
+
+BOOST_AUTO_TEST_CASE(gets_no_requests_in_it_and_the_callers_are_told_so) {
+  Start("desk", 2, [](const std::string&, const std::string& id, int number) {
+    return Reply{number == 0 ? MakeResponse(id, "", "503 Busy",
+                                            kNotRun + "Retry-After: 0.4\r\n")
+                             : MakeResponse(id, "done")};
+  });
+  const std::string refusal = Send("/order/", "id-1");
+  BOOST_TEST(HasStatus(refusal, "503"));
+  BOOST_TEST(refusal.find("endpoints-paused") != std::string::npos);
+  BOOST_TEST(refusal.find("Retry-After: 0.") != std::string::npos);
+  BOOST_TEST(requests_received() == 2u);
+  BOOST_TEST(HasStatus(Send("/order/", "id-2"), "503"));
+  BOOST_TEST(requests_received() == 2u);
+  harness.RunFor(milliseconds(450));
+  BOOST_TEST(HasStatus(Send("/order/", "id-3"), "200"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(a_response_without_a_length, EndpointResponseFixture)
 
 BOOST_AUTO_TEST_CASE(is_complete_if_the_endpoint_closes_the_connection) {
--- a/tests/gateway/endpoint_selector_test.cc
+++ b/tests/gateway/endpoint_selector_test.cc
@@ -97,13 +97,13 @@
     selection.endpoint->OnSend(now);
     const bool on_primary = selection.endpoint->record().id == primary;
     BOOST_TEST(selection.kv_source.has_value() == !on_primary);
-    const auto others = table.Available("pool");
+    const auto others = table.Available("pool", now);
     for (int other = 0; other < 4; ++other)
       others[(i * 4 + other) % others.size()]->OnSend(now);
   }
   double total = 0;
   double most = 0;
-  for (const EndpointPtr& engine : table.Available("pool")) {
+  for (const EndpointPtr& engine : table.Available("pool", now)) {
     total += engine->EstimatedLoad(now);
     most = std::max(most, engine->EstimatedLoad(now));
   }
@@ -216,8 +216,8 @@
 struct FewEnginesFixture : SelectorFixture {
   FewEnginesFixture() {
     table.SetEvacuatedZones({"a"}, now);
-    for (const EndpointPtr& engine : table.Available("pool")) {
-      if (table.Available("pool").size() <= 2)
+    for (const EndpointPtr& engine : table.Available("pool", now)) {
+      if (table.Available("pool", now).size() <= 2)
         break;
       EndpointRecord record = engine->record();
       record.draining = true;
@@ -238,7 +238,7 @@
     return selector.Select(query, context, now);
   }
   void ReportAll(uint32_t running) {
-    for (const EndpointPtr& engine : table.Available("pool"))
+    for (const EndpointPtr& engine : table.Available("pool", now))
       engine->OnReport({running, 0}, now);
   }
 };
@@ -315,7 +315,7 @@
 
 BOOST_FIXTURE_TEST_CASE(ejections_are_ignored_if_all_engines_are_ejected,
                         SelectorFixture) {
-  for (const EndpointPtr& engine : table.Available("pool"))
+  for (const EndpointPtr& engine : table.Available("pool", now))
     engine->health().OnUnreachable(now);
   BOOST_TEST(std::holds_alternative<Selection>(Try(kLongPrompt)));
 }
--- a/tests/gateway/endpoint_table_test.cc
+++ b/tests/gateway/endpoint_table_test.cc
@@ -14,12 +14,14 @@
 using test::MakeRoutes;
 
 constexpr Duration kContactBound = seconds(3);
+// After all that the tests do.
+constexpr Timestamp kLater{std::chrono::hours(1)};
 constexpr Duration kSweepInterval = milliseconds(200);
 
 struct TableFixture {
   TableFixture() { table.SetServices(MakeRoutes()); }
 
-  size_t available() const { return table.Available("pool").size(); }
+  size_t available() const { return table.Available("pool", kLater).size(); }
 
   EndpointTable table;
 };
@@ -30,7 +32,7 @@
   table.ReplaceAll({MakeEngineRecord("e1", "a"), MakeEngineRecord("e2", "b")},
                    At(seconds(0)));
   BOOST_TEST(available() == 2u);
-  BOOST_TEST(table.Available("other").empty());
+  BOOST_TEST(table.Available("other", kLater).empty());
 }
 
 BOOST_AUTO_TEST_CASE(endpoints_missing_from_a_new_list_are_removed) {
@@ -49,7 +51,7 @@
   EndpointRecord cold = MakeEngineRecord("e2", "a");
   cold.cold_left = seconds(2);
   table.ReplaceAll({MakeEngineRecord("e1", "a"), cold}, At(seconds(0)));
-  const auto engines = table.Available("pool");
+  const auto engines = table.Available("pool", kLater);
   BOOST_TEST(!engines[0]->IsCold(At(milliseconds(1'500))));
   BOOST_TEST(engines[1]->IsCold(At(milliseconds(1'500))));
 }
@@ -60,7 +62,7 @@
   table.ReplaceAll({MakeEngineRecord("e1", "a"), MakeEngineRecord("e2", "a"),
                     MakeEngineRecord("e3", "a")},
                    At(seconds(6)));
-  const auto engines = table.Available("pool");
+  const auto engines = table.Available("pool", kLater);
   BOOST_TEST(engines[1]->IsCold(At(seconds(8))));
   BOOST_TEST(engines[2]->IsCold(At(seconds(9))));
 }
@@ -120,7 +122,7 @@
   BOOST_TEST(available() == 1u);
   table.SetEvacuatedZones({}, At(seconds(20)));
   BOOST_TEST(available() == 2u);
-  const auto engines = table.Available("pool");
+  const auto engines = table.Available("pool", kLater);
   BOOST_TEST(engines[0]->IsCold(At(seconds(23))));
   BOOST_TEST(!engines[0]->IsCold(At(seconds(25))));
   BOOST_TEST(!engines[1]->IsCold(At(seconds(23))));
@@ -128,6 +130,76 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Load pattern: endpoints that leave while the store cannot tell of it, or are
+// overloaded and turn requests away.
+BOOST_AUTO_TEST_SUITE(an_endpoint_that_announces_something)
+
+struct AnnouncementFixture : TableFixture {
+  AnnouncementFixture() {
+    table.ReplaceAll({record, MakeEngineRecord("e2", "a")}, At(seconds(0)));
+  }
+
+  std::optional<UnusableReason> WhyUnusable(Timestamp now) const {
+    return table.WhyUnusable(*table.Running("pool").front(), now);
+  }
+
+  EndpointRecord record = MakeEngineRecord("e1", "a");
+};
+
+BOOST_AUTO_TEST_SUITE(that_it_leaves)
+
+BOOST_FIXTURE_TEST_CASE(is_not_brought_back_by_its_record,
+                        AnnouncementFixture) {
+  BOOST_TEST(table.announcements().OnLeaving(record, At(seconds(1))));
+  BOOST_TEST(!table.announcements().OnLeaving(record, At(seconds(1))));
+  BOOST_TEST((WhyUnusable(At(seconds(1))) == UnusableReason::kLeaving));
+  table.Put(record, At(seconds(2)));
+  BOOST_TEST(available() == 1u);
+  table.Remove("e1", At(seconds(3)));
+  table.Put(record, At(seconds(4)));
+  BOOST_TEST(available() == 1u);
+}
+
+BOOST_FIXTURE_TEST_CASE(is_used_again_after_its_next_start,
+                        AnnouncementFixture) {
+  table.announcements().OnLeaving(record, At(seconds(1)));
+  record.started_at_ms += 1;
+  table.Put(record, At(seconds(2)));
+  BOOST_TEST(available() == 2u);
+}
+
+BOOST_FIXTURE_TEST_CASE(is_remembered_for_as_long_as_it_may_run,
+                        AnnouncementFixture) {
+  table.announcements().OnLeaving(record, At(seconds(1)));
+  table.Sweep(At(std::chrono::minutes(20)));
+  BOOST_TEST(available() == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(that_it_pauses)
+
+BOOST_FIXTURE_TEST_CASE(is_used_again_after_the_longest_pause,
+                        AnnouncementFixture) {
+  table.announcements().OnPause(record, At(seconds(5)), At(seconds(1)));
+  table.announcements().OnPause(record, At(seconds(3)), At(seconds(2)));
+  BOOST_TEST((WhyUnusable(At(milliseconds(4'999))) == UnusableReason::kPaused));
+  BOOST_TEST(!WhyUnusable(At(seconds(5))).has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(does_not_keep_the_service_from_the_first_to_end,
+                        AnnouncementFixture) {
+  const auto second = table.Running("pool").back()->record();
+  table.announcements().OnPause(record, At(seconds(9)), At(seconds(1)));
+  table.announcements().OnPause(second, At(seconds(4)), At(seconds(1)));
+  BOOST_TEST((table.ShortestPause("pool", At(seconds(1))) == seconds(3)));
+  BOOST_TEST(!table.ShortestPause("desk", At(seconds(1))).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(after_a_store_outage)
 
 BOOST_FIXTURE_TEST_CASE(expired_entries_have_time_to_be_registered_again,
@@ -141,7 +213,7 @@
   table.Put(MakeEngineRecord("e2", "b"), At(seconds(11)));
   table.Sweep(At(seconds(12)));
   BOOST_TEST(available() == 1u);
-  BOOST_TEST(table.Available("pool")[0]->record().id == "e2");
+  BOOST_TEST(table.Available("pool", kLater)[0]->record().id == "e2");
 }
 
 // Regression test: watches of three kinds returned 12.2, 16.0 and 17.7 s into
--- a/tests/soak/endpoint.py
+++ b/tests/soak/endpoint.py
@@ -14,6 +14,7 @@
 SLOW_FACTOR = 15
 SILENCE_S = 20
 IDLE_TIMEOUT_S = 3
+PAUSE_S = 0.3
 SLOTS = 24
 
 
@@ -109,14 +110,19 @@
         return base * (SLOW_FACTOR if self.mode == "slow" else 1)
 
     def _fields(self, request_id):
-        return {wire.REQUEST_ID: request_id,
-                wire.SEAL: f"seal.{self.name}",
-                wire.LOAD: f"{self._running},0,{SLOTS}",
-                "Keep-Alive": f"timeout={IDLE_TIMEOUT_S}"}
+        fields = {wire.REQUEST_ID: request_id,
+                  wire.SEAL: f"seal.{self.name}",
+                  wire.LOAD: f"{self._running},0,{SLOTS}",
+                  "Keep-Alive": f"timeout={IDLE_TIMEOUT_S}"}
+        if self.is_draining:
+            fields[wire.LEAVING] = "1"
+        return fields
 
     async def _refuse(self, status, request_id, writer):
         fields = self._fields(request_id)
         fields[wire.NOT_RUN] = "1"
+        if status == 503:
+            fields["Retry-After"] = str(PAUSE_S)
         writer.write(http_wire.message(f"HTTP/1.1 {status} R", fields))
         await writer.drain()
 
