Limit the memory for bodies of requests and responses together

Cause: request bodies had a limit each and none together, and were copied for each attempt.

Change: BufferQuota covers requests and responses, worked out from the new setting memory_mb. A body that does not fit is refused before it is read, or as it is read in chunks. The text of Retry-After has one function, and refusals of unread requests have the field too.

--- a/src/libteaselthread/attempts/retry_after.cc
+++ b/src/libteaselthread/attempts/retry_after.cc
@@ -31,6 +31,7 @@
     case RefusalReason::kStaleConfiguration:
     case RefusalReason::kTooManyConnections:
     case RefusalReason::kEndpointUnreachable:
+    case RefusalReason::kBuffersFull:
       return kOtherNodeDelay;
     case RefusalReason::kEndpointsCold:
       return kColdEndpointsDelay;
@@ -67,4 +68,10 @@
   return Duration(static_cast<Duration::rep>(delay * factor));
 }
 
+std::string RetryAfterText(Duration time) {
+  std::string text =
+      std::to_string(std::chrono::duration<double>(time).count());
+  return text.substr(0, text.find('.') + 3);
+}
+
 }  // namespace teaselthread
--- a/src/libteaselthread/attempts/retry_after.h
+++ b/src/libteaselthread/attempts/retry_after.h
@@ -2,6 +2,7 @@
 #define TEASELTHREAD_ATTEMPTS_RETRY_AFTER_H_
 
 #include <optional>
+#include <string>
 
 #include "libteaselthread/requests/reasons.h"
 #include "libteaselthread/timestamp.h"
@@ -20,6 +21,9 @@
                        std::optional<Duration> time_left = std::nullopt,
                        Duration pause = Duration::zero());
 
+// The time in seconds with two decimals, as in the header field Retry-After.
+std::string RetryAfterText(Duration time);
+
 }  // namespace teaselthread
 
 #endif  // TEASELTHREAD_ATTEMPTS_RETRY_AFTER_H_
--- a/src/libteaselthread/requests/reasons.cc
+++ b/src/libteaselthread/requests/reasons.cc
@@ -57,6 +57,7 @@
     {"fleet-stale", kServiceUnavailable},
     {"crashes-endpoints", kServiceUnavailable},
     {"endpoints-paused", kServiceUnavailable},
+    {"buffers-full", kServiceUnavailable},
 }};
 
 constexpr std::array<ReasonRow, kUnknownReasonCount> kUnknowns = {{
--- a/src/libteaselthread/requests/reasons.h
+++ b/src/libteaselthread/requests/reasons.h
@@ -42,8 +42,9 @@
   kFleetStale,        // like kStaleConfiguration, and other nodes cannot help
   kCrashesEndpoints,  // a part of the prompt has crashed several endpoints
   kEndpointsPaused,   // all endpoints have asked for a pause
+  kBuffersFull,       // the node keeps too many bodies already
 };
-inline constexpr size_t kRefusalReasonCount = 33;
+inline constexpr size_t kRefusalReasonCount = 34;
 
 // Why it is unknown whether a request ran.
 enum class UnknownReason : uint8_t {
--- a/src/teaselthread/gateway/endpoint_attempt.cc
+++ b/src/teaselthread/gateway/endpoint_attempt.cc
@@ -104,7 +104,7 @@
       endpoint_(std::move(endpoint)),
       guard_(guard),
       attempts_(attempts),
-      buffered_(&state->response_buffers()) {}
+      buffered_(&state->buffers()) {}
 
 asio::awaitable<AttemptResult> EndpointAttempt::Run(
     std::shared_ptr<const EndpointHttpRequest> request,
--- a/src/teaselthread/gateway/front_connection.cc
+++ b/src/teaselthread/gateway/front_connection.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "libteaselthread/attempts/retry_after.h"
 #include "teaselthread/callers/discard_input.h"
 #include "teaselthread/callers/problem.h"
 #include "teaselthread/io_timeout.h"
@@ -19,6 +20,8 @@
 // Long enough for a body of the maximum size over a slow connection.
 constexpr Duration kBodyTimeout = milliseconds(15'000);
 constexpr size_t kReadBytes = size_t{8} * 1024;
+// A body is kept for further attempts and copied for each of them.
+constexpr size_t kBodyCopies = 2;
 
 RefusalReason ReasonOf(const boost::system::error_code& failure) {
   if (failure == http::error::header_limit ||
@@ -110,7 +113,8 @@
   Parser parser;
   parser.header_limit(bounds.max_header_bytes);
   parser.body_limit(bounds.max_body_bytes);
-  const auto refusal = co_await ReadRequest(parser);
+  BufferQuota::Reservation memory(&state_->buffers());
+  const auto refusal = co_await ReadRequest(parser, memory);
   if (caller_disconnected_)
     co_return false;
   if (refusal) {
@@ -138,8 +142,30 @@
   co_return !failure;
 }
 
+asio::awaitable<bool> FrontConnection::ReadBody(
+    Parser& parser,
+    BufferQuota::Reservation& memory,
+    boost::system::error_code* failure) {
+  const auto length = parser.content_length();
+  if (length && !memory.GrowTo(kBodyCopies * *length))
+    co_return false;
+  if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+    constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+    co_await asio::async_write(socket_, asio::buffer(kContinue), kAsTuple);
+  }
+  while (!parser.is_done() && !*failure) {
+    std::tie(*failure, std::ignore) =
+        co_await http::async_read_some(socket_, buffer_, parser, kAsTuple);
+    // The length of a chunked body is known only when it has been read.
+    if (!memory.GrowTo(kBodyCopies * parser.get().body().size()))
+      co_return false;
+  }
+  co_return true;
+}
+
 asio::awaitable<std::optional<RefusalReason>> FrontConnection::ReadRequest(
-    Parser& parser) {
+    Parser& parser,
+    BufferQuota::Reservation& memory) {
   const ConnectionBounds bounds =
       state_->routes() ? state_->routes()->bounds() : kDefaultBounds;
   IoTimeout limit(socket_);
@@ -149,13 +175,9 @@
   if (!failure && !IsWellFormed(parser.get()))
     co_return RefusalReason::kMalformed;
   if (!failure && !parser.is_done()) {
-    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-      constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-      co_await asio::async_write(socket_, asio::buffer(kContinue), kAsTuple);
-    }
     limit.Arm(kBodyTimeout);
-    std::tie(failure, count) =
-        co_await http::async_read(socket_, buffer_, parser, kAsTuple);
+    if (!co_await ReadBody(parser, memory, &failure))
+      co_return RefusalReason::kBuffersFull;
   }
   limit.Disarm();
   if (!failure)
@@ -179,7 +201,12 @@
   line.Add("reason", ToString(reason));
   state_->log().Info(line);
   ResponseWriter writer(&socket_, {.keep_alive = false});
-  auto problem = MakeUnreadProblem({reason, Duration::zero()}, "");
+  const double jitter =
+      std::uniform_real_distribution<double>(0, 1)(state_->random());
+  const Duration retry_after = RetryAfterFor(reason, jitter);
+  auto problem = MakeUnreadProblem({reason, retry_after}, "");
+  if (retry_after > Duration::zero())
+    problem.set(http::field::retry_after, RetryAfterText(retry_after));
   ResponseHead head{static_cast<int>(problem.result_int()), problem.base()};
   std::string body = std::move(problem.body());
   co_await writer.WriteResponse(std::move(head), std::move(body));
--- a/src/teaselthread/gateway/front_connection.h
+++ b/src/teaselthread/gateway/front_connection.h
@@ -33,7 +33,14 @@
   asio::awaitable<bool> AwaitBytes(Duration timeout);
   // Returns a reason if the request cannot be served; the connection is then
   // closed.
-  asio::awaitable<std::optional<RefusalReason>> ReadRequest(Parser& parser);
+  // Reserves memory for the body in `memory` before it is read.
+  asio::awaitable<std::optional<RefusalReason>> ReadRequest(
+      Parser& parser,
+      BufferQuota::Reservation& memory);
+  // Reads the body. Returns false if there is no memory for it.
+  asio::awaitable<bool> ReadBody(Parser& parser,
+                                 BufferQuota::Reservation& memory,
+                                 boost::system::error_code* failure);
   asio::awaitable<void> RefuseUnread(RefusalReason reason);
 
   GatewayState* state_;
--- a/src/teaselthread/gateway/gateway_metrics.cc
+++ b/src/teaselthread/gateway/gateway_metrics.cc
@@ -123,6 +123,8 @@
   Scalar(out, "blocked_parts", "gauge", gauges.blocked_parts);
   Scalar(out, "requests_in_progress", "gauge", gauges.requests_in_progress);
   Scalar(out, "connections", "gauge", gauges.connections);
+  Scalar(out, "buffered_bytes", "gauge", gauges.buffered_bytes);
+  Scalar(out, "buffer_limit_bytes", "gauge", gauges.buffer_limit_bytes);
   Scalar(out, "ready", "gauge", gauges.ready ? 1 : 0);
   return out.str();
 }
--- a/src/teaselthread/gateway/gateway_metrics.h
+++ b/src/teaselthread/gateway/gateway_metrics.h
@@ -41,6 +41,8 @@
   uint64_t blocked_parts = 0;  // of prompts, since they crash engines
   uint64_t requests_in_progress = 0;
   uint64_t connections = 0;
+  uint64_t buffered_bytes = 0;  // reserved for bodies
+  uint64_t buffer_limit_bytes = 0;
   uint64_t log_lines_dropped = 0;
   bool ready = false;
 };
--- a/src/teaselthread/gateway/gateway_settings.cc
+++ b/src/teaselthread/gateway/gateway_settings.cc
@@ -14,6 +14,8 @@
 constexpr std::string_view kLogLevels[] = {"debug", "info", "warn", "error"};
 constexpr IntegerRange kMillisecondsRange = {1, 600'000};
 constexpr IntegerRange kTtlRangeMs = {500, 60'000};
+constexpr IntegerRange kMemoryRangeMb = {64, 1'000'000};
+constexpr int kMegabyteShift = 20;
 
 int64_t InMilliseconds(Duration time) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
@@ -75,6 +77,7 @@
       << "\nmetrics_listen = " << metrics_listen_.ToString()
       << "\npeer_listen = " << peer_listen_.ToString()
       << "\nstore = " << store_.ToString()
+      << "\nmemory_mb = " << (memory_bytes_ >> kMegabyteShift)
       << "\naddress_ttl_ms = " << InMilliseconds(address_ttl_)
       << "\nlog_level = " << log_level_ << "\n\n[peers]\n"
       << "seeds = " << JoinList(seeds)
@@ -118,6 +121,9 @@
   peer_listen_ = reader.RequiredAddress("peer_listen");
   store_ = reader.RequiredAddress("store");
   address_ttl_ = reader.Milliseconds("address_ttl_ms", 2'000, kTtlRangeMs);
+  memory_bytes_ =
+      static_cast<size_t>(reader.Integer("memory_mb", 160, kMemoryRangeMb))
+      << kMegabyteShift;
   reader.RejectUnknownKeys();
 }
 
--- a/src/teaselthread/gateway/gateway_settings.h
+++ b/src/teaselthread/gateway/gateway_settings.h
@@ -55,6 +55,8 @@
   Duration heartbeat_interval() const { return heartbeat_interval_; }
   Duration heartbeat_timeout() const { return heartbeat_timeout_; }
   Duration address_ttl() const { return address_ttl_; }
+  // What the process may use in total.
+  size_t memory_bytes() const { return memory_bytes_; }
   const GatewayLimits& limits() const { return limits_; }
 
  private:
@@ -82,6 +84,7 @@
   Duration heartbeat_interval_{};
   Duration heartbeat_timeout_{};
   Duration address_ttl_{};
+  size_t memory_bytes_ = 0;
   GatewayLimits limits_;
 };
 
--- a/src/teaselthread/gateway/gateway_state.cc
+++ b/src/teaselthread/gateway/gateway_state.cc
@@ -12,8 +12,6 @@
 // Covers clock drift between machines. Network latency needs no margin, because
 // a caller sends its request before it is checked here.
 constexpr Duration kRevocationMargin = std::chrono::milliseconds(50);
-// Less than half the memory of the smallest VM (160 MB).
-constexpr size_t kMaxBufferedResponseBytes = size_t{64} << 20;
 
 Peer MakeSelf(const GatewaySettings& settings) {
   return {settings.name(), settings.zone(), settings.peer_listen(),
@@ -33,7 +31,7 @@
                                kRevocationMargin),
       selector_(&endpoints_),
       peers_(MakeSelf(settings_), settings_.heartbeat_timeout()),
-      response_buffers_(kMaxBufferedResponseBytes),
+      buffers_(BufferQuota::LimitFor(settings_.memory_bytes())),
       log_(settings_.log_level()) {}
 
 Timestamp GatewayState::Now() const {
@@ -130,6 +128,8 @@
   gauges.blocked_parts = crash_suspects_.blocked_count(Now());
   gauges.requests_in_progress = requests_in_progress;
   gauges.connections = connections;
+  gauges.buffered_bytes = buffers_.used();
+  gauges.buffer_limit_bytes = buffers_.limit();
   gauges.log_lines_dropped = log_.dropped();
   gauges.ready = IsReady();
   return metrics_.Render(gauges);
--- a/src/teaselthread/gateway/gateway_state.h
+++ b/src/teaselthread/gateway/gateway_state.h
@@ -71,7 +71,7 @@
     return waiting_[service];
   }
   GatewayMetrics& metrics() { return metrics_; }
-  BufferQuota& response_buffers() { return response_buffers_; }
+  BufferQuota& buffers() { return buffers_; }
   DecisionLog& log() { return log_; }
   TimerService& timers() { return timers_; }
   std::mt19937_64& random() { return random_; }
@@ -120,7 +120,7 @@
   PeerSet peers_;
   std::map<std::string, RetryAllowance> retries_;
   GatewayMetrics metrics_;
-  BufferQuota response_buffers_;
+  BufferQuota buffers_;
   DecisionLog log_;
   TimerService timers_;
   std::optional<LeavingSchedule> leaving_schedule_;
--- a/src/teaselthread/gateway/request_handler.cc
+++ b/src/teaselthread/gateway/request_handler.cc
@@ -16,13 +16,6 @@
   return target.substr(0, target.find('?'));
 }
 
-// Formats the time in seconds with two decimals.
-std::string RetryAfterText(Duration time) {
-  std::string text =
-      std::to_string(std::chrono::duration<double>(time).count());
-  return text.substr(0, text.find('.') + 3);
-}
-
 RefusalReason ToRefusal(NoEndpointReason reason) {
   switch (reason) {
     case NoEndpointReason::kAllPaused:
--- a/tests/gateway/gateway_settings_test.cc
+++ b/tests/gateway/gateway_settings_test.cc
@@ -110,6 +110,7 @@
   std::string text = ReadSourceFile("deploy/gateway.ini.template");
   const std::map<std::string, std::string> substitutions = {
       {"bounds[.][a-z_]+", "8"},
+      {"limits[.]memory_mb", "260"},
       {"ip", "192.0.2.1"},
       {"port_range[.]0", "8003"},
       {"seeds", "192.0.2.1:8004,192.0.2.2:8004"},
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -20,6 +20,7 @@
 DEREGISTRATION_DELAY_S = 3.0
 REUSE_DELAY_S = 2.0
 MAX_MEMORY_KB = 64 * 1024
+MEMORY_MB = 160
 MAX_GATEWAYS = 110
 # Versions whose own route is kept in the configuration.
 PROBED_VERSIONS = 60
@@ -58,6 +59,7 @@
                   "bind.control": f"{self.ip}:{PEER}",
                   "port_range.0": str(ADMIN),
                   "platform.address": self.store_link.listen,
+                  "limits.memory_mb": str(MEMORY_MB),
                   "seeds": ", ".join(seeds)}
         values.update({f"bounds.{name}": str(value)
                        for name, value in BOUNDS.items()})
