--- a/src/libteaselthread/routes/configuration_freshness.cc
+++ b/src/libteaselthread/routes/configuration_freshness.cc
@@ -9,8 +9,8 @@
 
 // Until the check that finds the age too high, for a call on a new connection
 // and for applying its response.
-constexpr Duration kCallTime = milliseconds(600);
-constexpr Duration kCallSpread = milliseconds(200);
+constexpr Duration kCallTime = milliseconds(500);
+constexpr Duration kCallSpread = milliseconds(100);
 
 }  // namespace
 
