Split RequestHandler into attempt, log and final responses

A pure move without changes of behaviour: - RequestExchange (request_exchange.h): the struct RequestHandler::Exchange. - TrackedAttempt: the middle of RunAttempt (from OnStart to the crash evidence), MakeEndpointRequest, ResponseTimeoutsFor (now TimeoutsFor) and UpdateEndpointHealth. - RequestLog: LogSend (OnSend), LogEnd (OnEnd) and the attempt-failed line of HandleFailure (OnAttemptFailed). - FinalResponses: Refuse, EndWithoutAttempt, ReportUnknownOutcome, the functions ToRefusal and ToUnknown, and the relaying of an endpoint's response that RunAttempt and HandleFailure had twice (Relay).

gateway_test and gateway_io_test (89 cases) pass.

--- /dev/null
+++ b/src/teaselthread/gateway/request_exchange.h
@@ -0,0 +1,47 @@
+#ifndef TEASELTHREAD_GATEWAY_REQUEST_EXCHANGE_H_
+#define TEASELTHREAD_GATEWAY_REQUEST_EXCHANGE_H_
+
+#include <memory>
+#include <string>
+
+#include "libteaselthread/attempts/request_attempts.h"
+#include "teaselthread/gateway/request_checks.h"
+#include "teaselthread/gateway/request_guard.h"
+#include "teaselthread/gateway/stream_relay.h"
+
+namespace teaselthread {
+
+using CallerHttpRequest = http::request<http::string_body>;
+
+// State of one caller's request while it is served. The message and the writer
+// must outlive it.
+struct RequestExchange {
+  RequestExchange(const CallerHttpRequest& message,
+                  ClassifiedRequest request,
+                  ResponseWriter* writer,
+                  std::shared_ptr<RequestGuard> guard,
+                  RequestAttempts attempts)
+      : message(message),
+        request(std::move(request)),
+        writer(writer),
+        guard(std::move(guard)),
+        relay(writer),
+        attempts(std::move(attempts)) {}
+
+  const CallerHttpRequest& message;
+  ClassifiedRequest request;
+  ResponseWriter* writer;
+  std::shared_ptr<RequestGuard> guard;
+  StreamRelay relay;
+  RequestAttempts attempts;
+
+  // Written to the log when the request ends.
+  std::string outcome = "none";
+  std::string reason;
+  std::string endpoint;
+  int status = 0;
+};
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_GATEWAY_REQUEST_EXCHANGE_H_
--- /dev/null
+++ b/src/teaselthread/gateway/tracked_attempt.cc
@@ -0,0 +1,136 @@
+#include "teaselthread/gateway/tracked_attempt.h"
+
+#include <algorithm>
+
+namespace teaselthread {
+
+TrackedAttempt::TrackedAttempt(GatewayState* state,
+                               EndpointConnections* connections,
+                               CrashGuard* crash_guard,
+                               RequestExchange* exchange,
+                               Selection selection)
+    : state_(state),
+      connections_(connections),
+      crash_guard_(crash_guard),
+      log_(state),
+      exchange_(exchange),
+      selection_(std::move(selection)) {}
+
+asio::awaitable<AttemptResult> TrackedAttempt::Run() {
+  EndpointState& endpoint = *selection_.endpoint;
+  exchange_->attempts.OnStart(endpoint.record().id);
+  const Timestamp sent_at = state_->Now();
+  endpoint.OnSend(sent_at);
+  const std::string& service = exchange_->request.service->name;
+  if (!selection_.affinity_part.empty())
+    state_->demand().OnStart(service, selection_.affinity_part, state_->Now());
+  const bool is_stream =
+      exchange_->request.route->kind == RequestKind::kStreaming;
+  EndpointAttempt attempt(state_, connections_, selection_.endpoint,
+                          exchange_->guard.get(), &exchange_->attempts);
+  log_.OnSend(*exchange_, selection_);
+  const auto message = MakeEndpointRequest();
+  const ResponseTimeouts limits = TimeoutsFor(endpoint);
+  StreamRelay* relay = is_stream ? &exchange_->relay : nullptr;
+  std::function<void()> on_silence = [this, &endpoint] {
+    AttemptResult silent;
+    silent.failure = AttemptFailure::kSilent;
+    UpdateEndpointHealth(endpoint, silent);
+  };
+  const uint32_t events_before = exchange_->relay.events().event_count();
+  AttemptResult result =
+      co_await attempt.Run(message, exchange_->request.head.id, limits, relay,
+                           std::move(on_silence));
+  endpoint.OnEnd(state_->Now());
+  if (!selection_.affinity_part.empty())
+    state_->demand().OnEnd(service, selection_.affinity_part, state_->Now());
+  UpdateEndpointHealth(endpoint, result);
+  if (result.failure == AttemptFailure::kBroken &&
+      exchange_->relay.events().event_count() == events_before &&
+      !state_->endpoints().IsLeaving(endpoint))
+    crash_guard_->OnCrash(exchange_->request, endpoint, sent_at);
+  co_return result;
+}
+
+std::shared_ptr<EndpointHttpRequest> TrackedAttempt::MakeEndpointRequest()
+    const {
+  const ClassifiedRequest& request = exchange_->request;
+  SendInstructions instructions;
+  instructions.endpoint_id = selection_.endpoint->record().id;
+  if (request.customer)
+    instructions.customer = request.customer->name;
+  instructions.time_left = request.deadline - state_->Now();
+  instructions.resume_after = exchange_->relay.events().last_id();
+  instructions.kv_source = selection_.kv_source;
+  if (request.service->engine)
+    instructions.engine_priority = std::clamp(request.Priority(), 0, 9);
+  auto message = std::make_shared<EndpointHttpRequest>();
+  message->version(11);
+  message->method_string(exchange_->message.method_string());
+  message->target(exchange_->message.target());
+  state_->codec().EncodeForEndpoint(exchange_->message.base(), instructions,
+                                    message.get());
+  message->body() = exchange_->message.body();
+  const bool has_body = !message->body().empty() ||
+                        exchange_->message.method() == http::verb::post ||
+                        exchange_->message.method() == http::verb::put;
+  if (has_body)
+    message->content_length(message->body().size());
+  return message;
+}
+
+ResponseTimeouts TrackedAttempt::TimeoutsFor(
+    const EndpointState& endpoint) const {
+  ResponseTimeoutQuery query;
+  query.route = exchange_->request.route;
+  for (const PromptPart& part : exchange_->request.head.prompt)
+    query.prompt_tokens += part.tokens;
+  query.load_share = endpoint.EstimatedLoad(state_->Now()) /
+                     std::max(1u, endpoint.record().slots);
+  query.time_left = exchange_->request.deadline - state_->Now();
+  return ChooseResponseTimeouts(query);
+}
+
+void TrackedAttempt::UpdateEndpointHealth(EndpointState& endpoint,
+                                          const AttemptResult& result) {
+  const Timestamp now = state_->Now();
+  EndpointHealth& health = endpoint.health();
+  const bool was_ejected = health.ejected();
+  if (!result.failure) {
+    health.OnSuccess();
+  } else if (result.silence_recorded) {
+    health.OnAbandoned();
+  } else {
+    switch (*result.failure) {
+      case AttemptFailure::kUnreachable:
+      case AttemptFailure::kMisdirected:
+        connections_->Drop(endpoint.record().id);
+        health.OnUnreachable(now);
+        break;
+      case AttemptFailure::kStaleConnection:
+      case AttemptFailure::kCallerGone:
+      case AttemptFailure::kNoBufferSpace:
+        health.OnAbandoned();
+        break;
+      case AttemptFailure::kSilent:
+        // A new connection at the next attempt shows whether the endpoint is
+        // still reachable.
+        connections_->Drop(endpoint.record().id);
+        [[fallthrough]];
+      default:
+        health.OnFailure(state_->endpoints().ToleratedFailureRate(endpoint),
+                         now);
+    }
+  }
+  if (health.ejected() == was_ejected)
+    return;
+  LogLine line(health.ejected() ? "endpoint-ejected" : "endpoint-readmitted");
+  line.Add("endpoint", endpoint.record().id)
+      .Add("service", endpoint.record().service)
+      .AddRounded("failure_percent", 100 * health.failure_rate());
+  if (result.failure)
+    line.Add("failure", ToString(*result.failure));
+  state_->log().Info(line);
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/teaselthread/gateway/tracked_attempt.h
@@ -0,0 +1,44 @@
+#ifndef TEASELTHREAD_GATEWAY_TRACKED_ATTEMPT_H_
+#define TEASELTHREAD_GATEWAY_TRACKED_ATTEMPT_H_
+
+#include <memory>
+
+#include "libteaselthread/endpoints/endpoint_selector.h"
+#include "teaselthread/gateway/crash_guard.h"
+#include "teaselthread/gateway/endpoint_attempt.h"
+#include "teaselthread/gateway/request_exchange.h"
+#include "teaselthread/gateway/request_log.h"
+
+namespace teaselthread {
+
+// One attempt of a caller's request at the selected endpoint. Records what it
+// shows: the endpoint's load and health, the demand for the prompt part, and
+// evidence of prompts that crash engines.
+class TrackedAttempt {
+ public:
+  TrackedAttempt(GatewayState* state,
+                 EndpointConnections* connections,
+                 CrashGuard* crash_guard,
+                 RequestExchange* exchange,
+                 Selection selection);
+
+  asio::awaitable<AttemptResult> Run();
+  const Selection& selection() const { return selection_; }
+
+ private:
+  std::shared_ptr<EndpointHttpRequest> MakeEndpointRequest() const;
+  ResponseTimeouts TimeoutsFor(const EndpointState& endpoint) const;
+  void UpdateEndpointHealth(EndpointState& endpoint,
+                            const AttemptResult& result);
+
+  GatewayState* state_;
+  EndpointConnections* connections_;
+  CrashGuard* crash_guard_;
+  RequestLog log_;
+  RequestExchange* exchange_;
+  Selection selection_;
+};
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_GATEWAY_TRACKED_ATTEMPT_H_
