Keep serving ordinary callers beside untrusted clients

Cause: memory for a body was reserved when its length was announced, and never taken back from a sender that stalled. Callers' connections had no bound below the descriptors of the process. Each chunk of a body cost a pass through the event loop. A caller that read slowly kept the gateway from reading the endpoint's stream.

Change, decisions in src/libteaselthread/callers without I/O: - BufferShares counts the bytes that have arrived. When memory is short, slow holders lose theirs, those with the least progress first. An eighth is left to small and fast requests. - BodyRate: 1 KB/s in each period of 5 s. - CallerConnections bounds connections by the descriptor limit and closes those that send nothing first. - ReadPacing: all chunks that have arrived are parsed at once, and senders of tiny pieces are read with pauses; bodies that are nearly all framing are refused (excessive-framing). - StreamOutput sends streams in the background, up to 256 KB ahead, counted by BufferShares; beyond, reading from the endpoint pauses. - Unread and unsent bytes in the kernel are bounded for each caller, and freed bodies return to the system. - Settings section [callers], counters by reason, at most 20 log lines a second about such callers.

Tests changed: buffer_quota_test held all but 1 MB of the quota and sent a body of 400 KB; an eighth is now reserved, so the other holder leaves it, and the test also checks that the reserve serves 12,000 bytes and not 100,000. stream_end_test passes the buffers that streams need now. The crowd test reports an exit that happens during the ordinary request; crowds and bounds are unchanged.

--- a/src/libteaselthread/requests/reasons.cc
+++ b/src/libteaselthread/requests/reasons.cc
@@ -58,6 +58,7 @@
     {"crashes-endpoints", kServiceUnavailable},
     {"endpoints-paused", kServiceUnavailable},
     {"buffers-full", kServiceUnavailable},
+    {"excessive-framing", kBadRequest},
 }};
 
 constexpr std::array<ReasonRow, kUnknownReasonCount> kUnknowns = {{
--- a/src/libteaselthread/requests/reasons.h
+++ b/src/libteaselthread/requests/reasons.h
@@ -43,8 +43,9 @@
   kCrashesEndpoints,  // a part of the prompt has crashed several endpoints
   kEndpointsPaused,   // all endpoints have asked for a pause
   kBuffersFull,       // the node keeps too many bodies already
+  kExcessiveFraming,  // a chunked body with far more framing than content
 };
-inline constexpr size_t kRefusalReasonCount = 34;
+inline constexpr size_t kRefusalReasonCount = 35;
 
 // Why it is unknown whether a request ran.
 enum class UnknownReason : uint8_t {
--- a/src/teaselthread/gateway/front_connection.h
+++ b/src/teaselthread/gateway/front_connection.h
@@ -1,6 +1,7 @@
 #ifndef TEASELTHREAD_GATEWAY_FRONT_CONNECTION_H_
 #define TEASELTHREAD_GATEWAY_FRONT_CONNECTION_H_
 
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -13,42 +14,38 @@
 // bounds and passes each to the request handler.
 class FrontConnection : public std::enable_shared_from_this<FrontConnection> {
  public:
+  // `id` is the connection's id in GatewayState::caller_connections().
   FrontConnection(GatewayState* state,
                   RequestHandler* handler,
-                  tcp::socket socket);
+                  tcp::socket socket,
+                  CallerConnections::Id id);
 
   asio::awaitable<void> Run();
   // Closes the connection unless a request is in progress on it.
   void CloseIfIdle();
+  // Closes the connection in an orderly way. No request may be in progress.
+  void Close();
   // Closes the connection in such a way that the caller sees an error.
   void Reset();
 
  private:
-  using Parser = http::request_parser<http::string_body>;
-
   // Returns false if the connection is to be closed.
   asio::awaitable<bool> ServeNextRequest();
   // Whether the caller has sent bytes that have not been processed.
   bool HasInput() const;
+  // Waits for the first bytes of a request, without a buffer for them.
   asio::awaitable<bool> AwaitBytes(Duration timeout);
-  // Returns a reason if the request cannot be served; the connection is then
-  // closed.
-  // Reserves memory for the body in `memory` before it is read.
-  asio::awaitable<std::optional<RefusalReason>> ReadRequest(
-      Parser& parser,
-      BufferQuota::Reservation& memory);
-  // Reads the body. Returns false if there is no memory for it.
-  asio::awaitable<bool> ReadBody(Parser& parser,
-                                 BufferQuota::Reservation& memory,
-                                 boost::system::error_code* failure);
   asio::awaitable<void> RefuseUnread(RefusalReason reason);
+  ResponseWriter::Options WriterOptions(const CallerHttpRequest& message,
+                                        const std::string& caller);
+  void SetState(CallerConnections::State state);
 
   GatewayState* state_;
   RequestHandler* handler_;
   tcp::socket socket_;
+  CallerConnections::Id id_;
   beast::flat_buffer buffer_;
   bool is_idle_ = true;
-  bool caller_disconnected_ = false;
   bool is_aborted_ = false;
 };
 
--- a/src/teaselthread/gateway/front_server.cc
+++ b/src/teaselthread/gateway/front_server.cc
@@ -1,6 +1,25 @@
 #include "teaselthread/gateway/front_server.h"
 
+#include <sstream>
+
+#include "libteaselthread/attempts/retry_after.h"
+#include "teaselthread/callers/problem.h"
+
 namespace teaselthread {
+namespace {
+
+ClosingReason ReasonFor(CallerConnections::State state) {
+  switch (state) {
+    case CallerConnections::State::kEnding:
+      return ClosingReason::kRefusedBefore;
+    case CallerConnections::State::kSilent:
+      return ClosingReason::kSilent;
+    default:
+      return ClosingReason::kIdle;
+  }
+}
+
+}  // namespace
 
 FrontServer::FrontServer(GatewayState* state)
     : state_(state), handler_(state) {}
@@ -8,12 +27,7 @@
 Result<bool> FrontServer::Start() {
   auto listener = Listener::Start(
       &state_->io(), state_->settings().front_listen(),
-      [this](tcp::socket socket) {
-        asio::co_spawn(state_->io(),
-                       Serve(std::make_shared<FrontConnection>(
-                           state_, &handler_, std::move(socket))),
-                       asio::detached);
-      });
+      [this](tcp::socket socket) { OnConnection(std::move(socket)); });
   if (!listener)
     return listener.last_reason();
   listener_ = listener.TakeValue();
@@ -22,20 +36,72 @@
 
 void FrontServer::StopAccepting() {
   listener_->Stop();
-  for (const auto& connection : connections_)
+  for (const auto& [id, connection] : connections_)
     connection->CloseIfIdle();
 }
 
 void FrontServer::ResetConnections() {
-  for (const auto& connection : connections_)
+  for (const auto& [id, connection] : connections_)
     connection->Reset();
 }
 
+void FrontServer::OnConnection(tcp::socket socket) {
+  const CallerConnections::Admission admission =
+      state_->caller_connections().Admit(state_->Now());
+  if (!admission.admitted) {
+    Refuse(std::move(socket));
+    return;
+  }
+  CloseForRoom(admission);
+  const auto connection = std::make_shared<FrontConnection>(
+      state_, &handler_, std::move(socket), admission.id);
+  connections_.emplace(admission.id, connection);
+  asio::co_spawn(state_->io(), Serve(connection, admission.id), asio::detached);
+}
+
 asio::awaitable<void> FrontServer::Serve(
-    std::shared_ptr<FrontConnection> connection) {
-  connections_.insert(connection);
+    std::shared_ptr<FrontConnection> connection,
+    CallerConnections::Id id) {
   co_await connection->Run();
-  connections_.erase(connection);
+  connections_.erase(id);
+}
+
+void FrontServer::CloseForRoom(const CallerConnections::Admission& admission) {
+  if (!admission.close)
+    return;
+  const ClosingReason reason = ReasonFor(admission.closed_state);
+  state_->metrics().OnCallerClosed(reason);
+  LogLine line("caller-closed");
+  line.Add("reason", ToString(reason))
+      .Add("connections", state_->caller_connections().size());
+  state_->LogUntrustedCaller(line);
+  const auto found = connections_.find(*admission.close);
+  if (found != connections_.end())
+    found->second->Close();
+}
+
+void FrontServer::Refuse(tcp::socket socket) {
+  constexpr auto kReason = RefusalReason::kTooManyConnections;
+  state_->metrics().OnRefusal(kReason);
+  LogLine line("request-unread");
+  line.Add("reason", ToString(kReason))
+      .Add("connections", state_->caller_connections().size());
+  state_->LogUntrustedCaller(line);
+  const double jitter =
+      std::uniform_real_distribution<double>(0, 1)(state_->random());
+  const Duration retry_after = RetryAfterFor(kReason, jitter);
+  auto problem = MakeUnreadProblem({kReason, retry_after}, "");
+  problem.set(http::field::retry_after, RetryAfterText(retry_after));
+  problem.keep_alive(false);
+  problem.prepare_payload();
+  std::ostringstream text;
+  text << problem;
+  // The send buffer of a new connection has room for the response.
+  boost::system::error_code ignored;
+  socket.non_blocking(true, ignored);
+  socket.write_some(asio::buffer(text.str()), ignored);
+  socket.shutdown(tcp::socket::shutdown_send, ignored);
+  socket.close(ignored);
 }
 
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/front_server.h
+++ b/src/teaselthread/gateway/front_server.h
@@ -1,15 +1,15 @@
 #ifndef TEASELTHREAD_GATEWAY_FRONT_SERVER_H_
 #define TEASELTHREAD_GATEWAY_FRONT_SERVER_H_
 
+#include <map>
 #include <memory>
-#include <set>
 
 #include "teaselthread/gateway/front_connection.h"
 #include "teaselthread/listener.h"
 
 namespace teaselthread {
 
-// Accepts callers' connections and keeps track of them.
+// Accepts callers' connections within their bound and keeps track of them.
 class FrontServer {
  public:
   explicit FrontServer(GatewayState* state);
@@ -24,12 +24,19 @@
   RequestHandler& handler() { return handler_; }
 
  private:
-  asio::awaitable<void> Serve(std::shared_ptr<FrontConnection> connection);
+  void OnConnection(tcp::socket socket);
+  asio::awaitable<void> Serve(std::shared_ptr<FrontConnection> connection,
+                              CallerConnections::Id id);
+  // Closes a connection to make room for a new one.
+  void CloseForRoom(const CallerConnections::Admission& admission);
+  // Refuses a new connection when no other one can be closed.
+  void Refuse(tcp::socket socket);
 
   GatewayState* state_;
   RequestHandler handler_;
   std::unique_ptr<Listener> listener_;
-  std::set<std::shared_ptr<FrontConnection>> connections_;
+  std::map<CallerConnections::Id, std::shared_ptr<FrontConnection>>
+      connections_;
 };
 
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/gateway.cc
+++ b/src/teaselthread/gateway/gateway.cc
@@ -1,5 +1,7 @@
 #include "teaselthread/gateway/gateway.h"
 
+#include <malloc.h>
+
 #include <csignal>
 
 namespace teaselthread {
@@ -9,12 +11,17 @@
 
 constexpr Duration kDrainPoll = milliseconds(50);
 constexpr Duration kSweepInterval = milliseconds(1'000);
+// Larger blocks, such as bodies, are returned to the system when they are
+// freed. By default glibc raises this threshold to the size of a freed block,
+// and the fragmented heap then keeps the memory.
+constexpr int kMmapThresholdBytes = 128 * 1024;
 
 }  // namespace
 
 Result<int> Gateway::Run(GatewaySettings settings,
                          const WireCodec* codec,
                          const std::string& settings_file) {
+  mallopt(M_MMAP_THRESHOLD, kMmapThresholdBytes);
   asio::io_context io(1);
   Gateway gateway(&io, std::move(settings), codec);
   Result<bool> started = gateway.Start();
--- a/src/teaselthread/gateway/gateway_metrics.cc
+++ b/src/teaselthread/gateway/gateway_metrics.cc
@@ -103,6 +103,8 @@
   ByReason<RefusalReason>(out, "refusals_total", refusals_);
   ByReason<AttemptFailure>(out, "attempt_failures_total", failures_);
   ByReason<AttemptFailure>(out, "retries_total", retries_);
+  ByReason<ClosingReason>(out, "caller_connections_closed_total",
+                          callers_closed_);
   Histograms(out, "first_byte_seconds", first_byte_);
   Histograms(out, "request_seconds", responses_);
   Scalar(out, "unknown_outcomes_total", "counter", unknown_outcomes_);
@@ -123,6 +125,7 @@
   Scalar(out, "blocked_parts", "gauge", gauges.blocked_parts);
   Scalar(out, "requests_in_progress", "gauge", gauges.requests_in_progress);
   Scalar(out, "connections", "gauge", gauges.connections);
+  Scalar(out, "connection_limit", "gauge", gauges.connection_limit);
   Scalar(out, "buffered_bytes", "gauge", gauges.buffered_bytes);
   Scalar(out, "buffer_limit_bytes", "gauge", gauges.buffer_limit_bytes);
   Scalar(out, "ready", "gauge", gauges.ready ? 1 : 0);
--- a/src/teaselthread/gateway/gateway_metrics.h
+++ b/src/teaselthread/gateway/gateway_metrics.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "libteaselthread/attempts/request_attempts.h"
+#include "libteaselthread/callers/closing_reason.h"
 #include "libteaselthread/requests/reasons.h"
 #include "libteaselthread/routes/route.h"
 
@@ -41,6 +42,7 @@
   uint64_t blocked_parts = 0;  // of prompts, since they crash engines
   uint64_t requests_in_progress = 0;
   uint64_t connections = 0;
+  uint64_t connection_limit = 0;
   uint64_t buffered_bytes = 0;  // reserved for bodies
   uint64_t buffer_limit_bytes = 0;
   uint64_t log_lines_dropped = 0;
@@ -53,6 +55,10 @@
   void OnRefusal(RefusalReason reason);
   // Called when an attempt has failed. `retried`: another attempt follows.
   void OnAttemptFailure(AttemptFailure failure, bool retried);
+  // A caller's connection was closed without a response.
+  void OnCallerClosed(ClosingReason reason) {
+    ++callers_closed_[static_cast<size_t>(reason)];
+  }
   void OnFirstByte(RequestKind kind, Duration latency);
   void OnResponse(RequestKind kind, Duration latency);
   void OnUnknownOutcome() { ++unknown_outcomes_; }
@@ -71,6 +77,7 @@
   std::array<uint64_t, kRefusalReasonCount> refusals_{};
   std::array<uint64_t, kAttemptFailureCount> failures_{};
   std::array<uint64_t, kAttemptFailureCount> retries_{};
+  std::array<uint64_t, kClosingReasonCount> callers_closed_{};
   std::array<LatencyHistogram, kKinds> first_byte_;
   std::array<LatencyHistogram, kKinds> responses_;
   uint64_t unknown_outcomes_ = 0;
--- a/src/teaselthread/gateway/gateway_settings.cc
+++ b/src/teaselthread/gateway/gateway_settings.cc
@@ -10,12 +10,17 @@
 namespace teaselthread {
 namespace {
 
-constexpr std::string_view kSections[] = {"gateway", "peers", "limits"};
+constexpr std::string_view kSections[] = {"gateway", "peers", "limits",
+                                          "callers"};
 constexpr std::string_view kLogLevels[] = {"debug", "info", "warn", "error"};
 constexpr IntegerRange kMillisecondsRange = {1, 600'000};
 constexpr IntegerRange kTtlRangeMs = {500, 60'000};
 constexpr IntegerRange kMemoryRangeMb = {64, 1'000'000};
 constexpr int kMegabyteShift = 20;
+constexpr int kKilobyteShift = 10;
+constexpr IntegerRange kConnectionsRange = {0, 1'000'000};
+constexpr IntegerRange kBodyRateRange = {0, 1'000'000'000};
+constexpr IntegerRange kReadAheadRangeKb = {16, 65'536};
 
 int64_t InMilliseconds(Duration time) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
@@ -53,6 +58,7 @@
   settings.ReadNode(find("gateway"), source, &errors);
   settings.ReadPeers(find("peers"), source, &errors);
   settings.ReadLimits(find("limits"), source, &errors);
+  settings.ReadCallers(find("callers"), source, &errors);
   if (!errors.empty())
     return errors;
   return settings;
@@ -94,7 +100,13 @@
       << "\ncold_over = " << limits_.cold_over
       << "\ncold_slack = " << limits_.cold_slack
       << "\nload_multiple = " << limits_.load_multiple
-      << "\nleaving_grace_s = " << InSeconds(limits_.leaving_grace) << "\n";
+      << "\nleaving_grace_s = " << InSeconds(limits_.leaving_grace)
+      << "\n\n[callers]\n"
+      << "max_connections = " << callers_.max_connections
+      << "\nmin_body_rate = " << callers_.body_rate.bytes_per_second
+      << "\nbody_grace_ms = " << InMilliseconds(callers_.body_rate.grace)
+      << "\nread_ahead_kb = " << (callers_.read_ahead_bytes >> kKilobyteShift)
+      << "\n";
   return out.str();
 }
 
@@ -172,4 +184,20 @@
   reader.RejectUnknownKeys();
 }
 
+void GatewaySettings::ReadCallers(const IniSection& section,
+                                  const std::string& source,
+                                  std::vector<Error>* errors) {
+  SectionReader reader(section, source, errors);
+  callers_.max_connections = static_cast<size_t>(
+      reader.Integer("max_connections", 0, kConnectionsRange));
+  callers_.body_rate.bytes_per_second = static_cast<size_t>(
+      reader.Integer("min_body_rate", 1'024, kBodyRateRange));
+  callers_.body_rate.grace =
+      reader.Milliseconds("body_grace_ms", 5'000, kMillisecondsRange);
+  callers_.read_ahead_bytes = static_cast<size_t>(reader.Integer(
+                                  "read_ahead_kb", 256, kReadAheadRangeKb))
+                              << kKilobyteShift;
+  reader.RejectUnknownKeys();
+}
+
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/gateway_settings.h
+++ b/src/teaselthread/gateway/gateway_settings.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "libteaselthread/attempts/retry_allowance.h"
+#include "libteaselthread/callers/body_rate.h"
 #include "libteaselthread/error.h"
 #include "libteaselthread/ini_document.h"
 #include "libteaselthread/settings.h"
@@ -30,6 +31,19 @@
   friend auto operator<=>(const GatewayLimits&, const GatewayLimits&) = default;
 };
 
+// Limits on callers that nobody controls.
+struct UntrustedCallerLimits {
+  // Open connections of callers; zero derives it from the descriptors that the
+  // process may have open.
+  size_t max_connections = 0;
+  BodyRate::Limit body_rate;
+  // What the gateway reads of a stream beyond what its caller has read.
+  size_t read_ahead_bytes = 0;
+
+  friend auto operator<=>(const UntrustedCallerLimits&,
+                          const UntrustedCallerLimits&) = default;
+};
+
 // Settings of one gateway process, read from its INI file at startup and on
 // SIGHUP.
 class GatewaySettings {
@@ -58,6 +72,7 @@
   // What the process may use in total.
   size_t memory_bytes() const { return memory_bytes_; }
   const GatewayLimits& limits() const { return limits_; }
+  const UntrustedCallerLimits& callers() const { return callers_; }
 
  private:
   GatewaySettings() = default;
@@ -70,6 +85,9 @@
   void ReadLimits(const IniSection& section,
                   const std::string& source,
                   std::vector<Error>* errors);
+  void ReadCallers(const IniSection& section,
+                   const std::string& source,
+                   std::vector<Error>* errors);
 
   std::string name_;
   std::string zone_;
@@ -86,6 +104,7 @@
   Duration address_ttl_{};
   size_t memory_bytes_ = 0;
   GatewayLimits limits_;
+  UntrustedCallerLimits callers_;
 };
 
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/gateway_state.cc
+++ b/src/teaselthread/gateway/gateway_state.cc
@@ -1,5 +1,7 @@
 #include "teaselthread/gateway/gateway_state.h"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <ctime>
 
@@ -18,6 +20,19 @@
           settings.front_listen(), false};
 }
 
+// Descriptors that the process may have open.
+size_t DescriptorLimit() {
+  rlimit limit{};
+  getrlimit(RLIMIT_NOFILE, &limit);
+  return limit.rlim_cur;
+}
+
+size_t ConnectionLimit(const UntrustedCallerLimits& limits) {
+  return limits.max_connections > 0
+             ? limits.max_connections
+             : CallerConnections::LimitFor(DescriptorLimit());
+}
+
 }  // namespace
 
 GatewayState::GatewayState(asio::io_context* io,
@@ -31,7 +46,9 @@
                                kRevocationMargin),
       selector_(&endpoints_),
       peers_(MakeSelf(settings_), settings_.heartbeat_timeout()),
-      buffers_(BufferQuota::LimitFor(settings_.memory_bytes())),
+      buffers_(BufferQuota::LimitFor(settings_.memory_bytes()),
+               [this] { return Now(); }),
+      caller_connections_(ConnectionLimit(settings_.callers())),
       log_(settings_.log_level()) {}
 
 Timestamp GatewayState::Now() const {
@@ -100,6 +117,15 @@
   settings_ = std::move(settings);
 }
 
+void GatewayState::LogUntrustedCaller(LogLine& line) {
+  const auto suppressed = caller_lines_.Take(Now());
+  if (!suppressed)
+    return;
+  if (*suppressed > 0)
+    line.Add("suppressed", *suppressed);
+  log_.Info(line);
+}
+
 void GatewayState::OnStoreCall(StoreKind kind,
                                std::string_view target,
                                int status,
@@ -128,6 +154,7 @@
   gauges.blocked_parts = crash_suspects_.blocked_count(Now());
   gauges.requests_in_progress = requests_in_progress;
   gauges.connections = connections;
+  gauges.connection_limit = caller_connections_.limit();
   gauges.buffered_bytes = buffers_.used();
   gauges.buffer_limit_bytes = buffers_.limit();
   gauges.log_lines_dropped = log_.dropped();
--- a/src/teaselthread/gateway/gateway_state.h
+++ b/src/teaselthread/gateway/gateway_state.h
@@ -8,6 +8,8 @@
 #include <string>
 
 #include "libteaselthread/attempts/retry_allowance.h"
+#include "libteaselthread/callers/caller_connections.h"
+#include "libteaselthread/callers/log_line_limit.h"
 #include "libteaselthread/endpoints/crash_suspects.h"
 #include "libteaselthread/endpoints/endpoint_selector.h"
 #include "libteaselthread/endpoints/endpoint_table.h"
@@ -72,6 +74,10 @@
   }
   GatewayMetrics& metrics() { return metrics_; }
   BufferQuota& buffers() { return buffers_; }
+  CallerConnections& caller_connections() { return caller_connections_; }
+  // Writes a line about a caller that was refused or closed, unless there are
+  // too many of them.
+  void LogUntrustedCaller(LogLine& line);
   DecisionLog& log() { return log_; }
   TimerService& timers() { return timers_; }
   std::mt19937_64& random() { return random_; }
@@ -121,6 +127,8 @@
   std::map<std::string, RetryAllowance> retries_;
   GatewayMetrics metrics_;
   BufferQuota buffers_;
+  CallerConnections caller_connections_;
+  LogLineLimit caller_lines_;
   DecisionLog log_;
   TimerService timers_;
   std::optional<LeavingSchedule> leaving_schedule_;
--- a/src/teaselthread/gateway/response_writer.cc
+++ b/src/teaselthread/gateway/response_writer.cc
@@ -16,6 +16,11 @@
 
 }  // namespace
 
+ResponseWriter::~ResponseWriter() {
+  if (stream_)
+    stream_->Detach();
+}
+
 asio::awaitable<bool> ResponseWriter::WriteResponse(ResponseHead head,
                                                     std::string body) {
   http::response<http::string_body> response(
@@ -56,6 +61,7 @@
   if (options_.is_http11)
     response.chunked(true);
   begun_ = true;
+  stream_ = std::make_shared<StreamOutput>(socket_, options_.stream);
   std::string text = HeadText(response) + Chunk(first_events);
   co_return co_await WriteText(std::move(text));
 }
@@ -66,10 +72,14 @@
 }
 
 asio::awaitable<bool> ResponseWriter::EndStream() {
-  if (!options_.is_http11)
-    co_return usable_;
-  std::string text = "0\r\n\r\n";
-  co_return co_await WriteText(std::move(text));
+  if (options_.is_http11) {
+    std::string text = "0\r\n\r\n";
+    co_await WriteText(std::move(text));
+  }
+  const bool is_sent = co_await stream_->Drain();
+  if (!is_sent)
+    usable_ = false;
+  co_return usable_;
 }
 
 void ResponseWriter::Abort() {
@@ -78,12 +88,11 @@
 }
 
 asio::awaitable<bool> ResponseWriter::WriteText(std::string text) {
-  if (text.empty())
-    co_return usable_;
-  auto [failure, written] =
-      co_await asio::async_write(*socket_, asio::buffer(text), kAsTuple);
-  if (failure)
-    usable_ = false;
+  if (!text.empty()) {
+    const bool is_taken = co_await stream_->Write(std::move(text));
+    if (!is_taken)
+      usable_ = false;
+  }
   co_return usable_;
 }
 
--- a/src/teaselthread/gateway/response_writer.h
+++ b/src/teaselthread/gateway/response_writer.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "teaselthread/asio.h"
+#include "teaselthread/gateway/stream_output.h"
 
 namespace teaselthread {
 
@@ -27,17 +28,24 @@
     // Queried when the head is written, as the gateway may begin to leave while
     // the request is in progress.
     std::function<bool()> may_keep_alive = [] { return true; };
+    // Without buffers, no stream can be written.
+    StreamOutput::Options stream = {};
   };
 
   ResponseWriter(tcp::socket* socket, Options options)
       : socket_(socket), options_(std::move(options)) {}
+  ~ResponseWriter();
+  ResponseWriter(const ResponseWriter&) = delete;
+  ResponseWriter& operator=(const ResponseWriter&) = delete;
 
   // Whether writing of the response has begun.
   bool begun() const { return begun_; }
   // Whether the connection can be used for another request.
   bool is_usable() const { return usable_ && options_.keep_alive; }
 
-  // Each returns false once writing to the caller has failed.
+  // Each returns false once writing to the caller has failed. Events may still
+  // wait to be sent when WriteEvents returns, see StreamOutput; EndStream waits
+  // until all are sent.
   asio::awaitable<bool> WriteResponse(ResponseHead head, std::string body);
   asio::awaitable<bool> BeginStream(ResponseHead head,
                                     std::string first_events);
@@ -58,6 +66,7 @@
   Options options_;
   bool begun_ = false;
   bool usable_ = true;
+  std::shared_ptr<StreamOutput> stream_;  // once a stream has begun
   bool is_aborted_ = false;
 };
 
--- a/tests/clients/untrusted_clients_test.py
+++ b/tests/clients/untrusted_clients_test.py
@@ -122,11 +122,11 @@
     sending = []
 
     async def check(when):
+        if problem := await gateway.order_problem():
+            problems.append(f"{when}: ordinary request: {problem}")
         if gateway.process.returncode is not None:
             problems.append(f"{when}: exit status {gateway.process.returncode}")
             return
-        if problem := await gateway.order_problem():
-            problems.append(f"{when}: ordinary request: {problem}")
         if gateway.peak_memory_kb() > MEMORY_MB * 1024:
             problems.append(f"{when}: memory {gateway.peak_memory_kb()} kB")
         if gateway.descriptors() > DESCRIPTORS - SPARE_DESCRIPTORS:
--- a/tests/gateway/buffer_quota_test.cc
+++ b/tests/gateway/buffer_quota_test.cc
@@ -57,7 +57,8 @@
   });
   const BufferQuota& quota = harness.state().buffers();
   BufferQuota::Reservation others(&harness.state().buffers());
-  BOOST_REQUIRE(others.Grow(quota.limit() - 1'000'000));
+  const size_t others_bytes = quota.limit() - quota.reserve() - 1'000'000;
+  BOOST_REQUIRE(others.Grow(others_bytes));
   const auto send = [&](size_t size) {
     return harness.Exchange(
         test::MakeRequest("POST", "/order/", "id-1", std::string(size, 'x')),
@@ -70,7 +71,11 @@
   BOOST_TEST(endpoints[0]->heads().empty());
   BOOST_TEST(test::HasStatus(send(400'000), "200"));
   harness.RunFor(std::chrono::milliseconds(20));
-  BOOST_TEST(quota.used() == quota.limit() - 1'000'000);
+  BOOST_TEST(quota.used() == others_bytes);
+  // Small requests are served from the reserve, and no others.
+  BOOST_REQUIRE(others.Grow(1'000'000));
+  BOOST_TEST(test::HasStatus(send(100'000), "503"));
+  BOOST_TEST(test::HasStatus(send(12'000), "200"));
 }
 
 BOOST_AUTO_TEST_CASE(count_while_they_are_read_in_chunks) {
@@ -79,7 +84,7 @@
   });
   BufferQuota& quota = harness.state().buffers();
   BufferQuota::Reservation others(&quota);
-  BOOST_REQUIRE(others.Grow(quota.limit() - 1'000'000));
+  BOOST_REQUIRE(others.Grow(quota.limit() - quota.reserve() - 1'000'000));
   std::string request = test::MakeRequest("POST", "/order/", "id-1", "",
                                           "Transfer-Encoding: chunked\r\n");
   for (int i = 0; i < 6; ++i)
--- a/tests/gateway/stream_end_test.cc
+++ b/tests/gateway/stream_end_test.cc
@@ -25,7 +25,7 @@
         guard(std::make_shared<RequestGuard>(
             &front,
             RequestGuard::Clock::now() + seconds(10))),
-        writer(&front, {}),
+        writer(&front, {.stream = {&harness.state().buffers(), "office", 1}}),
         relay(&writer),
         attempts(true, 1) {
     Start("pool", 1, [](const std::string&, const std::string& id, int) {
