Prefer endpoints where work ends first at the moment

Endpoints that share their VM with others say in the fourth figure of their load how long work takes there, in percent of the usual time. The decoder dropped it, so calls went to endpoints that were several times slower.

The choice among plain endpoints uses the expected time to the response and crosses a zone only where that pays; an engine that is slower than the mean of its service counts as that much busier. Time-outs and the wait for room follow the figure. Without a current figure placement is as before. The choice of an endpoint and its time limits move from RequestHandler to EndpointPlacement.

Tests run: gateway_test (166 cases, those of the selector unchanged), gateway_io_test (89), platform_test, emulator_test; all pass. The tests with real processes were not run.

--- a/src/libteaselthread/attempts/response_timeouts.cc
+++ b/src/libteaselthread/attempts/response_timeouts.cc
@@ -17,6 +17,8 @@
 constexpr double kTimeoutMultiple = 2.5;
 // A retry needs about as much time as the first attempt.
 constexpr double kMaxShareOfTimeLeft = 0.5;
+// An endpoint that is slower than this is not worth the wait for it.
+constexpr double kMaxSlowness = 4;
 
 Duration ScaledBy(Duration time, double factor) {
   return Duration(
@@ -29,8 +31,9 @@
   const Route& route = *query.route;
   const Duration prefill_time =
       milliseconds(query.prompt_tokens / kTokensPerMillisecond);
-  Duration timeout = kBaseTimeout + prefill_time;
-  if (query.load_share > kBusyShare)
+  const double slowness = std::clamp(query.slowness, 1.0, kMaxSlowness);
+  Duration timeout = ScaledBy(kBaseTimeout + prefill_time, slowness);
+  if (query.load_share * slowness > kBusyShare)
     timeout = std::max(timeout, ScaledBy(route.objective, kTimeoutMultiple));
   timeout = std::min(timeout, ScaledBy(query.time_left, kMaxShareOfTimeLeft));
   ResponseTimeouts timeouts{query.time_left, query.time_left, timeout};
@@ -39,7 +42,8 @@
     return timeouts;
   timeouts.first = timeout;
   if (route.max_event_gap > Duration::zero())
-    timeouts.between = ScaledBy(route.max_event_gap, kTimeoutMultiple);
+    timeouts.between =
+        ScaledBy(route.max_event_gap, kTimeoutMultiple * slowness);
   return timeouts;
 }
 
--- a/src/libteaselthread/attempts/response_timeouts.h
+++ b/src/libteaselthread/attempts/response_timeouts.h
@@ -29,6 +29,7 @@
   const Route* route = nullptr;
   uint64_t prompt_tokens = 0;  // that the endpoint may have to prefill
   double load_share = 0;       // requests at the endpoint divided by its slots
+  double slowness = 1;         // multiple of the usual time that work takes
   Duration time_left{};        // until the request's deadline
 };
 
--- a/src/libteaselthread/endpoints/endpoint_record.h
+++ b/src/libteaselthread/endpoints/endpoint_record.h
@@ -3,6 +3,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "libteaselthread/settings.h"
@@ -29,6 +30,9 @@
 struct LoadReport {
   uint32_t running = 0;
   uint32_t waiting = 0;
+  std::optional<uint32_t> slots{};
+  // How long work takes there at the moment; 100 is as usual.
+  std::optional<uint32_t> percent{};
 
   friend auto operator<=>(const LoadReport&, const LoadReport&) = default;
 };
@@ -38,6 +42,8 @@
   uint32_t endpoint = 0;  // ShortHash of its id
   uint32_t requests = 0;  // running and waiting
   Duration age{};         // time since the endpoint counted them
+  // As in LoadReport, at the same time as the count.
+  std::optional<uint32_t> percent{};
 
   friend auto operator<=>(const LoadUpdate&, const LoadUpdate&) = default;
 };
--- a/src/libteaselthread/endpoints/endpoint_selector.cc
+++ b/src/libteaselthread/endpoints/endpoint_selector.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <limits>
 
+#include "libteaselthread/endpoints/plain_selection.h"
 #include "libteaselthread/rendezvous_hash.h"
 
 namespace teaselthread {
@@ -117,14 +118,33 @@
                            });
 }
 
+// The multiple of the mean time that work takes at an engine, at least 1: a
+// fast engine gets no more requests than the operators' bound allows. Relative
+// to the mean, because a service that is slow as a whole has no better engine.
+double RelativeSlowness(const EndpointState& engine,
+                        double mean_slowness,
+                        Timestamp now) {
+  return std::max(1.0, engine.speed().Slowness(now) / mean_slowness);
+}
+
+double MeanSlowness(const std::vector<EndpointPtr>& endpoints, Timestamp now) {
+  double total = 0;
+  for (const EndpointPtr& endpoint : endpoints)
+    total += endpoint->speed().Slowness(now);
+  return total / static_cast<double>(endpoints.size());
+}
+
 // The engine with the fewest local requests, or the least loaded one of several
 // such. If all nodes choose like this, their requests are spread evenly without
 // any knowledge of each other's; the least loaded engine by counts would be the
 // same one for all nodes until the next count.
 const EndpointPtr& LeastUsed(const std::vector<EndpointPtr>& endpoints,
+                             double mean_slowness,
                              Timestamp now) {
   const auto use = [&](const EndpointPtr& endpoint) {
-    return std::pair(endpoint->local_requests(), endpoint->EstimatedLoad(now));
+    const double slowness = RelativeSlowness(*endpoint, mean_slowness, now);
+    return std::pair((endpoint->local_requests() + 1) * slowness,
+                     (endpoint->EstimatedLoad(now) + 1) * slowness);
   };
   return *std::min_element(endpoints.begin(), endpoints.end(),
                            [&](const EndpointPtr& a, const EndpointPtr& b) {
@@ -229,19 +249,21 @@
            engine.local_requests() + 1 <=
                LocalBound(load_bound, usable_share, nodes);
   };
+  const double mean_slowness = MeanSlowness(in_service, now);
   RankFor(selection.affinity_part, candidates.begin(), candidates.end());
   selection.spread = EngineCountFor(query.affinity_share * requests,
                                     selection.load_bound - mean);
   RerankFirst(selection.spread, query.prompt.back().id, &candidates);
   for (const EndpointPtr& endpoint : candidates) {
-    if (has_room(*endpoint, selection.load_bound)) {
+    const double slowness = RelativeSlowness(*endpoint, mean_slowness, now);
+    if (has_room(*endpoint, selection.load_bound / slowness)) {
       selection.endpoint = endpoint;
       return selection;
     }
     ++selection.rank;
   }
   selection.over_bound = true;
-  selection.endpoint = LeastUsed(usable, now);
+  selection.endpoint = LeastUsed(usable, mean_slowness, now);
   const double operators_bound =
       kUsableLoadMultiple * context.load_multiple * mean + kLoadSlack;
   if (!query.ignores_load_bound &&
@@ -251,16 +273,27 @@
   return selection;
 }
 
-EndpointPtr SelectPlain(const std::vector<EndpointPtr>& usable,
-                        const std::string& zone,
-                        Timestamp now) {
+Selection SelectPlain(const std::vector<EndpointPtr>& usable,
+                      const SelectionQuery& query,
+                      const std::string& zone,
+                      Timestamp now) {
+  Selection selection;
+  if (AnySpeedKnown(usable, now)) {
+    selection.endpoint =
+        SelectBySpeed(usable, {zone, query.work_time, query.seed}, now);
+    selection.work_multiple = ExpectedWorkMultiple(*selection.endpoint, now);
+    return selection;
+  }
   const std::vector<EndpointPtr> local = InZone(usable, zone);
   if (!local.empty()) {
     const EndpointPtr& best = LeastLoaded(local, now);
-    if (!IsBusy(*best, now))
-      return best;
+    if (!IsBusy(*best, now)) {
+      selection.endpoint = best;
+      return selection;
+    }
   }
-  return LeastLoaded(usable, now);
+  selection.endpoint = LeastLoaded(usable, now);
+  return selection;
 }
 
 bool IsNewerThan(const EndpointState& endpoint, const EndpointState& other) {
@@ -334,7 +367,7 @@
     selection = std::get<Selection>(engine);
     selection.kv_source = KvSource(running, query, *selection.endpoint);
   } else {
-    selection.endpoint = SelectPlain(usable, context.zone, now);
+    selection = SelectPlain(usable, query, context.zone, now);
   }
   return selection;
 }
--- a/src/libteaselthread/endpoints/endpoint_selector.h
+++ b/src/libteaselthread/endpoints/endpoint_selector.h
@@ -30,6 +30,10 @@
   double affinity_share = 0;
   // Whether the request is sent even if each engine is at its load bound.
   bool ignores_load_bound = false;
+  // For plain services: the time that a request usually takes, and a random
+  // number. Used only if endpoints report their speed.
+  Duration work_time{};
+  uint64_t seed = 0;
 };
 
 // The part of a prompt that decides the placement: the longest shared part, or
@@ -56,6 +60,9 @@
   uint32_t engines_usable = 0;
   // All of them were over load_bound, and the least loaded one was chosen.
   bool over_bound = false;
+  // The multiple of the usual work time after which the response was expected;
+  // 0 if no endpoint reports its speed. For plain services.
+  double work_multiple = 0;
   // Number of engines over which requests for that part are spread; 1 unless
   // the part is hot.
   uint32_t spread = 1;
@@ -100,7 +107,9 @@
 // becomes hot, while engines start and stop.
 //
 // Plain services: the least loaded endpoint in the node's own zone, or in all
-// zones if that one is busy.
+// zones if that one is busy. If endpoints report how long work takes, the one
+// where the response is expected first (SelectBySpeed), and an engine that is
+// slower than the mean counts as that much busier.
 // Load pattern: short calls with bursts from a few customers.
 class EndpointSelector {
  public:
--- a/src/libteaselthread/endpoints/endpoint_state.cc
+++ b/src/libteaselthread/endpoints/endpoint_state.cc
@@ -38,6 +38,10 @@
   cold_until_ = std::max(cold_until_, until);
 }
 
+uint32_t EndpointState::slots() const {
+  return std::max(1u, reported_slots_.value_or(record_.slots));
+}
+
 double EndpointState::EstimatedLoad(Timestamp now) const {
   if (!latest_count_)
     return local_requests_;
@@ -69,7 +73,11 @@
   const uint32_t local = local_requests_ + CountSince(ends_, reported_at) -
                          CountSince(sends_, reported_at);
   remote_requests_ = total > local ? total - local : 0;
-  latest_count_ = CountedRequests{total, reported_at};
+  latest_count_ = CountedRequests{total, reported_at, report.percent};
+  if (report.slots)
+    reported_slots_ = report.slots;
+  if (report.percent)
+    speed_.OnReport(*report.percent, reported_at);
 }
 
 std::optional<EndpointState::CountedRequests> EndpointState::LatestCount(
--- a/src/libteaselthread/endpoints/endpoint_state.h
+++ b/src/libteaselthread/endpoints/endpoint_state.h
@@ -7,6 +7,7 @@
 #include "libteaselthread/endpoints/cold_start_quota.h"
 #include "libteaselthread/endpoints/endpoint_health.h"
 #include "libteaselthread/endpoints/endpoint_record.h"
+#include "libteaselthread/endpoints/endpoint_speed.h"
 
 namespace teaselthread {
 
@@ -20,6 +21,10 @@
   Timestamp seen_at() const { return seen_at_; }
   bool IsCold(Timestamp now) const { return now < cold_until_; }
   uint32_t local_requests() const { return local_requests_; }
+  const EndpointSpeed& speed() const { return speed_; }
+  // The requests that it runs concurrently, at least 1: as it has last reported
+  // itself, or else as registered.
+  uint32_t slots() const;
   EndpointHealth& health() { return health_; }
   const EndpointHealth& health() const { return health_; }
   ColdStartQuota& cold_quota() { return cold_quota_; }
@@ -42,6 +47,7 @@
   struct CountedRequests {
     uint32_t requests = 0;
     Timestamp at{};
+    std::optional<uint32_t> percent{};  // of the endpoint's speed
   };
   std::optional<CountedRequests> LatestCount(Duration max_age,
                                              Timestamp now) const;
@@ -55,6 +61,8 @@
   std::deque<Timestamp> ends_;
   double remote_requests_ = 0;  // at the time of the latest count
   std::optional<CountedRequests> latest_count_;
+  std::optional<uint32_t> reported_slots_;
+  EndpointSpeed speed_;
   EndpointHealth health_;
   ColdStartQuota cold_quota_;
 };
--- a/src/libteaselthread/endpoints/endpoint_table.cc
+++ b/src/libteaselthread/endpoints/endpoint_table.cc
@@ -22,6 +22,15 @@
 // Endpoints with fewer requests are not reported: a load up to the slack of the
 // load bound does not affect selection.
 constexpr uint32_t kMinLoadUpdateRequests = 4;
+// Speeds that differ less from the usual one are not sent on their own: they
+// change the expected time less than a way to another zone does.
+constexpr uint32_t kUsualPercent = 100;
+constexpr uint32_t kMinSpeedDifference = 20;
+
+uint32_t SpeedDifference(uint32_t percent) {
+  return percent > kUsualPercent ? percent - kUsualPercent
+                                 : kUsualPercent - percent;
+}
 
 }  // namespace
 
@@ -165,7 +174,8 @@
   for (const auto& [id, entry] : endpoints_) {
     const auto count = entry.endpoint->LatestCount(kMaxLoadUpdateAge, now);
     if (count && count->requests >= kMinLoadUpdateRequests)
-      busiest.push_back({ShortHash(id), count->requests, now - count->at});
+      busiest.push_back(
+          {ShortHash(id), count->requests, now - count->at, count->percent});
   }
   const auto end = busiest.begin() +
                    static_cast<ptrdiff_t>(std::min(max_count, busiest.size()));
@@ -177,13 +187,57 @@
   return busiest;
 }
 
+void EndpointTable::AppendUnusualSpeeds(
+    size_t max_count,
+    Timestamp now,
+    std::vector<LoadUpdate>* updates) const {
+  std::set<uint32_t> present;
+  for (const LoadUpdate& update : *updates)
+    present.insert(update.endpoint);
+  std::vector<std::pair<uint32_t, LoadUpdate>> unusual;  // by difference
+  for (const auto& [id, entry] : endpoints_) {
+    const auto count = entry.endpoint->LatestCount(kMaxLoadUpdateAge, now);
+    if (!count || !count->percent || present.contains(ShortHash(id)))
+      continue;
+    // A figure that is usual again is passed on until others can have learned
+    // it, too.
+    const uint32_t difference =
+        std::max(SpeedDifference(*count->percent),
+                 SpeedDifference(static_cast<uint32_t>(
+                     kUsualPercent * entry.endpoint->speed().Slowness(now))));
+    if (difference < kMinSpeedDifference)
+      continue;
+    unusual.emplace_back(
+        difference, LoadUpdate{ShortHash(id), count->requests, now - count->at,
+                               count->percent});
+  }
+  const size_t count = std::min(max_count, unusual.size());
+  const auto end = unusual.begin() + static_cast<ptrdiff_t>(count);
+  std::partial_sort(
+      unusual.begin(), end, unusual.end(),
+      [](const auto& a, const auto& b) { return a.first > b.first; });
+  for (auto update = unusual.begin(); update != end; ++update)
+    updates->push_back(update->second);
+}
+
+double EndpointTable::LeastSlowness(const std::string& service,
+                                    Timestamp now) const {
+  std::optional<double> least;
+  for (const EndpointPtr& endpoint : Available(service, now)) {
+    const double slowness = endpoint->speed().Slowness(now);
+    least = std::min(least.value_or(slowness), slowness);
+  }
+  return least.value_or(1);
+}
+
 void EndpointTable::OnLoadUpdate(const LoadUpdate& update, Timestamp now) {
   const auto id = ids_.find(update.endpoint);
   if (id == ids_.end())
     return;
   const auto found = endpoints_.find(id->second);
   if (found != endpoints_.end())
-    found->second.endpoint->OnReport({update.requests, 0}, now - update.age);
+    found->second.endpoint->OnReport(
+        {update.requests, 0, std::nullopt, update.percent}, now - update.age);
 }
 
 std::optional<UnusableReason> EndpointTable::WhyUnusable(
--- a/src/libteaselthread/endpoints/endpoint_table.h
+++ b/src/libteaselthread/endpoints/endpoint_table.h
@@ -67,6 +67,19 @@
   // `max_count` of them.
   std::vector<LoadUpdate> BusiestEndpoints(size_t max_count,
                                            Timestamp now) const;
+  // Adds to `updates` the endpoints not in it that have recently reported an
+  // unusual speed, those furthest from the usual one first, at most `max_count`
+  // of them. Adds none if no endpoint reports its speed.
+  void AppendUnusualSpeeds(size_t max_count,
+                           Timestamp now,
+                           std::vector<LoadUpdate>* updates) const;
+  // The time that a request usually takes at the endpoints of a plain service.
+  UsualWorkTime& WorkTimeOf(const std::string& service) {
+    return work_times_[service];
+  }
+  // How slow the fastest endpoint of a service is that may receive new
+  // requests; 1 if there is none.
+  double LeastSlowness(const std::string& service, Timestamp now) const;
   // Applies an endpoint's load as received from another node. Unknown endpoints
   // are ignored.
   void OnLoadUpdate(const LoadUpdate& update, Timestamp now);
@@ -100,7 +113,8 @@
   std::map<uint32_t, std::string> ids_;  // by ShortHash
   EndpointAnnouncements announcements_;
   std::set<std::string> evacuated_zones_;
-  std::map<std::string, Duration> cold_starts_;  // by service
+  std::map<std::string, Duration> cold_starts_;      // by service
+  std::map<std::string, UsualWorkTime> work_times_;  // by service
   Timestamp defer_until_{};
 };
 
--- a/src/libteaselthread/endpoints/waiting_requests.cc
+++ b/src/libteaselthread/endpoints/waiting_requests.cc
@@ -5,8 +5,9 @@
 namespace teaselthread {
 namespace {
 
-// A refused caller needs the rest of its time for a retry.
-constexpr int kMaxWaitDivisor = 2;
+// At an endpoint with the usual speed, the time there is as long as the wait. A
+// refused caller needs it for a retry.
+constexpr double kWorkShare = 1;
 
 }  // namespace
 
@@ -20,9 +21,13 @@
   return !waiting_.empty() && waiting_.begin()->priority <= priority;
 }
 
-Duration WaitingRequests::MaxWait(Duration objective, Duration time_left) {
+Duration WaitingRequests::MaxWait(Duration objective,
+                                  Duration time_left,
+                                  double slowness) {
+  const auto time = static_cast<double>(std::min(objective, time_left).count());
+  const double divisor = 1 + kWorkShare * std::max(1.0, slowness);
   return std::max(Duration::zero(),
-                  std::min(objective, time_left) / kMaxWaitDivisor);
+                  Duration(static_cast<Duration::rep>(time / divisor)));
 }
 
 }  // namespace teaselthread
--- a/src/libteaselthread/endpoints/waiting_requests.h
+++ b/src/libteaselthread/endpoints/waiting_requests.h
@@ -35,8 +35,11 @@
   size_t size() const { return waiting_.size(); }
 
   // For how long a request may wait, which leaves an endpoint the rest of the
-  // time until the objective. `time_left` is the time until its deadline.
-  static Duration MaxWait(Duration objective, Duration time_left);
+  // time until the objective. `time_left` is the time until its deadline, and
+  // `slowness` the multiple of the usual time that work takes at an endpoint.
+  static Duration MaxWait(Duration objective,
+                          Duration time_left,
+                          double slowness = 1);
 
  private:
   std::set<Place> waiting_;
--- a/src/teaselthread/gateway/peer_heartbeat.cc
+++ b/src/teaselthread/gateway/peer_heartbeat.cc
@@ -26,6 +26,8 @@
 
 // Maximum number of load updates in a heartbeat: about 100 bytes.
 constexpr size_t kMaxLoadUpdates = 16;
+// Endpoints with an unusual speed that one heartbeat reports in addition.
+constexpr size_t kMaxSpeedUpdates = 8;
 // Share of suspected prompt parts in a datagram of 1,500 bytes.
 constexpr size_t kMaxSuspectBytes = 700;
 constexpr Duration kAgeUnit = std::chrono::milliseconds(10);
@@ -161,8 +163,10 @@
   wire::GatewayHeartbeat remote_message = without_load;
   SetListStatuses(&without_load);
   wire::GatewayHeartbeat with_load = without_load;
-  SetLoadUpdates(state_->endpoints().BusiestEndpoints(kMaxLoadUpdates, now),
-                 with_load.mutable_load());
+  std::vector<LoadUpdate> updates =
+      state_->endpoints().BusiestEndpoints(kMaxLoadUpdates, now);
+  state_->endpoints().AppendUnusualSpeeds(kMaxSpeedUpdates, now, &updates);
+  SetLoadUpdates(updates, with_load.mutable_load());
   SetRequests(local, with_load.mutable_load());
   for (size_t i = 0; i < zone.size(); ++i)
     SendTo(zone[i], i < PeerSet::kLoadUpdateTargets ? with_load : without_load);
@@ -434,26 +438,36 @@
 
 void PeerHeartbeat::SetLoadUpdates(const std::vector<LoadUpdate>& updates,
                                    wire::LoadReport* report) {
+  bool any_speed = false;
   for (const LoadUpdate& item : updates) {
     report->add_endpoints(item.endpoint);
     report->add_requests(item.requests);
     report->add_ages(static_cast<uint32_t>(item.age / kAgeUnit));
+    any_speed = any_speed || item.percent;
   }
+  if (!any_speed)
+    return;
+  for (const LoadUpdate& item : updates)
+    report->add_percents(item.percent.value_or(0));
 }
 
 ServiceRequests PeerHeartbeat::OnLoadReport(const wire::LoadReport& report) {
   ServiceRequests requests;
   for (const wire::ServiceLoad& load : report.services())
     requests[load.service()] = load.requests();
+  const bool has_speeds = report.percents_size() > 0;
   if (report.requests_size() != report.endpoints_size() ||
-      report.ages_size() != report.endpoints_size()) {
+      report.ages_size() != report.endpoints_size() ||
+      (has_speeds && report.percents_size() != report.endpoints_size())) {
     state_->metrics().OnUnreadableEntry();
     return requests;
   }
   for (int i = 0; i < report.endpoints_size(); ++i) {
-    state_->endpoints().OnLoadUpdate(
-        {report.endpoints(i), report.requests(i), report.ages(i) * kAgeUnit},
-        state_->Now());
+    LoadUpdate update{report.endpoints(i), report.requests(i),
+                      report.ages(i) * kAgeUnit};
+    if (has_speeds && report.percents(i) > 0)
+      update.percent = report.percents(i);
+    state_->endpoints().OnLoadUpdate(update, state_->Now());
   }
   return requests;
 }
--- a/src/teaselthread/gateway/request_handler.cc
+++ b/src/teaselthread/gateway/request_handler.cc
@@ -8,8 +8,6 @@
 namespace teaselthread {
 namespace {
 
-constexpr auto kRoomCheckInterval = std::chrono::milliseconds(20);
-
 std::string_view PathOf(const CallerHttpRequest& message) {
   const std::string_view target(message.target().data(),
                                 message.target().size());
@@ -149,7 +147,8 @@
     co_await EndWithoutAttempt(exchange, RefusalReason::kCrashesEndpoints);
     co_return true;
   }
-  const SelectionResult selected = co_await SelectOrWait(exchange);
+  const SelectionResult selected = co_await placement_.SelectOrWait(
+      exchange.request, exchange.attempts, *exchange.guard);
   if (const auto* reason = std::get_if<NoEndpointReason>(&selected)) {
     co_await EndWithoutAttempt(exchange, ToRefusal(*reason));
     co_return true;
@@ -169,7 +168,8 @@
                           exchange.guard.get(), &exchange.attempts);
   LogSend(exchange, selection);
   const auto message = MakeEndpointRequest(exchange, selection);
-  const ResponseTimeouts limits = ResponseTimeoutsFor(exchange, endpoint);
+  const ResponseTimeouts limits =
+      placement_.TimeoutsFor(exchange.request, endpoint);
   StreamRelay* relay = is_stream ? &exchange.relay : nullptr;
   std::function<void()> on_silence = [this, &endpoint] {
     AttemptResult silent;
@@ -193,6 +193,7 @@
   } else {
     exchange.outcome = "answered";
     exchange.status = 200;
+    placement_.OnServed(selection, state_->Now() - sent_at);
     if (result.head) {
       crash_guard_.OnAnswerBegun(exchange.request);
       exchange.status = result.head->status;
@@ -259,64 +260,6 @@
   }
 }
 
-SelectionResult RequestHandler::Select(const Exchange& exchange) {
-  SelectionQuery query;
-  query.service = exchange.request.service;
-  const std::string& service = query.service->name;
-  const Timestamp now = state_->Now();
-  if (query.service->engine)
-    query.prompt = exchange.request.head.prompt;
-  if (!query.prompt.empty()) {
-    query.affinity_share =
-        state_->demand().ShareOf(service, AffinityPart(query.prompt).id, now);
-  }
-  query.excluded = exchange.attempts.tried();
-  // A stream that was broken off is not kept waiting.
-  query.ignores_load_bound = exchange.attempts.may_have_run();
-  return state_->selector().Select(query, state_->MakeSelectionContext(service),
-                                   now);
-}
-
-asio::awaitable<SelectionResult> RequestHandler::SelectOrWait(
-    Exchange& exchange) {
-  const ClassifiedRequest& request = exchange.request;
-  WaitingRequests& waiting = state_->WaitingFor(request.service->name);
-  const int priority = request.Priority();
-  const bool is_queued =
-      waiting.HasAheadOf(priority) && !exchange.attempts.may_have_run();
-  SelectionResult result =
-      is_queued ? NoEndpointReason::kAllAtBound : Select(exchange);
-  const auto is_at_bound = [&result] {
-    const auto* reason = std::get_if<NoEndpointReason>(&result);
-    return reason && *reason == NoEndpointReason::kAllAtBound;
-  };
-  if (!is_at_bound())
-    co_return result;
-  const Timestamp entered_at = state_->Now();
-  const Timestamp until =
-      entered_at + WaitingRequests::MaxWait(request.route->objective,
-                                            request.deadline - entered_at);
-  const WaitingRequests::Place place = waiting.Enter(priority);
-  asio::steady_timer timer(state_->io());
-  while (is_at_bound() && state_->Now() < until &&
-         !exchange.guard->is_final()) {
-    timer.expires_after(kRoomCheckInterval);
-    co_await timer.async_wait(kAsTuple);
-    if (waiting.IsFirst(place))
-      result = Select(exchange);
-  }
-  waiting.Leave(place);
-  LogLine line("waited-for-room");
-  line.Add("id", request.head.id)
-      .Add("service", request.service->name)
-      .Add("priority", priority)
-      .Add("waiting", waiting.size())
-      .Add("found_room", !is_at_bound())
-      .AddTime("elapsed", state_->Now() - entered_at);
-  state_->log().Info(line);
-  co_return result;
-}
-
 std::shared_ptr<EndpointHttpRequest> RequestHandler::MakeEndpointRequest(
     const Exchange& exchange,
     const Selection& selection) const {
@@ -345,19 +288,6 @@
   return message;
 }
 
-ResponseTimeouts RequestHandler::ResponseTimeoutsFor(
-    const Exchange& exchange,
-    const EndpointState& endpoint) const {
-  ResponseTimeoutQuery query;
-  query.route = exchange.request.route;
-  for (const PromptPart& part : exchange.request.head.prompt)
-    query.prompt_tokens += part.tokens;
-  query.load_share = endpoint.EstimatedLoad(state_->Now()) /
-                     std::max(1u, endpoint.record().slots);
-  query.time_left = exchange.request.deadline - state_->Now();
-  return ChooseResponseTimeouts(query);
-}
-
 void RequestHandler::UpdateEndpointHealth(EndpointState& endpoint,
                                           const AttemptResult& result) {
   const Timestamp now = state_->Now();
@@ -463,6 +393,10 @@
   if (const auto count = endpoint.LatestCount(Duration::max(), state_->Now())) {
     line.AddTime("load_age", state_->Now() - count->at);
   }
+  if (endpoint.speed().IsKnown(state_->Now())) {
+    line.AddRounded("slowness_percent",
+                    100 * endpoint.speed().Slowness(state_->Now()));
+  }
   if (!selection.affinity_part.empty()) {
     line.Add("part", selection.affinity_part)
         .Add("shared_tokens", selection.shared_tokens)
--- a/src/teaselthread/gateway/request_handler.h
+++ b/src/teaselthread/gateway/request_handler.h
@@ -7,6 +7,7 @@
 
 #include "teaselthread/gateway/crash_guard.h"
 #include "teaselthread/gateway/endpoint_attempt.h"
+#include "teaselthread/gateway/endpoint_placement.h"
 #include "teaselthread/gateway/request_checks.h"
 
 namespace teaselthread {
@@ -19,7 +20,7 @@
 class RequestHandler {
  public:
   explicit RequestHandler(GatewayState* state)
-      : state_(state), checks_(state), crash_guard_(state) {}
+      : state_(state), checks_(state), crash_guard_(state), placement_(state) {}
 
   asio::awaitable<void> Serve(const CallerHttpRequest& message,
                               Timestamp received_at,
@@ -42,15 +43,9 @@
                                       const Selection& selection,
                                       AttemptResult result,
                                       bool* is_final);
-  SelectionResult Select(const Exchange& exchange);
-  // Selects an endpoint. If all are at their load bound, waits until one is not
-  // or the request can no longer be served in time.
-  asio::awaitable<SelectionResult> SelectOrWait(Exchange& exchange);
   std::shared_ptr<EndpointHttpRequest> MakeEndpointRequest(
       const Exchange& exchange,
       const Selection& selection) const;
-  ResponseTimeouts ResponseTimeoutsFor(const Exchange& exchange,
-                                       const EndpointState& endpoint) const;
   void UpdateEndpointHealth(EndpointState& endpoint,
                             const AttemptResult& result);
 
@@ -67,6 +62,7 @@
   GatewayState* state_;
   RequestChecks checks_;
   CrashGuard crash_guard_;
+  EndpointPlacement placement_;
   EndpointConnections connections_;
   std::set<Exchange*> exchanges_;  // in progress
 };
