--- a/src/teaselthread/gateway/request_handler.cc
+++ b/src/teaselthread/gateway/request_handler.cc
@@ -5,8 +5,6 @@
 namespace teaselthread {
 namespace {
 
-constexpr auto kRoomCheckInterval = std::chrono::milliseconds(20);
-
 std::string_view PathOf(const CallerHttpRequest& message) {
   const std::string_view target(message.target().data(),
                                 message.target().size());
@@ -77,15 +75,16 @@
         exchange, RefusalReason::kCrashesEndpoints);
     co_return true;
   }
-  const SelectionResult selected = co_await SelectOrWait(exchange);
+  const SelectionResult selected = co_await placement_.SelectOrWait(
+      exchange.request, exchange.attempts, *exchange.guard);
   if (const auto* reason = std::get_if<NoEndpointReason>(&selected)) {
     co_await final_responses_.EndWithoutAttempt(exchange, ToRefusal(*reason));
     co_return true;
   }
   const Selection& selection = std::get<Selection>(selected);
   exchange.endpoint = selection.endpoint->record().id;
-  TrackedAttempt attempt(state_, &connections_, &crash_guard_, &exchange,
-                         selection);
+  TrackedAttempt attempt(state_, &connections_, &crash_guard_, &placement_,
+                         &exchange, selection);
   AttemptResult result = co_await attempt.Run();
   bool is_final = true;
   if (result.failure) {
@@ -143,62 +142,4 @@
   }
 }
 
-SelectionResult RequestHandler::Select(const RequestExchange& exchange) {
-  SelectionQuery query;
-  query.service = exchange.request.service;
-  const std::string& service = query.service->name;
-  const Timestamp now = state_->Now();
-  if (query.service->engine)
-    query.prompt = exchange.request.head.prompt;
-  if (!query.prompt.empty()) {
-    query.affinity_share =
-        state_->demand().ShareOf(service, AffinityPart(query.prompt).id, now);
-  }
-  query.excluded = exchange.attempts.tried();
-  // A stream that was broken off is not kept waiting.
-  query.ignores_load_bound = exchange.attempts.may_have_run();
-  return state_->selector().Select(query, state_->MakeSelectionContext(service),
-                                   now);
-}
-
-asio::awaitable<SelectionResult> RequestHandler::SelectOrWait(
-    RequestExchange& exchange) {
-  const ClassifiedRequest& request = exchange.request;
-  WaitingRequests& waiting = state_->WaitingFor(request.service->name);
-  const int priority = request.Priority();
-  const bool is_queued =
-      waiting.HasAheadOf(priority) && !exchange.attempts.may_have_run();
-  SelectionResult result =
-      is_queued ? NoEndpointReason::kAllAtBound : Select(exchange);
-  const auto is_at_bound = [&result] {
-    const auto* reason = std::get_if<NoEndpointReason>(&result);
-    return reason && *reason == NoEndpointReason::kAllAtBound;
-  };
-  if (!is_at_bound())
-    co_return result;
-  const Timestamp entered_at = state_->Now();
-  const Timestamp until =
-      entered_at + WaitingRequests::MaxWait(request.route->objective,
-                                            request.deadline - entered_at);
-  const WaitingRequests::Place place = waiting.Enter(priority);
-  asio::steady_timer timer(state_->io());
-  while (is_at_bound() && state_->Now() < until &&
-         !exchange.guard->is_final()) {
-    timer.expires_after(kRoomCheckInterval);
-    co_await timer.async_wait(kAsTuple);
-    if (waiting.IsFirst(place))
-      result = Select(exchange);
-  }
-  waiting.Leave(place);
-  LogLine line("waited-for-room");
-  line.Add("id", request.head.id)
-      .Add("service", request.service->name)
-      .Add("priority", priority)
-      .Add("waiting", waiting.size())
-      .Add("found_room", !is_at_bound())
-      .AddTime("elapsed", state_->Now() - entered_at);
-  state_->log().Info(line);
-  co_return result;
-}
-
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/request_handler.h
+++ b/src/teaselthread/gateway/request_handler.h
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "teaselthread/gateway/crash_guard.h"
+#include "teaselthread/gateway/endpoint_placement.h"
 #include "teaselthread/gateway/final_responses.h"
 #include "teaselthread/gateway/request_checks.h"
 #include "teaselthread/gateway/request_exchange.h"
@@ -20,6 +21,7 @@
       : state_(state),
         checks_(state),
         crash_guard_(state),
+        placement_(state),
         final_responses_(state),
         log_(state) {}
 
@@ -42,14 +44,11 @@
                                       const Selection& selection,
                                       AttemptResult result,
                                       bool* is_final);
-  SelectionResult Select(const RequestExchange& exchange);
-  // Selects an endpoint. If all are at their load bound, waits until one is not
-  // or the request can no longer be served in time.
-  asio::awaitable<SelectionResult> SelectOrWait(RequestExchange& exchange);
 
   GatewayState* state_;
   RequestChecks checks_;
   CrashGuard crash_guard_;
+  EndpointPlacement placement_;
   FinalResponses final_responses_;
   RequestLog log_;
   EndpointConnections connections_;
--- a/src/teaselthread/gateway/request_log.cc
+++ b/src/teaselthread/gateway/request_log.cc
@@ -13,6 +13,10 @@
   if (const auto count = endpoint.LatestCount(Duration::max(), state_->Now())) {
     line.AddTime("load_age", state_->Now() - count->at);
   }
+  if (endpoint.speed().IsKnown(state_->Now())) {
+    line.AddRounded("slowness_percent",
+                    100 * endpoint.speed().Slowness(state_->Now()));
+  }
   if (!selection.affinity_part.empty()) {
     line.Add("part", selection.affinity_part)
         .Add("shared_tokens", selection.shared_tokens)
--- a/src/teaselthread/gateway/tracked_attempt.cc
+++ b/src/teaselthread/gateway/tracked_attempt.cc
@@ -7,11 +7,13 @@
 TrackedAttempt::TrackedAttempt(GatewayState* state,
                                EndpointConnections* connections,
                                CrashGuard* crash_guard,
+                               EndpointPlacement* placement,
                                RequestExchange* exchange,
                                Selection selection)
     : state_(state),
       connections_(connections),
       crash_guard_(crash_guard),
+      placement_(placement),
       log_(state),
       exchange_(exchange),
       selection_(std::move(selection)) {}
@@ -30,7 +32,8 @@
                           exchange_->guard.get(), &exchange_->attempts);
   log_.OnSend(*exchange_, selection_);
   const auto message = MakeEndpointRequest();
-  const ResponseTimeouts limits = TimeoutsFor(endpoint);
+  const ResponseTimeouts limits =
+      placement_->TimeoutsFor(exchange_->request, endpoint);
   StreamRelay* relay = is_stream ? &exchange_->relay : nullptr;
   std::function<void()> on_silence = [this, &endpoint] {
     AttemptResult silent;
@@ -45,6 +48,8 @@
   if (!selection_.affinity_part.empty())
     state_->demand().OnEnd(service, selection_.affinity_part, state_->Now());
   UpdateEndpointHealth(endpoint, result);
+  if (!result.failure)
+    placement_->OnServed(selection_, state_->Now() - sent_at);
   if (result.failure == AttemptFailure::kBroken &&
       exchange_->relay.events().event_count() == events_before &&
       !state_->endpoints().IsLeaving(endpoint))
@@ -79,18 +84,6 @@
   return message;
 }
 
-ResponseTimeouts TrackedAttempt::TimeoutsFor(
-    const EndpointState& endpoint) const {
-  ResponseTimeoutQuery query;
-  query.route = exchange_->request.route;
-  for (const PromptPart& part : exchange_->request.head.prompt)
-    query.prompt_tokens += part.tokens;
-  query.load_share = endpoint.EstimatedLoad(state_->Now()) /
-                     std::max(1u, endpoint.record().slots);
-  query.time_left = exchange_->request.deadline - state_->Now();
-  return ChooseResponseTimeouts(query);
-}
-
 void TrackedAttempt::UpdateEndpointHealth(EndpointState& endpoint,
                                           const AttemptResult& result) {
   const Timestamp now = state_->Now();
--- a/src/teaselthread/gateway/tracked_attempt.h
+++ b/src/teaselthread/gateway/tracked_attempt.h
@@ -6,6 +6,7 @@
 #include "libteaselthread/endpoints/endpoint_selector.h"
 #include "teaselthread/gateway/crash_guard.h"
 #include "teaselthread/gateway/endpoint_attempt.h"
+#include "teaselthread/gateway/endpoint_placement.h"
 #include "teaselthread/gateway/request_exchange.h"
 #include "teaselthread/gateway/request_log.h"
 
@@ -19,6 +20,7 @@
   TrackedAttempt(GatewayState* state,
                  EndpointConnections* connections,
                  CrashGuard* crash_guard,
+                 EndpointPlacement* placement,
                  RequestExchange* exchange,
                  Selection selection);
 
@@ -27,13 +29,13 @@
 
  private:
   std::shared_ptr<EndpointHttpRequest> MakeEndpointRequest() const;
-  ResponseTimeouts TimeoutsFor(const EndpointState& endpoint) const;
   void UpdateEndpointHealth(EndpointState& endpoint,
                             const AttemptResult& result);
 
   GatewayState* state_;
   EndpointConnections* connections_;
   CrashGuard* crash_guard_;
+  EndpointPlacement* placement_;
   RequestLog log_;
   RequestExchange* exchange_;
   Selection selection_;
