--- a/src/libteaselthread/endpoints/endpoint_record.h
+++ b/src/libteaselthread/endpoints/endpoint_record.h
@@ -19,7 +19,8 @@
   std::string zone;
   uint32_t slots = 1;  // requests that it runs concurrently
   bool draining = false;
-  Duration cold_left{};  // remaining cold-start time when it registered
+  Duration cold_left{};      // remaining cold-start time when it registered
+  std::string version = {};  // of the service; empty if unknown
 
   friend auto operator<=>(const EndpointRecord&,
                           const EndpointRecord&) = default;
--- a/src/libteaselthread/endpoints/endpoint_selector.cc
+++ b/src/libteaselthread/endpoints/endpoint_selector.cc
@@ -296,8 +296,13 @@
 SelectionResult EndpointSelector::Select(const SelectionQuery& query,
                                          const SelectionContext& context,
                                          Timestamp now) const {
-  const std::vector<EndpointPtr> available =
+  std::vector<EndpointPtr> available =
       table_->Available(query.service->name, now);
+  if (context.versions) {
+    std::erase_if(available, [&](const EndpointPtr& endpoint) {
+      return !context.versions->Allows(endpoint->record());
+    });
+  }
   if (available.empty()) {
     return table_->ShortestPause(query.service->name, now)
                ? NoEndpointReason::kAllPaused
--- a/src/libteaselthread/endpoints/endpoint_selector.h
+++ b/src/libteaselthread/endpoints/endpoint_selector.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "libteaselthread/endpoints/endpoint_table.h"
+#include "libteaselthread/endpoints/version_rule.h"
 
 namespace teaselthread {
 
@@ -84,6 +85,8 @@
   // The service's requests in progress, from all nodes. If it is not set, the
   // sum of the endpoints' estimated loads is used.
   std::optional<double> service_requests;
+  // Set while a rollout limits the versions that may get the request.
+  std::optional<VersionRule> versions;
 };
 
 // Chooses the endpoint of a request.
--- a/src/libteaselthread/peers/peer_set.cc
+++ b/src/libteaselthread/peers/peer_set.cc
@@ -194,6 +194,35 @@
   return !any_serving && precedes_all;
 }
 
+std::set<std::string> PeerSet::LiveZoneNodes(Timestamp now) const {
+  std::set<std::string> names;
+  for (const auto& [name, entry] : entries_) {
+    if (entry.peer.zone == self_.zone && IsAlive(entry, now))
+      names.insert(name);
+  }
+  return names;
+}
+
+std::set<std::string> PeerSet::LiveOtherZones(Timestamp now) const {
+  std::set<std::string> zones;
+  for (const auto& [name, entry] : entries_) {
+    if (entry.peer.zone != self_.zone && IsAlive(entry, now))
+      zones.insert(entry.peer.zone);
+  }
+  return zones;
+}
+
+std::vector<SocketAddress> PeerSet::FirstOfZone(size_t count,
+                                                Timestamp now) const {
+  std::vector<SocketAddress> addresses;
+  for (const auto& [name, entry] : entries_) {
+    if (addresses.size() < count && entry.peer.zone == self_.zone &&
+        IsAlive(entry, now))
+      addresses.push_back(entry.peer.peer_address);
+  }
+  return addresses;
+}
+
 bool PeerSet::IsZonePeer(const SocketAddress& address) const {
   const Entry* entry = FindByAddress(address);
   return entry && entry->peer.zone == self_.zone;
--- a/src/libteaselthread/peers/peer_set.h
+++ b/src/libteaselthread/peers/peer_set.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -120,6 +121,13 @@
   // those that accept callers or, as during an outage of the store, of all if
   // none does. Nodes may disagree for a moment.
   bool IsZoneLeader(Timestamp now) const;
+  // Names of the other live nodes of this availability zone.
+  std::set<std::string> LiveZoneNodes(Timestamp now) const;
+  // The other availability zones that have live nodes.
+  std::set<std::string> LiveOtherZones(Timestamp now) const;
+  // Addresses of up to `count` live nodes of this availability zone, the first
+  // ones by name: the zone leader and its successors, without this node.
+  std::vector<SocketAddress> FirstOfZone(size_t count, Timestamp now) const;
   // Whether the address belongs to another node of this availability zone.
   bool IsZonePeer(const SocketAddress& address) const;
   // Time between two heartbeats. It grows with the number of nodes in the zone,
--- a/src/libteaselthread/peers/store_changes.h
+++ b/src/libteaselthread/peers/store_changes.h
@@ -8,18 +8,21 @@
 #include <vector>
 
 #include "libteaselthread/endpoints/endpoint_record.h"
+#include "libteaselthread/rollouts/rollout_order.h"
 
 namespace teaselthread {
 
 // The lists in the platform's store that nodes relay to each other.
-enum class RelayedList : uint8_t { kEndpoints, kEvacuations };
-inline constexpr size_t kRelayedListCount = 2;
+enum class RelayedList : uint8_t { kEndpoints, kEvacuations, kRollouts };
+inline constexpr size_t kRelayedListCount = 3;
 
 // One object of a list that was created, changed or removed.
 struct StoreChange {
-  std::string name;  // the endpoint's id or the availability zone
+  std::string name;  // the endpoint's id, the availability zone or the order
   bool removed = false;
   std::optional<EndpointRecord> endpoint;  // only in kEndpoints, if not removed
+  std::optional<RolloutOrder> rollout =
+      {};  // only in kRollouts, if not removed
 
   friend auto operator<=>(const StoreChange&, const StoreChange&) = default;
 };
--- /dev/null
+++ b/src/libteaselthread/rollouts/route_times.cc
@@ -0,0 +1,45 @@
+#include "libteaselthread/rollouts/route_times.h"
+
+#include <algorithm>
+
+namespace teaselthread {
+namespace {
+
+// A response is slow if it took more than this multiple of the mean.
+constexpr double kSlowMultiple = 2.5;
+// The mean of fewer responses says little.
+constexpr uint32_t kMinResponses = 5;
+// Weight of a new response once the mean is known.
+constexpr double kMinWeight = 1.0 / 64;
+constexpr size_t kMaxMeans = 1'024;
+
+}  // namespace
+
+void RouteTimes::OnResponse(const std::string& service,
+                            uint32_t route,
+                            Duration time) {
+  const Key key(service, route);
+  if (means_.size() >= kMaxMeans && !means_.contains(key))
+    return;
+  Mean& mean = means_[key];
+  ++mean.responses;
+  const double weight = std::max(kMinWeight, 1.0 / mean.responses);
+  mean.microseconds +=
+      weight * (static_cast<double>(time.count()) - mean.microseconds);
+}
+
+bool RouteTimes::IsKnown(const std::string& service, uint32_t route) const {
+  const auto found = means_.find({service, route});
+  return found != means_.end() && found->second.responses >= kMinResponses;
+}
+
+bool RouteTimes::IsSlow(const std::string& service,
+                        uint32_t route,
+                        Duration time) const {
+  const auto found = means_.find({service, route});
+  return found != means_.end() &&
+         static_cast<double>(time.count()) >
+             kSlowMultiple * found->second.microseconds;
+}
+
+}  // namespace teaselthread
--- a/src/teaselthread/gateway/gateway.cc
+++ b/src/teaselthread/gateway/gateway.cc
@@ -35,7 +35,8 @@
       front_(&state_),
       admin_(&state_),
       store_(&state_),
-      registrar_(&state_) {}
+      registrar_(&state_),
+      rollout_writer_(&state_) {}
 
 Result<bool> Gateway::Start() {
   for (Result<bool> started : {front_.Start(), admin_.Start()}) {
@@ -61,6 +62,9 @@
   store_.set_on_store_recovered([this] { heartbeat_->SendNow(); });
   store_.Start();
   registrar_.Start();
+  rollouts_ = std::make_unique<RolloutController>(&state_, heartbeat_.get());
+  rollouts_->Start();
+  rollout_writer_.Start();
   state_.timers().Subscribe(kSweepInterval, state_.Now(),
                             [this](Timestamp) { front_.handler().Sweep(); });
   LogLine line("started");
--- a/src/teaselthread/gateway/gateway.h
+++ b/src/teaselthread/gateway/gateway.h
@@ -7,7 +7,9 @@
 #include "teaselthread/gateway/admin_server.h"
 #include "teaselthread/gateway/front_server.h"
 #include "teaselthread/gateway/peer_heartbeat.h"
+#include "teaselthread/gateway/rollout_controller.h"
 #include "teaselthread/store/node_registrar.h"
+#include "teaselthread/store/rollout_writer.h"
 #include "teaselthread/store/store_controller.h"
 
 namespace teaselthread {
@@ -38,6 +40,8 @@
   StoreController store_;
   NodeRegistrar registrar_;
   std::unique_ptr<PeerHeartbeat> heartbeat_;
+  RolloutWriter rollout_writer_;
+  std::unique_ptr<RolloutController> rollouts_;
 };
 
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/gateway_metrics.cc
+++ b/src/teaselthread/gateway/gateway_metrics.cc
@@ -1,6 +1,7 @@
 #include "teaselthread/gateway/gateway_metrics.h"
 
 #include <sstream>
+#include <utility>
 
 namespace teaselthread {
 namespace {
@@ -48,6 +49,46 @@
   }
 }
 
+void RolloutSides(std::ostream& out,
+                  const std::vector<const Rollout*>& rollouts,
+                  std::string_view name,
+                  uint32_t (*count)(const SideCounters&)) {
+  out << "# TYPE teaselthread_" << name << " gauge\n";
+  for (const Rollout* rollout : rollouts) {
+    const RouteCounters total = rollout->evidence().own().Total();
+    for (const auto& [side, counters] : {std::pair("old", total.old_side),
+                                         std::pair("target", total.target)}) {
+      out << "teaselthread_" << name << "{service=\""
+          << rollout->order().service << "\",side=\"" << side << "\"} "
+          << count(counters) << "\n";
+    }
+  }
+}
+
+// This gateway's own requests. Values of an order start at 0.
+void Rollouts(std::ostream& out, const std::vector<const Rollout*>& rollouts) {
+  RolloutSides(out, rollouts, "rollout_responses",
+               [](const SideCounters& side) { return side.responses; });
+  RolloutSides(out, rollouts, "rollout_bad_responses",
+               [](const SideCounters& side) { return side.bad(); });
+  out << "# TYPE teaselthread_rollout_stage gauge\n";
+  for (const Rollout* rollout : rollouts) {
+    out << "teaselthread_rollout_stage{service=\"" << rollout->order().service
+        << "\",target=\"" << rollout->order().target << "\",stage=\""
+        << ToString(rollout->stage()) << "\"} 1\n";
+  }
+  out << "# TYPE teaselthread_rollout_share gauge\n";
+  for (const Rollout* rollout : rollouts) {
+    const CanaryShare& share = rollout->canary_share();
+    out << "teaselthread_rollout_share{service=\"" << rollout->order().service
+        << "\"} "
+        << (share.sends() == 0
+                ? 0.0
+                : static_cast<double>(share.target_sends()) / share.sends())
+        << "\n";
+  }
+}
+
 }  // namespace
 
 void LatencyHistogram::Add(Duration latency) {
@@ -126,6 +167,15 @@
   Scalar(out, "buffered_bytes", "gauge", gauges.buffered_bytes);
   Scalar(out, "buffer_limit_bytes", "gauge", gauges.buffer_limit_bytes);
   Scalar(out, "ready", "gauge", gauges.ready ? 1 : 0);
+  if (!gauges.rollouts_enabled)
+    return out.str();
+  Rollouts(out, gauges.rollouts);
+  out << "# TYPE teaselthread_rollout_decisions_total counter\n";
+  for (size_t i = 0; i < kRolloutStageCount; ++i) {
+    out << "teaselthread_rollout_decisions_total{stage=\""
+        << ToString(static_cast<RolloutStage>(i)) << "\"} "
+        << rollout_stages_[i] << "\n";
+  }
   return out.str();
 }
 
--- a/src/teaselthread/gateway/gateway_metrics.h
+++ b/src/teaselthread/gateway/gateway_metrics.h
@@ -4,9 +4,11 @@
 #include <array>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "libteaselthread/attempts/request_attempts.h"
 #include "libteaselthread/requests/reasons.h"
+#include "libteaselthread/rollouts/rollout.h"
 #include "libteaselthread/routes/route.h"
 
 namespace teaselthread {
@@ -45,6 +47,8 @@
   uint64_t buffer_limit_bytes = 0;
   uint64_t log_lines_dropped = 0;
   bool ready = false;
+  bool rollouts_enabled = false;
+  std::vector<const Rollout*> rollouts;  // valid while rendering
 };
 
 // The gateway's counters and latency histograms, rendered as Prometheus text.
@@ -62,6 +66,10 @@
   void OnStoreCall(bool succeeded);
   void OnUnreadableEntry() { ++unreadable_entries_; }
   void OnHeartbeatSent(size_t bytes);
+  // An order has entered a stage at this gateway.
+  void OnRolloutStage(RolloutStage stage) {
+    ++rollout_stages_[static_cast<size_t>(stage)];
+  }
 
   std::string Render(const GatewayGauges& gauges) const;
 
@@ -82,6 +90,7 @@
   uint64_t unreadable_entries_ = 0;
   uint64_t heartbeats_sent_ = 0;
   uint64_t heartbeat_bytes_ = 0;
+  std::array<uint64_t, kRolloutStageCount> rollout_stages_{};
 };
 
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/gateway_settings.cc
+++ b/src/teaselthread/gateway/gateway_settings.cc
@@ -10,7 +10,8 @@
 namespace teaselthread {
 namespace {
 
-constexpr std::string_view kSections[] = {"gateway", "peers", "limits"};
+constexpr std::string_view kSections[] = {"gateway", "peers", "limits",
+                                          "rollouts"};
 constexpr std::string_view kLogLevels[] = {"debug", "info", "warn", "error"};
 constexpr IntegerRange kMillisecondsRange = {1, 600'000};
 constexpr IntegerRange kTtlRangeMs = {500, 60'000};
@@ -53,6 +54,7 @@
   settings.ReadNode(find("gateway"), source, &errors);
   settings.ReadPeers(find("peers"), source, &errors);
   settings.ReadLimits(find("limits"), source, &errors);
+  settings.ReadRollouts(find("rollouts"), source, &errors);
   if (!errors.empty())
     return errors;
   return settings;
@@ -94,7 +96,11 @@
       << "\ncold_over = " << limits_.cold_over
       << "\ncold_slack = " << limits_.cold_slack
       << "\nload_multiple = " << limits_.load_multiple
-      << "\nleaving_grace_s = " << InSeconds(limits_.leaving_grace) << "\n";
+      << "\nleaving_grace_s = " << InSeconds(limits_.leaving_grace)
+      << "\n\n[rollouts]\n"
+      << "expose_share = " << rollouts_.expose_share
+      << "\nexpose_slack = " << rollouts_.expose_slack
+      << "\nrollback_ms = " << InMilliseconds(rollouts_.rollback) << "\n";
   return out.str();
 }
 
@@ -172,4 +178,15 @@
   reader.RejectUnknownKeys();
 }
 
+void GatewaySettings::ReadRollouts(const IniSection& section,
+                                   const std::string& source,
+                                   std::vector<Error>* errors) {
+  SectionReader reader(section, source, errors);
+  rollouts_.expose_share = reader.Number("expose_share", 0, 0, 1);
+  rollouts_.expose_slack = reader.Number("expose_slack", 50, 0, 1e6);
+  rollouts_.rollback =
+      reader.Milliseconds("rollback_ms", 5'000, kMillisecondsRange);
+  reader.RejectUnknownKeys();
+}
+
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/gateway_settings.h
+++ b/src/teaselthread/gateway/gateway_settings.h
@@ -8,6 +8,7 @@
 #include "libteaselthread/attempts/retry_allowance.h"
 #include "libteaselthread/error.h"
 #include "libteaselthread/ini_document.h"
+#include "libteaselthread/rollouts/rollout_order.h"
 #include "libteaselthread/settings.h"
 
 namespace teaselthread {
@@ -58,6 +59,7 @@
   // What the process may use in total.
   size_t memory_bytes() const { return memory_bytes_; }
   const GatewayLimits& limits() const { return limits_; }
+  const RolloutLimits& rollouts() const { return rollouts_; }
 
  private:
   GatewaySettings() = default;
@@ -70,6 +72,9 @@
   void ReadLimits(const IniSection& section,
                   const std::string& source,
                   std::vector<Error>* errors);
+  void ReadRollouts(const IniSection& section,
+                    const std::string& source,
+                    std::vector<Error>* errors);
 
   std::string name_;
   std::string zone_;
@@ -86,6 +91,7 @@
   Duration address_ttl_{};
   size_t memory_bytes_ = 0;
   GatewayLimits limits_;
+  RolloutLimits rollouts_;
 };
 
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/gateway_state.cc
+++ b/src/teaselthread/gateway/gateway_state.cc
@@ -30,6 +30,10 @@
       configuration_freshness_(settings_.limits().revocation_bound -
                                kRevocationMargin),
       selector_(&endpoints_),
+      rollouts_(settings_.rollouts(),
+                settings_.name(),
+                static_cast<uint32_t>(random_()),
+                &endpoints_),
       peers_(MakeSelf(settings_), settings_.heartbeat_timeout()),
       buffers_(BufferQuota::LimitFor(settings_.memory_bytes())),
       log_(settings_.log_level()) {}
@@ -79,6 +83,13 @@
   return context;
 }
 
+RolloutFleet GatewayState::MakeRolloutFleet() const {
+  const Timestamp now = Now();
+  return {settings_.zone(), peers_.LiveZoneNodes(now),
+          peers_.LiveOtherZones(now), peers_.NodesSharingLimits(now).size(),
+          peers_.IsZoneLeader(now)};
+}
+
 void GatewayState::BeginLeaving(Timestamp now) {
   leaving_schedule_ =
       LeavingSchedule::Begin(now, settings_.limits().leaving_grace);
@@ -90,7 +101,10 @@
 }
 
 bool GatewayState::IsReady() const {
-  return routes_ && endpoints_known_ && !leaving() &&
+  // Before the orders are known, old endpoints of a completed rollout or those
+  // of a reverted version could get requests.
+  const bool versions_known = !rollouts_.enabled() || rollouts_known_;
+  return routes_ && endpoints_known_ && versions_known && !leaving() &&
          (!routes_->needs_keys() ||
           configuration_freshness_.IsFresh(BootNow()));
 }
@@ -132,6 +146,9 @@
   gauges.buffer_limit_bytes = buffers_.limit();
   gauges.log_lines_dropped = log_.dropped();
   gauges.ready = IsReady();
+  gauges.rollouts_enabled = rollouts_.enabled();
+  for (const auto& [name, rollout] : rollouts_.rollouts())
+    gauges.rollouts.push_back(&rollout);
   return metrics_.Render(gauges);
 }
 
--- a/src/teaselthread/gateway/gateway_state.h
+++ b/src/teaselthread/gateway/gateway_state.h
@@ -16,6 +16,7 @@
 #include "libteaselthread/peers/peer_set.h"
 #include "libteaselthread/peers/revision_announcement.h"
 #include "libteaselthread/requests/leaving_schedule.h"
+#include "libteaselthread/rollouts/rollout_table.h"
 #include "libteaselthread/routes/configuration_freshness.h"
 #include "libteaselthread/routes/route_table.h"
 #include "libteaselthread/timer_service.h"
@@ -67,6 +68,9 @@
   RevisionAnnouncement& evacuation_changes() { return evacuation_changes_; }
   PromptPartDemand& demand() { return demand_; }
   CrashSuspects& crash_suspects() { return crash_suspects_; }
+  RolloutTable& rollouts() { return rollouts_; }
+  // The live gateways whose evidence on rollouts is needed.
+  RolloutFleet MakeRolloutFleet() const;
   WaitingRequests& WaitingFor(const std::string& service) {
     return waiting_[service];
   }
@@ -86,11 +90,12 @@
   // Whether a caller's connection stays open while no request is in progress on
   // it.
   bool KeepsIdleConnections() const;
-  // Whether callers' requests can be served: the configuration and endpoints
-  // are known, the configuration is fresh if it has keys, and the node is not
-  // leaving.
+  // Whether callers' requests can be served: the configuration, endpoints and
+  // rollouts, if they are on, are known, the configuration is fresh if it has
+  // keys, and the node is not leaving.
   bool IsReady() const;
   void set_endpoints_known() { endpoints_known_ = true; }
+  void set_rollouts_known() { rollouts_known_ = true; }
   // Replaces the settings and applies the log level. Values that were used at
   // startup, such as listen addresses, stay in effect until a restart.
   void Reload(GatewaySettings settings);
@@ -116,6 +121,7 @@
   EndpointSelector selector_;
   PromptPartDemand demand_;
   CrashSuspects crash_suspects_;
+  RolloutTable rollouts_;
   std::map<std::string, WaitingRequests> waiting_;  // by service
   PeerSet peers_;
   std::map<std::string, RetryAllowance> retries_;
@@ -125,6 +131,7 @@
   TimerService timers_;
   std::optional<LeavingSchedule> leaving_schedule_;
   bool endpoints_known_ = false;
+  bool rollouts_known_ = false;
   RevisionAnnouncement endpoint_changes_;
   RevisionAnnouncement evacuation_changes_;
 };
--- /dev/null
+++ b/src/teaselthread/gateway/heartbeat_conversion.cc
@@ -0,0 +1,172 @@
+#include "teaselthread/gateway/heartbeat_conversion.h"
+
+#include "heartbeat.pb.h"
+
+namespace teaselthread {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Numbers of one side of a route in a report.
+constexpr int kSideNumbers = 4;
+// Routes of a valid report: those with counters of their own and the others.
+constexpr int kMaxReportRoutes = RolloutCounters::kMaxRoutes + 1;
+
+void EncodeOrder(const RolloutOrder& order, wire::RolloutOrder* message) {
+  message->set_service(order.service);
+  message->set_target(order.target);
+  message->set_duration_ms(ToMilliseconds(order.duration));
+  message->set_revision(order.revision);
+  if (!order.status)
+    return;
+  message->set_state(1 + static_cast<uint32_t>(order.status->state));
+  message->set_state_target(order.status->target);
+}
+
+std::optional<RolloutOrder> DecodeOrder(const std::string& name,
+                                        const wire::RolloutOrder& message) {
+  if (message.state() > kRolloutStateCount)
+    return std::nullopt;
+  RolloutOrder order{name,
+                     message.service(),
+                     message.target(),
+                     milliseconds(message.duration_ms()),
+                     std::nullopt,
+                     message.revision()};
+  if (message.state() > 0) {
+    order.status = RolloutStatus{static_cast<RolloutState>(message.state() - 1),
+                                 message.state_target()};
+  }
+  return order;
+}
+
+template <typename Field>
+void EncodeSide(const SideCounters& side, Field* field) {
+  for (const uint32_t number :
+       {side.responses, side.failures, side.timed, side.slow})
+    field->Add(number);
+}
+
+template <typename Field>
+SideCounters DecodeSide(const Field& field) {
+  return {field.Get(0), field.Get(1), field.Get(2), field.Get(3)};
+}
+
+bool IsValid(const wire::RolloutReport& message) {
+  if (message.verdict() >= kRolloutVerdictCount ||
+      message.routes_size() > kMaxReportRoutes)
+    return false;
+  for (const wire::RolloutRoute& route : message.routes()) {
+    if (route.old_side_size() != kSideNumbers ||
+        route.target_size() != kSideNumbers)
+      return false;
+  }
+  return true;
+}
+
+RolloutReport DecodeReport(const wire::RolloutReport& message) {
+  RolloutReport report;
+  report.order = message.order();
+  report.order_revision = message.order_revision();
+  report.order_age = milliseconds(message.order_age_ms());
+  report.verdict = static_cast<RolloutVerdict>(message.verdict());
+  report.has_counters = !message.sender().empty();
+  report.sender = message.sender();
+  report.zone = message.zone();
+  report.start = message.start();
+  report.sequence = message.sequence();
+  report.old_requests = message.old_requests();
+  report.shifted = message.shifted();
+  report.is_complete = message.is_complete();
+  report.age = milliseconds(message.age_ms());
+  for (const wire::RolloutRoute& route : message.routes()) {
+    report.counters.routes[route.route()] = {DecodeSide(route.old_side()),
+                                             DecodeSide(route.target())};
+  }
+  return report;
+}
+
+}  // namespace
+
+uint32_t ToMilliseconds(Duration time) {
+  return static_cast<uint32_t>(std::chrono::ceil<milliseconds>(time).count());
+}
+
+void EncodeChange(const StoreChange& change,
+                  bool with_version,
+                  wire::StoreChange* message) {
+  message->set_name(change.name);
+  message->set_removed(change.removed);
+  if (change.rollout)
+    EncodeOrder(*change.rollout, message->mutable_rollout());
+  if (!change.endpoint)
+    return;
+  const EndpointRecord& record = *change.endpoint;
+  message->set_started_at_ms(record.started_at_ms);
+  message->set_service(record.service);
+  message->set_address(record.address.ToString());
+  message->set_zone(record.zone);
+  message->set_slots(record.slots);
+  message->set_draining(record.draining);
+  message->set_cold_left_ms(ToMilliseconds(record.cold_left));
+  if (with_version)
+    message->set_version(record.version);
+}
+
+std::optional<StoreChange> DecodeChange(RelayedList list,
+                                        const wire::StoreChange& message) {
+  StoreChange change{message.name(), message.removed(), std::nullopt};
+  if (change.removed)
+    return change;
+  if (list == RelayedList::kRollouts) {
+    change.rollout = DecodeOrder(message.name(), message.rollout());
+    return change.rollout ? std::optional(change) : std::nullopt;
+  }
+  if (list != RelayedList::kEndpoints)
+    return change;
+  const Result<SocketAddress> address = SocketAddress::Parse(message.address());
+  if (!address)
+    return std::nullopt;
+  change.endpoint =
+      EndpointRecord{message.name(),     message.started_at_ms(),
+                     message.service(),  *address,
+                     message.zone(),     message.slots(),
+                     message.draining(), milliseconds(message.cold_left_ms()),
+                     message.version()};
+  return change;
+}
+
+void EncodeReport(const RolloutReport& report, wire::RolloutReport* message) {
+  message->set_order(report.order);
+  message->set_order_revision(report.order_revision);
+  message->set_order_age_ms(ToMilliseconds(report.order_age));
+  message->set_verdict(static_cast<uint32_t>(report.verdict));
+  if (!report.has_counters)
+    return;
+  message->set_sequence(report.sequence);
+  message->set_sender(report.sender);
+  message->set_start(report.start);
+  message->set_zone(report.zone);
+  message->set_is_complete(report.is_complete);
+  message->set_age_ms(ToMilliseconds(report.age));
+  message->set_shifted(report.shifted);
+  message->set_old_requests(report.old_requests);
+  for (const auto& [route, counters] : report.counters.routes) {
+    wire::RolloutRoute* field = message->add_routes();
+    field->set_route(route);
+    EncodeSide(counters.old_side, field->mutable_old_side());
+    EncodeSide(counters.target, field->mutable_target());
+  }
+}
+
+std::vector<RolloutReport> DecodeReports(
+    const wire::GatewayHeartbeat& message) {
+  std::vector<RolloutReport> reports;
+  for (const wire::RolloutReport& report : message.rollout_reports()) {
+    if (IsValid(report))
+      reports.push_back(DecodeReport(report));
+  }
+  return reports;
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/teaselthread/gateway/heartbeat_conversion.h
@@ -0,0 +1,36 @@
+#ifndef TEASELTHREAD_GATEWAY_HEARTBEAT_CONVERSION_H_
+#define TEASELTHREAD_GATEWAY_HEARTBEAT_CONVERSION_H_
+
+#include <optional>
+#include <vector>
+
+#include "libteaselthread/peers/store_changes.h"
+#include "libteaselthread/rollouts/rollout_evidence.h"
+
+// Conversion of parts of heartbeats to and from their wire format.
+namespace teaselthread {
+
+namespace wire {
+class GatewayHeartbeat;
+class RolloutReport;
+class StoreChange;
+}  // namespace wire
+
+// Rounds up.
+uint32_t ToMilliseconds(Duration time);
+
+// `with_version`: includes the versions of endpoints.
+void EncodeChange(const StoreChange& change,
+                  bool with_version,
+                  wire::StoreChange* message);
+// Empty if the message holds no valid change.
+std::optional<StoreChange> DecodeChange(RelayedList list,
+                                        const wire::StoreChange& message);
+
+void EncodeReport(const RolloutReport& report, wire::RolloutReport* message);
+// The valid reports of a heartbeat.
+std::vector<RolloutReport> DecodeReports(const wire::GatewayHeartbeat& message);
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_GATEWAY_HEARTBEAT_CONVERSION_H_
--- a/src/teaselthread/gateway/peer_heartbeat.cc
+++ b/src/teaselthread/gateway/peer_heartbeat.cc
@@ -7,6 +7,7 @@
 #include "heartbeat.pb.h"
 #include "libteaselthread/peers/change_assembler.h"
 #include "libteaselthread/rendezvous_hash.h"
+#include "teaselthread/gateway/heartbeat_conversion.h"
 
 namespace teaselthread {
 namespace {
@@ -42,43 +43,6 @@
   return {asio::ip::make_address(address.host), address.port};
 }
 
-uint32_t ToMilliseconds(Duration time) {
-  return static_cast<uint32_t>(
-      std::chrono::ceil<std::chrono::milliseconds>(time).count());
-}
-
-void SetChange(const StoreChange& change, wire::StoreChange* message) {
-  message->set_name(change.name);
-  message->set_removed(change.removed);
-  if (!change.endpoint)
-    return;
-  const EndpointRecord& record = *change.endpoint;
-  message->set_started_at_ms(record.started_at_ms);
-  message->set_service(record.service);
-  message->set_address(record.address.ToString());
-  message->set_zone(record.zone);
-  message->set_slots(record.slots);
-  message->set_draining(record.draining);
-  message->set_cold_left_ms(ToMilliseconds(record.cold_left));
-}
-
-// Empty if the message holds no valid change.
-std::optional<StoreChange> ToChange(RelayedList list,
-                                    const wire::StoreChange& message) {
-  StoreChange change{message.name(), message.removed(), std::nullopt};
-  if (change.removed || list != RelayedList::kEndpoints)
-    return change;
-  const Result<SocketAddress> address = SocketAddress::Parse(message.address());
-  if (!address)
-    return std::nullopt;
-  change.endpoint = EndpointRecord{
-      message.name(),     message.started_at_ms(),
-      message.service(),  *address,
-      message.zone(),     message.slots(),
-      message.draining(), std::chrono::milliseconds(message.cold_left_ms())};
-  return change;
-}
-
 ListStatus ToListStatus(const wire::ListStatus& message) {
   return {message.changed_at(), message.complete_to(),
           std::chrono::milliseconds(message.age_ms())};
@@ -157,6 +121,8 @@
   std::shuffle(zone.begin(), zone.end(), state_->random());
   wire::GatewayHeartbeat without_load = MakeMessage();
   SetSuspects(&without_load);
+  for (const RolloutReport& report : state_->rollouts().Verdicts(now))
+    EncodeReport(report, without_load.add_rollout_reports());
   const ServiceRequests local = LocalRequests();
   wire::GatewayHeartbeat remote_message = without_load;
   SetListStatuses(&without_load);
@@ -199,7 +165,8 @@
     changes->set_count(part.count);
     changes->clear_changes();
     for (const StoreChange& change : part.batch.changes)
-      SetChange(change, changes->add_changes());
+      EncodeChange(change, state_->rollouts().enabled(),
+                   changes->add_changes());
     for (const SocketAddress& target : zone)
       SendTo(target, message);
   }
@@ -212,6 +179,14 @@
   state_->log().Info(line);
 }
 
+void PeerHeartbeat::SendReport(const RolloutReport& report,
+                               const std::vector<SocketAddress>& targets) {
+  wire::GatewayHeartbeat message = MakeMessage();
+  EncodeReport(report, message.add_rollout_reports());
+  for (const SocketAddress& target : targets)
+    SendTo(target, message);
+}
+
 void PeerHeartbeat::SetListStatuses(wire::GatewayHeartbeat* message) const {
   if (!list_status_source_)
     return;
@@ -226,6 +201,7 @@
   };
   set(RelayedList::kEndpoints, &wire::GatewayHeartbeat::mutable_endpoints);
   set(RelayedList::kEvacuations, &wire::GatewayHeartbeat::mutable_evacuations);
+  set(RelayedList::kRollouts, &wire::GatewayHeartbeat::mutable_rollouts);
 }
 
 void PeerHeartbeat::OnChangePart(const wire::ChangePart& message) {
@@ -240,7 +216,7 @@
   part.index = message.index();
   part.count = message.count();
   for (const wire::StoreChange& item : message.changes()) {
-    const std::optional<StoreChange> change = ToChange(list, item);
+    const std::optional<StoreChange> change = DecodeChange(list, item);
     if (!change) {
       state_->metrics().OnUnreadableEntry();
       return;
@@ -372,6 +348,8 @@
     status.lists[0] = ToListStatus(message.endpoints());
   if (message.has_evacuations())
     status.lists[1] = ToListStatus(message.evacuations());
+  if (message.has_rollouts())
+    status.lists[2] = ToListStatus(message.rollouts());
   if (!state_->peers().OnHeartbeat(from, status, state_->Now()))
     return;
   if (on_peer_status_)
@@ -379,9 +357,19 @@
   if (message.has_changes())
     OnChangePart(message.changes());
   OnSuspects(message, state_->peers().IsZonePeer(from));
+  if (on_rollout_reports_ && message.rollout_reports_size() > 0) {
+    on_rollout_reports_(DecodeReports(message),
+                        state_->peers().IsZonePeer(from));
+  }
   const bool is_from_leader =
       message.has_endpoints() || message.has_evacuations();
-  if (!is_from_leader && state_->peers().IsZonePeer(from))
+  // Reports with counters come in addition to the usual heartbeats.
+  const bool has_counters = std::any_of(message.rollout_reports().begin(),
+                                        message.rollout_reports().end(),
+                                        [](const wire::RolloutReport& report) {
+                                          return !report.sender().empty();
+                                        });
+  if (!is_from_leader && !has_counters && state_->peers().IsZonePeer(from))
     ReplyAsLeader(from);
 }
 
--- a/src/teaselthread/gateway/peer_heartbeat.h
+++ b/src/teaselthread/gateway/peer_heartbeat.h
@@ -39,6 +39,16 @@
     list_status_source_ = std::move(list_status_source);
   }
 
+  // Called with the reports on rollouts of each heartbeat that has any.
+  using ReportsCallback =
+      std::function<void(const std::vector<RolloutReport>&, bool is_zone_peer)>;
+  void set_on_rollout_reports(ReportsCallback on_rollout_reports) {
+    on_rollout_reports_ = std::move(on_rollout_reports);
+  }
+
+  // Sends a heartbeat with a report on a rollout.
+  void SendReport(const RolloutReport& report,
+                  const std::vector<SocketAddress>& targets);
   // Sends a heartbeat immediately, also to other zones.
   void SendNow();
   // Sends a batch of changes to all nodes of this zone.
@@ -79,6 +89,7 @@
   PeerStatusCallback on_peer_status_;
   ChangePartCallback on_change_part_;
   ListStatusSource list_status_source_;
+  ReportsCallback on_rollout_reports_;
   uint32_t heartbeat_rounds_ = 0;
   Timestamp last_sent_at_{};
   // Evidence from another zone is to be passed on in this one.
--- a/src/teaselthread/gateway/request_handler.cc
+++ b/src/teaselthread/gateway/request_handler.cc
@@ -180,6 +180,8 @@
   AttemptResult result = co_await attempt.Run(
       message, exchange.request.head.id, limits, relay, std::move(on_silence));
   endpoint.OnEnd(state_->Now());
+  rollout_guard_.OnEnd(exchange.request, selection, result, sent_at,
+                       exchange.relay.FirstEventAfter(sent_at));
   if (!selection.affinity_part.empty())
     state_->demand().OnEnd(service, selection.affinity_part, state_->Now());
   UpdateEndpointHealth(endpoint, result);
@@ -273,8 +275,7 @@
   query.excluded = exchange.attempts.tried();
   // A stream that was broken off is not kept waiting.
   query.ignores_load_bound = exchange.attempts.may_have_run();
-  return state_->selector().Select(query, state_->MakeSelectionContext(service),
-                                   now);
+  return rollout_guard_.Select(exchange.request, query);
 }
 
 asio::awaitable<SelectionResult> RequestHandler::SelectOrWait(
@@ -476,6 +477,7 @@
   }
   if (selection.kv_source)
     line.Add("kv_source", selection.kv_source->ToString());
+  rollout_guard_.OnSend(exchange.request, selection, &line);
   state_->log().Info(line);
 }
 
--- a/src/teaselthread/gateway/request_handler.h
+++ b/src/teaselthread/gateway/request_handler.h
@@ -8,6 +8,7 @@
 #include "teaselthread/gateway/crash_guard.h"
 #include "teaselthread/gateway/endpoint_attempt.h"
 #include "teaselthread/gateway/request_checks.h"
+#include "teaselthread/gateway/rollout_guard.h"
 
 namespace teaselthread {
 
@@ -19,7 +20,10 @@
 class RequestHandler {
  public:
   explicit RequestHandler(GatewayState* state)
-      : state_(state), checks_(state), crash_guard_(state) {}
+      : state_(state),
+        checks_(state),
+        crash_guard_(state),
+        rollout_guard_(state) {}
 
   asio::awaitable<void> Serve(const CallerHttpRequest& message,
                               Timestamp received_at,
@@ -67,6 +71,7 @@
   GatewayState* state_;
   RequestChecks checks_;
   CrashGuard crash_guard_;
+  RolloutGuard rollout_guard_;
   EndpointConnections connections_;
   std::set<Exchange*> exchanges_;  // in progress
 };
--- a/src/teaselthread/gateway/stream_relay.cc
+++ b/src/teaselthread/gateway/stream_relay.cc
@@ -40,4 +40,12 @@
   co_return co_await writer_->EndStream();
 }
 
+std::optional<Timestamp> StreamRelay::FirstEventAfter(Timestamp time) const {
+  if (!first_event_at_)
+    return std::nullopt;
+  const Timestamp at(std::chrono::duration_cast<Duration>(
+      first_event_at_->time_since_epoch()));
+  return at > time ? std::optional(at) : std::nullopt;
+}
+
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/stream_relay.h
+++ b/src/teaselthread/gateway/stream_relay.h
@@ -5,6 +5,7 @@
 #include <string_view>
 
 #include "libteaselthread/attempts/event_splitter.h"
+#include "libteaselthread/timestamp.h"
 #include "teaselthread/gateway/response_writer.h"
 
 namespace teaselthread {
@@ -36,6 +37,8 @@
       const {
     return first_event_at_;
   }
+  // The same, if that was after `time`.
+  std::optional<Timestamp> FirstEventAfter(Timestamp time) const;
 
  private:
   ResponseWriter* writer_;
--- a/src/teaselthread/gateway/wire_codec.cc
+++ b/src/teaselthread/gateway/wire_codec.cc
@@ -4,7 +4,7 @@
 
 std::string_view ToString(StoreKind kind) {
   constexpr std::string_view kNames[kStoreKindCount] = {
-      "configuration", "endpoints", "evacuations", "nodes"};
+      "configuration", "endpoints", "evacuations", "nodes", "rollouts"};
   return kNames[static_cast<size_t>(kind)];
 }
 
--- a/src/teaselthread/gateway/wire_codec.h
+++ b/src/teaselthread/gateway/wire_codec.h
@@ -10,6 +10,7 @@
 
 #include "libteaselthread/endpoints/endpoint_selector.h"
 #include "libteaselthread/peers/peer_set.h"
+#include "libteaselthread/rollouts/rollout_order.h"
 #include "libteaselthread/routes/route_table.h"
 #include "teaselthread/asio.h"
 
@@ -53,8 +54,9 @@
   kEndpoints,
   kEvacuations,
   kNodes,  // written by the gateways
+  kRollouts,
 };
-inline constexpr size_t kStoreKindCount = 4;
+inline constexpr size_t kStoreKindCount = 5;
 std::string_view ToString(StoreKind kind);
 
 // One object of the platform's store, or a notice of its removal.
@@ -63,6 +65,7 @@
   uint64_t revision = 0;
   bool removed = false;
   boost::json::value content;
+  boost::json::value status;  // written by the system; null if there is none
 };
 
 // A response to a list or watch call.
@@ -113,6 +116,15 @@
       const StoreObject& object) const = 0;
   virtual Result<EndpointRecord> DecodeEndpointRecord(
       const StoreObject& object) const = 0;
+
+  virtual Result<RolloutOrder> DecodeRollout(
+      const StoreObject& object) const = 0;
+  // Target and body of the PUT call that writes the status of an order. The
+  // store rejects it unless `revision` is the object's current one.
+  virtual std::string StatusTarget(const std::string& name) const = 0;
+  virtual std::string EncodeStatus(const std::string& name,
+                                   const RolloutStatus& status,
+                                   uint64_t revision) const = 0;
 };
 
 }  // namespace teaselthread
--- a/src/teaselthread/store/store_controller.cc
+++ b/src/teaselthread/store/store_controller.cc
@@ -55,7 +55,25 @@
                    RelayedList::kEvacuations,
                    StoreKind::kEvacuations,
                    ListTiming(),
-                   EvacuationHandlers()) {}
+                   EvacuationHandlers()) {
+  if (!state->rollouts().enabled())
+    return;
+  rollouts_ = std::make_unique<ListController>(state, RelayedList::kRollouts,
+                                               StoreKind::kRollouts,
+                                               ListTiming(), RolloutHandlers());
+}
+
+ListController* StoreController::ControllerOf(RelayedList list) {
+  switch (list) {
+    case RelayedList::kEndpoints:
+      return &endpoints_;
+    case RelayedList::kEvacuations:
+      return &evacuations_;
+    case RelayedList::kRollouts:
+      break;
+  }
+  return rollouts_.get();
+}
 
 std::function<void(bool)> StoreController::ReachabilityHandler(StoreKind kind) {
   return
@@ -78,6 +96,13 @@
           ReachabilityHandler(StoreKind::kEvacuations)};
 }
 
+ListController::Handlers StoreController::RolloutHandlers() {
+  return {[this](const StoreObject& object) { return DecodeRollout(object); },
+          [this](const Changes& orders) { ReplaceRollouts(orders); },
+          [this](const Changes& changes) { ApplyRolloutChanges(changes); },
+          ReachabilityHandler(StoreKind::kRollouts)};
+}
+
 ListController::Timing StoreController::ListTiming() const {
   return {DrainBoundShare(kLeaderWaitShare), DrainBoundShare(kBatchDelayShare),
           DrainBoundShare(kMaxLeaderStatusShare)};
@@ -87,12 +112,16 @@
     const ListController::BatchCallback& on_batch) {
   endpoints_.set_on_batch(on_batch);
   evacuations_.set_on_batch(on_batch);
+  if (rollouts_)
+    rollouts_->set_on_batch(on_batch);
 }
 
 void StoreController::Start() {
   configuration_.Start();
   endpoints_.Start();
   evacuations_.Start();
+  if (rollouts_)
+    rollouts_->Start();
   state_->timers().Subscribe(kCheckInterval, state_->Now(),
                              [this](Timestamp now) {
                                state_->endpoints().Sweep(now);
@@ -101,6 +130,8 @@
                                  return;
                                endpoints_.Check();
                                evacuations_.Check();
+                               if (rollouts_)
+                                 rollouts_->Check();
                              });
 }
 
@@ -162,9 +193,9 @@
 
 void StoreController::OnPeerStatus(const PeerStatus& status) {
   for (size_t i = 0; i < kRelayedListCount; ++i) {
-    if (status.lists[i])
-      ControllerOf(static_cast<RelayedList>(i))
-          .OnLeaderStatus(*status.lists[i]);
+    ListController* list = ControllerOf(static_cast<RelayedList>(i));
+    if (status.lists[i] && list)
+      list->OnLeaderStatus(*status.lists[i]);
   }
   if (!state_->routes())
     return;
@@ -211,7 +242,9 @@
     removal_grace_period_.OnLost(state_->Now());
     last_unreachable_at_ = GatewayState::BootNow();
   }
-  for (ListController* list : {&endpoints_, &evacuations_}) {
+  for (ListController* list : {&endpoints_, &evacuations_, rollouts_.get()}) {
+    if (!list)
+      continue;
     list->watcher().SuspendAfterFailure(!reachable);
     list->watcher().Reconnect();
   }
@@ -348,6 +381,54 @@
   state_->endpoints().SetEvacuatedZones(std::move(zones), state_->Now());
 }
 
+// An order that cannot be read is treated as taken back.
+StoreChange StoreController::DecodeRollout(const StoreObject& object) {
+  if (object.removed)
+    return {object.name, true, std::nullopt};
+  Result<RolloutOrder> order = state_->codec().DecodeRollout(object);
+  if (order)
+    return {object.name, false, std::nullopt, *order};
+  LogUnreadable(StoreKind::kRollouts, object, order.last_reason());
+  return {object.name, true, std::nullopt};
+}
+
+void StoreController::ReplaceRollouts(const Changes& orders) {
+  state_->set_rollouts_known();
+  std::set<std::string> missing;
+  for (const auto& [name, rollout] : state_->rollouts().rollouts())
+    missing.insert(name);
+  for (const StoreChange& order : orders)
+    missing.erase(order.name);
+  Changes changes = orders;
+  for (const std::string& name : missing)
+    changes.push_back({name, true, std::nullopt});
+  ApplyRolloutChanges(changes);
+}
+
+void StoreController::ApplyRolloutChanges(const Changes& changes) {
+  RolloutTable& rollouts = state_->rollouts();
+  for (const StoreChange& change : changes) {
+    const bool is_known = rollouts.rollouts().contains(change.name);
+    const bool is_new =
+        change.rollout && rollouts.Put(*change.rollout, state_->Now());
+    if (!change.rollout)
+      rollouts.Remove(change.name);
+    if (!is_new && (change.rollout || !is_known))
+      continue;
+    LogLine line("rollout-ordered");
+    line.Add("name", change.name).Add("removed", !change.rollout);
+    if (change.rollout) {
+      line.Add("service", change.rollout->service)
+          .Add("target", change.rollout->target)
+          .AddTime("duration", change.rollout->duration)
+          .Add("revision", change.rollout->revision);
+      if (const auto stored = change.rollout->state())
+        line.Add("state", ToString(*stored));
+    }
+    state_->log().Info(line);
+  }
+}
+
 void StoreController::LogUnreadable(StoreKind kind,
                                     const StoreObject& object,
                                     const Error& reason) {
--- a/src/teaselthread/store/store_controller.h
+++ b/src/teaselthread/store/store_controller.h
@@ -2,6 +2,7 @@
 #define TEASELTHREAD_STORE_STORE_CONTROLLER_H_
 
 #include <functional>
+#include <memory>
 #include <set>
 #include <string>
 
@@ -24,11 +25,13 @@
   void OnPeerStatus(const PeerStatus& status);
   // Called for each part of a batch that the zone leader relays.
   void OnRelayedPart(RelayedList list, ChangeBatchPart part) {
-    ControllerOf(list).OnRelayedPart(std::move(part));
+    if (ListController* controller = ControllerOf(list))
+      controller->OnRelayedPart(std::move(part));
   }
   // What this gateway states about a list if it is the zone leader.
   std::optional<ListStatus> StatusToShare(RelayedList list) {
-    return ControllerOf(list).StatusToShare();
+    ListController* controller = ControllerOf(list);
+    return controller ? controller->StatusToShare() : std::nullopt;
   }
   // Sets the function that relays changes to the gateways of the zone.
   void set_on_batch(const ListController::BatchCallback& on_batch);
@@ -41,12 +44,12 @@
  private:
   using Changes = ListController::Changes;
 
-  ListController& ControllerOf(RelayedList list) {
-    return list == RelayedList::kEndpoints ? endpoints_ : evacuations_;
-  }
+  // Null if the list is not watched.
+  ListController* ControllerOf(RelayedList list);
   std::function<void(bool)> ReachabilityHandler(StoreKind kind);
   ListController::Handlers EndpointHandlers();
   ListController::Handlers EvacuationHandlers();
+  ListController::Handlers RolloutHandlers();
   ListController::Timing ListTiming() const;
   // A fraction of the drain bound, which limits how late a draining endpoint
   // may get its last request.
@@ -71,6 +74,9 @@
   void ReplaceEvacuations(const Changes& evacuations);
   void ApplyEvacuationChanges(const Changes& changes);
   void SetEvacuated(std::set<std::string> zones);
+  StoreChange DecodeRollout(const StoreObject& object);
+  void ReplaceRollouts(const Changes& orders);
+  void ApplyRolloutChanges(const Changes& changes);
   void LogEndpointChanges(const Changes& changes);
   void LogUnreadable(StoreKind kind,
                      const StoreObject& object,
@@ -91,6 +97,7 @@
   StoreWatcher configuration_;
   ListController endpoints_;
   ListController evacuations_;
+  std::unique_ptr<ListController> rollouts_;  // null while rollouts are off
 };
 
 }  // namespace teaselthread
--- a/tests/gateway/gateway_settings_test.cc
+++ b/tests/gateway/gateway_settings_test.cc
@@ -89,6 +89,30 @@
   }
 }
 
+// The platform's template, filled in for a deployment with or without rollouts.
+std::string RenderTemplate(bool has_rollouts) {
+  std::string text = ReadSourceFile("deploy/gateway.ini.template");
+  const std::regex section(
+      "\\{\\{#bounds[.]expose_share\\}\\}([^]*)"
+      "\\{\\{/bounds[.]expose_share\\}\\}");
+  text = std::regex_replace(text, section, has_rollouts ? "$1" : "");
+  const std::regex share("\\{\\{bounds[.]expose_share\\}\\}");
+  text = std::regex_replace(text, share, "0.1");
+  const std::map<std::string, std::string> substitutions = {
+      {"bounds[.][a-z_]+", "8"},
+      {"limits[.]memory_mb", "260"},
+      {"ip", "192.0.2.1"},
+      {"port_range[.]0", "8003"},
+      {"seeds", "192.0.2.1:8004,192.0.2.2:8004"},
+      {"node_name|zone", "a"},
+      {"bind[.][a-z_]+|platform[.]address", "192.0.2.1:8000"}};
+  for (const auto& [name, value] : substitutions) {
+    const std::regex placeholder("\\{\\{(" + name + ")\\}\\}");
+    text = std::regex_replace(text, placeholder, value);
+  }
+  return text;
+}
+
 BOOST_AUTO_TEST_SUITE(report_all_errors_at_once)
 
 BOOST_AUTO_TEST_CASE(for_missing_unknown_and_out_of_range_values) {
@@ -106,22 +130,14 @@
   BOOST_TEST(settings.reasons().size() == 6u);
 }
 
+// The section for rollouts is rendered only where its bounds exist.
 BOOST_AUTO_TEST_CASE(and_none_for_the_platforms_template) {
-  std::string text = ReadSourceFile("deploy/gateway.ini.template");
-  const std::map<std::string, std::string> substitutions = {
-      {"bounds[.][a-z_]+", "8"},
-      {"limits[.]memory_mb", "260"},
-      {"ip", "192.0.2.1"},
-      {"port_range[.]0", "8003"},
-      {"seeds", "192.0.2.1:8004,192.0.2.2:8004"},
-      {"node_name|zone", "a"},
-      {"bind[.][a-z_]+|platform[.]address", "192.0.2.1:8000"}};
-  for (const auto& [name, value] : substitutions) {
-    const std::regex placeholder("\\{\\{(" + name + ")\\}\\}");
-    text = std::regex_replace(text, placeholder, value);
+  for (const bool has_rollouts : {false, true}) {
+    const auto settings =
+        GatewaySettings::Parse(RenderTemplate(has_rollouts), "template");
+    BOOST_REQUIRE(settings.has_value());
+    BOOST_TEST(settings->rollouts().enabled() == has_rollouts);
   }
-  const auto settings = GatewaySettings::Parse(text, "template");
-  BOOST_TEST(settings.has_value());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/soak/endpoint.py
+++ b/tests/soak/endpoint.py
@@ -35,12 +35,14 @@
 
     MODES = ("slow", "errors", "full", "cut", "silent", "extra")
 
-    def __init__(self, name, service, zone, address, public_address, ledger):
+    def __init__(self, name, service, zone, address, public_address, ledger,
+                 version="1"):
         self.name = name
         self.service = service
         self.zone = zone
         self.address = address
         self.public_address = public_address
+        self.version = version
         self.mode = "pass"
         self.is_draining = False
         self._ledger = ledger
@@ -60,7 +62,7 @@
     def record(self):
         return wire.endpoint_record(self.service, self.public_address,
                                     self.zone, SLOTS, self.is_draining,
-                                    self._started_ms)
+                                    self._started_ms, self.version)
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -62,10 +62,13 @@
                   "limits.memory_mb": str(MEMORY_MB),
                   "seeds": ", ".join(seeds)}
         values.update({f"bounds.{name}": str(value)
-                       for name, value in BOUNDS.items()})
+                       for name, value in self._fleet.bounds.items()})
+        text = re.sub(
+            r"\{\{#(.*?)\}\}(.*?)\{\{/\1\}\}",
+            lambda match: match[2] if match[1] in values else "",
+            TEMPLATE.read_text(), flags=re.DOTALL)
         self._settings.write_text(re.sub(
-            r"\{\{(.*?)\}\}", lambda match: values[match[1]],
-            TEMPLATE.read_text()))
+            r"\{\{(.*?)\}\}", lambda match: values[match[1]], text))
 
     async def start(self):
         self.is_stopping = False
@@ -122,8 +125,9 @@
 class EndpointSlot:
     """An address that successive incarnations of an endpoint use."""
 
-    def __init__(self, fleet, index, service):
+    def __init__(self, fleet, index, service, version="1"):
         self.service = service
+        self.version = version
         self.zone = ZONES[index % len(ZONES)]
         ip = fleet.ip(MAX_GATEWAYS + 2 + index)
         self.link = Proxy(f"{ip}:{SERVICE + 100}", f"{ip}:{SERVICE}")
@@ -136,7 +140,8 @@
         self._starts += 1
         self.endpoint = Endpoint(
             f"i-{self._index}-{self._starts}", self.service, self.zone,
-            self.link.target, self.link.listen, self._fleet.ledger)
+            self.link.target, self.link.listen, self._fleet.ledger,
+            self.version)
         await self.endpoint.start()
         self.register()
 
@@ -154,8 +159,10 @@
 
     host = "soak.example"
 
-    def __init__(self, binary, folder, ledger, gateways, endpoints):
+    def __init__(self, binary, folder, ledger, gateways, endpoints,
+                 bounds=None):
         self.binary = binary
+        self.bounds = BOUNDS | (bounds or {})
         self.folder = folder
         self.ledger = ledger
         self.store = Store(f"{self.ip(MAX_GATEWAYS + 1)}:{STORE}")
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -1,6 +1,7 @@
 """A stand-in for the platform's store: objects, lists and watches."""
 
 import asyncio
+import collections
 import json
 from urllib.parse import parse_qs, urlsplit
 
@@ -22,6 +23,7 @@
     def __init__(self, address):
         self.address = address
         self.mode = "pass"
+        self.calls = collections.Counter()  # by kind
         self._objects = {}
         self._history = []
         self._compacted_revision = 0
@@ -42,17 +44,34 @@
             for writer in list(self._writers):
                 writer.transport.abort()
 
+    def get(self, kind, name):
+        return self._objects.get((kind, name))
+
     def put(self, kind, name, spec):
-        """Writes an object, for the operator or an endpoint. Writing the same
-        content again changes no revision."""
+        """Writes an object, for the operator or an endpoint. The status stays.
+        Writing the same content again changes no revision."""
         current = self._objects.get((kind, name))
         if current and wire.name_and_content(current)[1] == spec:
             return
+        self._write(kind, name, spec, wire.status_of(current or {}))
+
+    def _write(self, kind, name, spec, status):
         self._revision += 1
-        changed = wire.stored(name, self._revision, spec)
+        changed = wire.stored(name, self._revision, spec, status)
         self._objects[kind, name] = changed
         self._record(kind, changed, False)
 
+    def _put_status(self, kind, name, document):
+        current = self._objects.get((kind, name))
+        if not current:
+            return 404, {}
+        required = wire.required_revision(document)
+        if required not in (None, wire.required_revision(current)):
+            return 409, current
+        self._write(kind, name, wire.name_and_content(current)[1],
+                    wire.status_of(document))
+        return 200, self._objects[kind, name]
+
     def remove(self, kind, name):
         removed = self._objects.pop((kind, name), None)
         if removed:
@@ -104,6 +123,7 @@
         if not url.path.startswith(wire.OBJECTS_PATH):
             return 404, {}
         kind, _, name = url.path[len(wire.OBJECTS_PATH):].partition("/")
+        self.calls[kind] += 1
         query = {key: values[0] for key, values in parse_qs(url.query).items()}
         return await self._handle_request(head.start[0], kind, name, query,
                                           body)
@@ -118,7 +138,11 @@
         if method == "DELETE":
             self.remove(kind, name)
             return 200, {}
-        body_name, content = wire.name_and_content(json.loads(body))
+        document = json.loads(body)
+        name, _, part = name.partition("/")
+        if part == wire.STATUS_PATH:
+            return self._put_status(kind, name, document)
+        body_name, content = wire.name_and_content(document)
         name = name or body_name
         if method == "POST" and (kind, name) in self._objects:
             return 409, self._objects[kind, name]
