--- a/src/libteaselthread/endpoints/endpoint_selector.cc
+++ b/src/libteaselthread/endpoints/endpoint_selector.cc
@@ -351,8 +351,13 @@
 SelectionResult EndpointSelector::Select(const SelectionQuery& query,
                                          const SelectionContext& context,
                                          Timestamp now) const {
-  const std::vector<EndpointPtr> available =
+  std::vector<EndpointPtr> available =
       table_->Available(query.service->name, now);
+  if (context.versions) {
+    std::erase_if(available, [&](const EndpointPtr& endpoint) {
+      return !context.versions->Allows(endpoint->record());
+    });
+  }
   if (available.empty()) {
     return table_->ShortestPause(query.service->name, now)
                ? NoEndpointReason::kAllPaused
--- a/src/teaselthread/gateway/endpoint_placement.cc
+++ b/src/teaselthread/gateway/endpoint_placement.cc
@@ -27,8 +27,7 @@
   query.excluded = attempts.tried();
   // A stream that was broken off is not kept waiting.
   query.ignores_load_bound = attempts.may_have_run();
-  return state_->selector().Select(query, state_->MakeSelectionContext(service),
-                                   now);
+  return rollout_guard_.Select(request, query);
 }
 
 asio::awaitable<SelectionResult> EndpointPlacement::SelectOrWait(
--- a/src/teaselthread/gateway/endpoint_placement.h
+++ b/src/teaselthread/gateway/endpoint_placement.h
@@ -6,6 +6,7 @@
 #include "teaselthread/gateway/gateway_state.h"
 #include "teaselthread/gateway/request_checks.h"
 #include "teaselthread/gateway/request_guard.h"
+#include "teaselthread/gateway/rollout_guard.h"
 
 namespace teaselthread {
 
@@ -13,7 +14,10 @@
 // nothing, from the state of the gateway.
 class EndpointPlacement {
  public:
-  explicit EndpointPlacement(GatewayState* state) : state_(state) {}
+  explicit EndpointPlacement(GatewayState* state)
+      : state_(state), rollout_guard_(state) {}
+
+  RolloutGuard& rollout_guard() { return rollout_guard_; }
 
   // Selects an endpoint. If all are at their load bound, waits until one is not
   // or the request can no longer be served in time.
@@ -31,6 +35,7 @@
                          const RequestAttempts& attempts);
 
   GatewayState* state_;
+  RolloutGuard rollout_guard_;
 };
 
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/gateway_settings.cc
+++ b/src/teaselthread/gateway/gateway_settings.cc
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::string_view kSections[] = {"gateway", "peers", "limits",
-                                          "callers"};
+                                          "callers", "rollouts"};
 constexpr std::string_view kLogLevels[] = {"debug", "info", "warn", "error"};
 constexpr IntegerRange kMillisecondsRange = {1, 600'000};
 constexpr IntegerRange kTtlRangeMs = {500, 60'000};
@@ -59,6 +59,7 @@
   settings.ReadPeers(find("peers"), source, &errors);
   settings.ReadLimits(find("limits"), source, &errors);
   settings.ReadCallers(find("callers"), source, &errors);
+  settings.ReadRollouts(find("rollouts"), source, &errors);
   if (!errors.empty())
     return errors;
   return settings;
@@ -106,7 +107,10 @@
       << "\nmin_body_rate = " << callers_.body_rate.bytes_per_second
       << "\nbody_grace_ms = " << InMilliseconds(callers_.body_rate.grace)
       << "\nread_ahead_kb = " << (callers_.read_ahead_bytes >> kKilobyteShift)
-      << "\n";
+      << "\n\n[rollouts]\n"
+      << "expose_share = " << rollouts_.expose_share
+      << "\nexpose_slack = " << rollouts_.expose_slack
+      << "\nrollback_ms = " << InMilliseconds(rollouts_.rollback) << "\n";
   return out.str();
 }
 
@@ -200,4 +204,15 @@
   reader.RejectUnknownKeys();
 }
 
+void GatewaySettings::ReadRollouts(const IniSection& section,
+                                   const std::string& source,
+                                   std::vector<Error>* errors) {
+  SectionReader reader(section, source, errors);
+  rollouts_.expose_share = reader.Number("expose_share", 0, 0, 1);
+  rollouts_.expose_slack = reader.Number("expose_slack", 50, 0, 1e6);
+  rollouts_.rollback =
+      reader.Milliseconds("rollback_ms", 5'000, kMillisecondsRange);
+  reader.RejectUnknownKeys();
+}
+
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/gateway_settings.h
+++ b/src/teaselthread/gateway/gateway_settings.h
@@ -9,6 +9,7 @@
 #include "libteaselthread/callers/body_rate.h"
 #include "libteaselthread/error.h"
 #include "libteaselthread/ini_document.h"
+#include "libteaselthread/rollouts/rollout_order.h"
 #include "libteaselthread/settings.h"
 
 namespace teaselthread {
@@ -73,6 +74,7 @@
   size_t memory_bytes() const { return memory_bytes_; }
   const GatewayLimits& limits() const { return limits_; }
   const UntrustedCallerLimits& callers() const { return callers_; }
+  const RolloutLimits& rollouts() const { return rollouts_; }
 
  private:
   GatewaySettings() = default;
@@ -88,6 +90,9 @@
   void ReadCallers(const IniSection& section,
                    const std::string& source,
                    std::vector<Error>* errors);
+  void ReadRollouts(const IniSection& section,
+                    const std::string& source,
+                    std::vector<Error>* errors);
 
   std::string name_;
   std::string zone_;
@@ -105,6 +110,7 @@
   size_t memory_bytes_ = 0;
   GatewayLimits limits_;
   UntrustedCallerLimits callers_;
+  RolloutLimits rollouts_;
 };
 
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/request_log.cc
+++ b/src/teaselthread/gateway/request_log.cc
@@ -3,7 +3,8 @@
 namespace teaselthread {
 
 void RequestLog::OnSend(const RequestExchange& exchange,
-                        const Selection& selection) {
+                        const Selection& selection,
+                        RolloutGuard* rollout_guard) {
   const EndpointState& endpoint = *selection.endpoint;
   LogLine line("sent");
   line.Add("id", exchange.request.head.id)
@@ -30,6 +31,7 @@
   }
   if (selection.kv_source)
     line.Add("kv_source", selection.kv_source->ToString());
+  rollout_guard->OnSend(exchange.request, selection, &line);
   state_->log().Info(line);
 }
 
--- a/src/teaselthread/gateway/request_log.h
+++ b/src/teaselthread/gateway/request_log.h
@@ -4,6 +4,7 @@
 #include "libteaselthread/endpoints/endpoint_selector.h"
 #include "teaselthread/gateway/endpoint_attempt.h"
 #include "teaselthread/gateway/request_exchange.h"
+#include "teaselthread/gateway/rollout_guard.h"
 
 namespace teaselthread {
 
@@ -12,7 +13,9 @@
  public:
   explicit RequestLog(GatewayState* state) : state_(state) {}
 
-  void OnSend(const RequestExchange& exchange, const Selection& selection);
+  void OnSend(const RequestExchange& exchange,
+              const Selection& selection,
+              RolloutGuard* rollout_guard);
   // `retried`: another attempt follows.
   void OnAttemptFailed(const RequestExchange& exchange,
                        const Selection& selection,
--- a/src/teaselthread/gateway/tracked_attempt.cc
+++ b/src/teaselthread/gateway/tracked_attempt.cc
@@ -30,7 +30,7 @@
       exchange_->request.route->kind == RequestKind::kStreaming;
   EndpointAttempt attempt(state_, connections_, selection_.endpoint,
                           exchange_->guard.get(), &exchange_->attempts);
-  log_.OnSend(*exchange_, selection_);
+  log_.OnSend(*exchange_, selection_, &placement_->rollout_guard());
   const auto message = MakeEndpointRequest();
   const ResponseTimeouts limits =
       placement_->TimeoutsFor(exchange_->request, endpoint);
@@ -45,6 +45,9 @@
       co_await attempt.Run(message, exchange_->request.head.id, limits, relay,
                            std::move(on_silence));
   endpoint.OnEnd(state_->Now());
+  placement_->rollout_guard().OnEnd(exchange_->request, selection_, result,
+                                    sent_at,
+                                    exchange_->relay.FirstEventAfter(sent_at));
   if (!selection_.affinity_part.empty())
     state_->demand().OnEnd(service, selection_.affinity_part, state_->Now());
   UpdateEndpointHealth(endpoint, result);
