Test gateways against silent connections to the directory

Cause: callers also connect to the address where they look up gateways. Connections there have no bound.

Change: a further crowd of 400 connections that send nothing, to the directory's address. All crowds now also check an address look-up.

--- a/tests/clients/single_gateway.py
+++ b/tests/clients/single_gateway.py
@@ -62,7 +62,7 @@
         self._endpoints = [
             Endpoint("desk-1", "desk", "a", address(5), address(5), ledger),
             FloodEndpoint("pool-1", "pool", "a", address(6), address(6), ledger)]
-        self._readiness = address(1)
+        self.directory = address(1)
         self.process = None
 
     async def start(self):
@@ -81,8 +81,8 @@
         settings = self._folder / "gateway.ini"
         settings.write_text(
             f"[gateway]\nname = gateway-1\nzone = a\nfront_listen = {self.front}\n"
-            f"readiness_listen = {self._readiness}\n"
-            f"directory_listen = {self._readiness}\n"
+            f"readiness_listen = {self.directory}\n"
+            f"directory_listen = {self.directory}\n"
             f"metrics_listen = {self._metrics}\npeer_listen = {self._peer}\n"
             f"store = {self._store.address}\nmemory_mb = {MEMORY_MB}\n")
         limits = (self._descriptors, self._descriptors)
@@ -104,11 +104,18 @@
     async def order_problem(self, timeout_s=ORDINARY_TIMEOUT_S):
         """Sends an ordinary request, again if it is refused. Returns None after
         a response 200, or what was seen instead until the time-out."""
+        return await self._problem(self._order, timeout_s)
+
+    async def directory_problem(self):
+        """The same for a caller that asks for addresses."""
+        return await self._problem(self._look_up, ORDINARY_TIMEOUT_S)
+
+    async def _problem(self, send, timeout_s):
         ends_at = time.monotonic() + timeout_s
         seen = "nothing"
         while (left_s := ends_at - time.monotonic()) > 0:
             try:
-                status = await asyncio.wait_for(self._order(), left_s)
+                status = await asyncio.wait_for(send(), left_s)
             except (OSError, http_wire.HttpError, asyncio.TimeoutError) as failure:
                 seen = repr(failure)
             else:
@@ -118,6 +125,10 @@
             await asyncio.sleep(PAUSE_S)
         return f"{seen} within {timeout_s} s"
 
+    async def _look_up(self):
+        return await http_wire.request_status(
+            self.directory, f"GET {wire.lookup_target(HOST, 'a')}", {"Host": HOST})
+
     async def _order(self):
         host, port = self.front.split(":")
         reader, writer = await asyncio.open_connection(host, int(port))
--- a/tests/clients/untrusted_clients_test.py
+++ b/tests/clients/untrusted_clients_test.py
@@ -3,8 +3,9 @@
 descriptors, or that serve nobody else while such clients stay connected.
 
 Checks only that the process lives, that its memory and its open descriptors
-stay under a bound, and that an ordinary request is answered while the crowd is
-connected and after it has left. Arguments: names of crowds; none means all.
+stay under a bound, and that an ordinary request and an address look-up are
+answered while the crowd is connected and after it has left. Arguments: names of
+crowds; none means all.
 """
 
 import asyncio
@@ -87,6 +88,7 @@
     "sent-over-the-limit": (64, sent_over_the_limit),
     "silent-connections": (400, nothing),
     "streams-not-read": (48, long_stream_not_read),
+    "silent-at-the-directory": (400, nothing),
 }
 
 
@@ -124,6 +126,8 @@
     async def check(when):
         if problem := await gateway.order_problem():
             problems.append(f"{when}: ordinary request: {problem}")
+        if problem := await gateway.directory_problem():
+            problems.append(f"{when}: address look-up: {problem}")
         if gateway.process.returncode is not None:
             problems.append(f"{when}: exit status {gateway.process.returncode}")
             return
@@ -135,7 +139,9 @@
     try:
         await gateway.start()
         idle_kb = gateway.peak_memory_kb()
-        sending = [asyncio.create_task(client.run(gateway.front, pieces()))
+        address = (gateway.directory if name == "silent-at-the-directory"
+                   else gateway.front)
+        sending = [asyncio.create_task(client.run(address, pieces()))
                    for client in clients]
         await asyncio.wait(sending, timeout=CROWD_TIMEOUT_S)
         await check("with the crowd")
