Count a broken connection as a crash only once it is confirmed

A broken connection is now pending evidence (CrashEvidenceQueue). A refused connection, an incarnation that is registered in its place and started after the break, or a response 421 confirms it. Bytes or an accepted connection soon after the break, and engines that leave, disprove it; without either it expires after 5 s. EngineProbe opens one connection to the engine, which goes into the pool.

CrashSuspects changes with it: - Three to five crashes in a row block a part, by the number of recent crashes without it. - An early trial goes about 1 s after blocking while fewer than five crashes are known, and other gateways hear of it at once. - Gateways send the age of the latest crash. Crashes were ordered by when the news arrived, so that crashes at different gateways were lost. - Crashes that are not in a row are kept apart. They explain the crashes of other parts, which were blocked wrongly beside a deadly one. - Evidence with more than 32 crashes was rejected by all other gateways, so that a part with much traffic was not cleared any more. The oldest cleared crashes are forgotten instead, and the latest changes are sent first.

--- a/src/libteaselthread/endpoints/crash_suspects.h
+++ b/src/libteaselthread/endpoints/crash_suspects.h
@@ -8,32 +8,18 @@
 #include <string>
 #include <vector>
 
-#include "libteaselthread/timestamp.h"
+#include "libteaselthread/endpoints/crash_evidence.h"
 
 namespace teaselthread {
 
-// What is known of one prompt part whose requests were at crashing engines.
-// Crashes are identified by a hash of the engine's incarnation.
-struct CrashEvidence {
-  std::string part;
-  std::set<uint32_t> crashes;
-  // Those after which an engine has begun to answer a request with the part.
-  std::set<uint32_t> cleared;
-
-  size_t open_crashes() const;
-  // Upper bound of its encoded size.
-  size_t ByteSize() const;
-
-  friend auto operator<=>(const CrashEvidence&, const CrashEvidence&) = default;
-};
-
 // Finds the prompt parts that crash each engine that begins to answer them. A
 // crash ends all requests at an engine, so each of their parts is suspected. A
 // part is cleared as soon as any engine begins to answer a request with it, and
 // blocked after several crashes in a row. Crashes count as in a row only if the
 // request was sent after the crash before, as engines that crash for another
 // reason often do so at the same time. Parts that were at the same crashes are
-// blocked only together, as only one of them may be to blame.
+// blocked only together, as only one of them may be to blame. The number of
+// crashes that blocks a part is higher while engines crash without it, too.
 //
 // Nodes exchange their evidence. It only grows, so that it can be merged in any
 // order and more than once.
@@ -42,12 +28,13 @@
 // sound requests share the customer and the other parts of the prompt.
 class CrashSuspects {
  public:
-  // The connection to an engine broke before it had sent an event of a request
-  // with these parts. `crash` identifies the engine's incarnation.
+  // An engine has crashed before it had sent an event of a request with these
+  // parts, and so broke the connection at `broke_at`. `crash` identifies the
+  // engine's incarnation.
   void OnCrash(const std::vector<std::string>& parts,
                uint32_t crash,
                Timestamp sent_at,
-               Timestamp now);
+               Timestamp broke_at);
   // An engine has sent the first event of a request with these parts. Returns
   // the parts that were cleared by it.
   std::vector<std::string> OnAnswerBegun(const std::vector<std::string>& parts,
@@ -61,6 +48,13 @@
   // Whether a trial request with a blocked part is due. `is_responsible`: this
   // node is the one of the fleet that sends trials for the part.
   bool TakeTrial(const std::string& part, bool is_responsible, Timestamp now);
+  // Whether a request with these parts, some of them blocked, may be sent as
+  // the trial that shows soon whether a part was blocked wrongly. `rank`: the
+  // number of nodes that go first. A node that has no request with the part
+  // passes the trial on by doing nothing.
+  bool TakeEarlyTrial(const std::vector<std::string>& parts,
+                      size_t rank,
+                      Timestamp now);
 
   // The evidence to send to other nodes, the most important first, as far as it
   // fits into `max_bytes` of a message.
@@ -77,24 +71,54 @@
   struct Suspect {
     CrashEvidence evidence;
     Timestamp first_crash_at{};  // of the open crashes
+    // When the request of the first open crash was sent; zero if that was at
+    // another node.
+    Timestamp first_sent_at{};
     Timestamp last_crash_at{};
     Timestamp changed_at{};
-    Timestamp trial_at{};  // of the latest trial
+    Timestamp trial_at{};         // of the latest trial
+    bool sent_trial = false;      // this node has sent the latest early trial
+    size_t crashes_to_block = 0;  // as of the latest crash
   };
   using Suspects = std::map<std::string, Suspect>;  // by part
 
   bool IsBlocked(const Suspect& suspect, Timestamp now) const;
-  // Whether a blocked part that is not among `parts` was at the same crashes.
+  // Whether it would be blocked if overlapping crashes counted.
+  bool MayBeBlocked(const Suspect& suspect, Timestamp now) const;
+  // Whether requests with `parts` are refused because of one of them.
+  bool IsToBlame(const std::string& part,
+                 const std::vector<std::string>& parts,
+                 Timestamp now) const;
+  bool IsEarlyTrialDue(const Suspect& suspect,
+                       Duration delay,
+                       Timestamp now) const;
+  // Whether a suspected part that is not among `parts` was at the same crashes.
   bool IsExplainedByAbsent(const Suspect& suspect,
                            const std::vector<std::string>& parts,
                            Timestamp now) const;
   // Null if the part cannot be recorded.
   Suspect* FindOrAdd(const std::string& part, Timestamp now);
   void AddCrashes(const std::set<uint32_t>& crashes,
-                  Timestamp now,
+                  Timestamp crashed_at,
                   Suspect* suspect);
+  // How many crashes in a row block the part.
+  size_t CrashesToBlock(const CrashEvidence& evidence, Timestamp now) const;
+  // The number of recent crashes at which the part was not, neither then nor
+  // within a second.
+  size_t CrashesWithout(const CrashEvidence& evidence, Timestamp now) const;
+  // Notes when the crash of an incarnation was first known.
+  void NoteCrash(uint32_t crash, Timestamp crashed_at);
+  // What other nodes need to know of it.
+  CrashEvidence WithoutOld(CrashEvidence evidence, Timestamp now) const;
+  // Makes room for one more crash by forgetting the oldest that is cleared.
+  // Returns whether there is room.
+  bool MakeRoom(CrashEvidence* evidence) const;
+  bool IsExplainedBy(const CrashEvidence& part,
+                     const CrashEvidence& other,
+                     Timestamp now) const;
 
   Suspects suspects_;
+  std::map<uint32_t, Timestamp> recent_crashes_;
   bool is_urgent_ = false;
 };
 
--- a/src/libteaselthread/endpoints/endpoint_state.h
+++ b/src/libteaselthread/endpoints/endpoint_state.h
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "libteaselthread/endpoints/cold_start_quota.h"
+#include "libteaselthread/endpoints/endpoint_contact.h"
 #include "libteaselthread/endpoints/endpoint_health.h"
 #include "libteaselthread/endpoints/endpoint_record.h"
 
@@ -22,6 +23,7 @@
   uint32_t local_requests() const { return local_requests_; }
   EndpointHealth& health() { return health_; }
   const EndpointHealth& health() const { return health_; }
+  EndpointContact& contact() { return contact_; }
   ColdStartQuota& cold_quota() { return cold_quota_; }
   const ColdStartQuota& cold_quota() const { return cold_quota_; }
 
@@ -56,6 +58,7 @@
   double remote_requests_ = 0;  // at the time of the latest count
   std::optional<CountedRequests> latest_count_;
   EndpointHealth health_;
+  EndpointContact contact_;
   ColdStartQuota cold_quota_;
 };
 
--- a/src/libteaselthread/endpoints/endpoint_table.cc
+++ b/src/libteaselthread/endpoints/endpoint_table.cc
@@ -209,6 +209,17 @@
          announcements_.IsLeaving(endpoint.record());
 }
 
+bool EndpointTable::IsReplaced(const EndpointState& endpoint,
+                               uint64_t time_ms) const {
+  const EndpointRecord& record = endpoint.record();
+  return std::any_of(
+      endpoints_.begin(), endpoints_.end(), [&](const auto& item) {
+        const EndpointRecord& other = item.second.endpoint->record();
+        return other.started_at_ms > std::max(record.started_at_ms, time_ms) &&
+               (other.id == record.id || other.address == record.address);
+      });
+}
+
 double EndpointTable::ToleratedFailureRate(
     const EndpointState& endpoint) const {
   double sum = 0;
--- a/src/libteaselthread/endpoints/endpoint_table.h
+++ b/src/libteaselthread/endpoints/endpoint_table.h
@@ -75,6 +75,9 @@
                                             Timestamp now) const;
   // Whether the endpoint will not get new requests any more.
   bool IsLeaving(const EndpointState& endpoint) const;
+  // Whether an incarnation that has started after `time_ms` (Unix time) is
+  // registered with the endpoint's id or address.
+  bool IsReplaced(const EndpointState& endpoint, uint64_t time_ms) const;
   const std::set<std::string>& evacuated_zones() const {
     return evacuated_zones_;
   }
--- a/src/teaselthread/gateway/crash_guard.cc
+++ b/src/teaselthread/gateway/crash_guard.cc
@@ -19,29 +19,41 @@
   return parts;
 }
 
-// Whether `self` is the one of the nodes that sends trial requests for a part.
-bool IsResponsible(const std::string& part,
-                   const std::string& self,
-                   const std::vector<std::string>& nodes) {
+// The number of nodes that come before `self` in sending trial requests for a
+// part.
+size_t TrialRank(const std::string& part,
+                 const std::string& self,
+                 const std::vector<std::string>& nodes) {
   const RendezvousKey key(part);
-  return std::all_of(nodes.begin(), nodes.end(), [&](const std::string& node) {
-    return node == self || key.WeightOf(node) < key.WeightOf(self);
-  });
+  return static_cast<size_t>(
+      std::count_if(nodes.begin(), nodes.end(), [&](const std::string& node) {
+        return node != self && key.WeightOf(node) >= key.WeightOf(self);
+      }));
+}
+
+uint64_t UnixMilliseconds() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
 }
 
 }  // namespace
 
+CrashGuard::CrashGuard(GatewayState* state, EndpointConnections* connections)
+    : state_(state),
+      probe_(state, connections, &queue_, [this] { JudgeEvidence(); }) {}
+
 bool CrashGuard::Blocks(const ClassifiedRequest& request) {
   CrashSuspects& suspects = state_->crash_suspects();
   const Timestamp now = state_->Now();
-  const auto part = suspects.FindBlocked(SharedParts(request), now);
+  const std::vector<std::string> parts = SharedParts(request);
+  const auto part = suspects.FindBlocked(parts, now);
   if (!part)
     return false;
-  const bool is_trial =
-      suspects.TakeTrial(*part,
-                         IsResponsible(*part, state_->settings().name(),
-                                       state_->peers().NodesSharingLimits(now)),
-                         now);
+  const size_t rank = TrialRank(*part, state_->settings().name(),
+                                state_->peers().NodesSharingLimits(now));
+  const bool is_trial = suspects.TakeEarlyTrial(parts, rank, now) ||
+                        suspects.TakeTrial(*part, rank == 0, now);
   LogLine line(is_trial ? "part-tried" : "part-refused");
   line.Add("id", request.head.id)
       .Add("part", *part)
@@ -51,9 +63,10 @@
 }
 
 void CrashGuard::OnAnswerBegun(const ClassifiedRequest& request) {
+  const std::vector<std::string> parts = SharedParts(request);
+  queue_.OnAnswerBegun(parts);
   const std::vector<std::string> cleared =
-      state_->crash_suspects().OnAnswerBegun(SharedParts(request),
-                                             state_->Now());
+      state_->crash_suspects().OnAnswerBegun(parts, state_->Now());
   if (cleared.empty())
     return;
   LogLine line("parts-cleared");
@@ -62,22 +75,45 @@
   state_->log().Info(line);
 }
 
-void CrashGuard::OnCrash(const ClassifiedRequest& request,
-                         const EndpointState& engine,
+void CrashGuard::OnBreak(const ClassifiedRequest& request,
+                         const EndpointPtr& engine,
                          Timestamp sent_at) {
-  const std::vector<std::string> parts = SharedParts(request);
+  std::vector<std::string> parts = SharedParts(request);
   if (parts.empty())
     return;
+  queue_.Add({request.head.id, std::move(parts), engine, sent_at, state_->Now(),
+              UnixMilliseconds(), Timestamp{}});
+  probe_.Start(engine);
+}
+
+void CrashGuard::JudgeEvidence() {
+  for (const JudgedCrash& judged :
+       queue_.Judge(state_->endpoints(), state_->Now())) {
+    state_->metrics().OnCrashEvidence(judged.verdict);
+    const PendingCrash& crash = judged.crash;
+    LogLine line("crash-judged");
+    line.Add("id", crash.request_id)
+        .Add("endpoint", crash.engine->record().id)
+        .Add("verdict", ToString(judged.verdict))
+        .AddTime("age", state_->Now() - crash.broke_at);
+    state_->log().Info(line);
+    if (IsConfirmed(judged.verdict))
+      OnCrash(crash);
+  }
+}
+
+void CrashGuard::OnCrash(const PendingCrash& crash) {
   CrashSuspects& suspects = state_->crash_suspects();
-  const EndpointRecord& record = engine.record();
+  const EndpointRecord& record = crash.engine->record();
   suspects.OnCrash(
-      parts, ShortHash(record.id + "@" + std::to_string(record.started_at_ms)),
-      sent_at, state_->Now());
+      crash.parts,
+      ShortHash(record.id + "@" + std::to_string(record.started_at_ms)),
+      crash.sent_at, crash.broke_at);
   boost::json::object crashes;
-  for (const std::string& part : parts)
+  for (const std::string& part : crash.parts)
     crashes[part] = suspects.open_crashes(part);
   LogLine line("parts-suspected");
-  line.Add("id", request.head.id)
+  line.Add("id", crash.request_id)
       .Add("endpoint", record.id)
       .Add("crashes_by_part", std::move(crashes));
   state_->log().Info(line);
--- a/src/teaselthread/gateway/crash_guard.h
+++ b/src/teaselthread/gateway/crash_guard.h
@@ -1,15 +1,19 @@
 #ifndef TEASELTHREAD_GATEWAY_CRASH_GUARD_H_
 #define TEASELTHREAD_GATEWAY_CRASH_GUARD_H_
 
+#include "libteaselthread/endpoints/crash_evidence_queue.h"
+#include "teaselthread/gateway/engine_probe.h"
 #include "teaselthread/gateway/request_checks.h"
 
 namespace teaselthread {
 
 // Keeps prompts that crash model engines from them: collects the evidence from
-// this gateway's requests, and logs each decision on it.
+// this gateway's requests, has it confirmed or disproved, and logs each
+// decision on it.
 class CrashGuard {
  public:
-  explicit CrashGuard(GatewayState* state) : state_(state) {}
+  // The arguments must outlive the io_context's run.
+  CrashGuard(GatewayState* state, EndpointConnections* connections);
 
   // Whether the request must not be sent, as it would probably crash an engine.
   bool Blocks(const ClassifiedRequest& request);
@@ -17,12 +21,18 @@
   void OnAnswerBegun(const ClassifiedRequest& request);
   // The connection to the engine broke before that. The request was sent to it
   // at `sent_at`.
-  void OnCrash(const ClassifiedRequest& request,
-               const EndpointState& engine,
+  void OnBreak(const ClassifiedRequest& request,
+               const EndpointPtr& engine,
                Timestamp sent_at);
 
  private:
+  // Takes the evidence that is decided out of the queue.
+  void JudgeEvidence();
+  void OnCrash(const PendingCrash& crash);
+
   GatewayState* state_;
+  CrashEvidenceQueue queue_;
+  EngineProbe probe_;
 };
 
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/endpoint_attempt.cc
+++ b/src/teaselthread/gateway/endpoint_attempt.cc
@@ -155,7 +155,10 @@
   boost::system::error_code ignored;
   connection_->socket.open(target.protocol(), ignored);
   guard_->Attach(&connection_->socket, kConnectTimeout);
+  const Timestamp started_at = state_->Now();
   auto [failure] = co_await connection_->socket.async_connect(target, kAsTuple);
+  endpoint_->contact().OnConnectEnded(
+      !failure, failure == asio::error::connection_refused, started_at);
   if (failure) {
     connection_->Reset();
     co_return false;
@@ -223,9 +226,12 @@
 
 // A response 421 comes from another endpoint that uses the address now.
 void EndpointAttempt::ObserveEndpoint(int status) {
-  if (status == kMisdirectedRequest)
-    return;
   const Timestamp now = state_->Now();
+  if (status == kMisdirectedRequest) {
+    endpoint_->contact().misdirected_at = now;
+    return;
+  }
+  endpoint_->contact().bytes_at = now;
   const EndpointRecord& record = endpoint_->record();
   EndpointAnnouncements& announcements = state_->endpoints().announcements();
   if (endpoint_head_.load)
@@ -362,6 +368,8 @@
   *bytes = {body_buffer_.data(), body_buffer_.size() - body.size};
   if (failure && failure != http::error::need_buffer)
     co_return SetFailure(ToAttemptFailure(failure));
+  if (count > 0)
+    endpoint_->contact().bytes_at = state_->Now();
   co_return true;
 }
 
--- a/src/teaselthread/gateway/endpoint_connections.cc
+++ b/src/teaselthread/gateway/endpoint_connections.cc
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <cerrno>
+#include <utility>
 
 namespace teaselthread {
 namespace {
@@ -39,7 +40,7 @@
     EndpointConnectionPtr connection = std::move(idle.back());
     idle.pop_back();
     if (now < connection->usable_until && HasNoPendingInput(*connection)) {
-      connection->is_reused = true;
+      connection->is_reused = !std::exchange(connection->is_unused, false);
       return connection;
     }
   }
--- a/src/teaselthread/gateway/endpoint_connections.h
+++ b/src/teaselthread/gateway/endpoint_connections.h
@@ -23,6 +23,8 @@
   tcp::socket socket;
   beast::flat_buffer buffer{2 * kMaxHeaderBytes};
   bool is_reused = false;
+  // Opened by a probe: no request was sent on it yet.
+  bool is_unused = false;
   std::chrono::steady_clock::time_point usable_until;
 };
 
--- a/src/teaselthread/gateway/gateway_metrics.cc
+++ b/src/teaselthread/gateway/gateway_metrics.cc
@@ -88,6 +88,10 @@
   responses_[static_cast<size_t>(kind)].Add(latency);
 }
 
+void GatewayMetrics::OnCrashEvidence(CrashVerdict verdict) {
+  ++crash_evidence_[static_cast<size_t>(verdict)];
+}
+
 void GatewayMetrics::OnStoreCall(bool succeeded) {
   ++store_calls_;
   store_failures_ += succeeded ? 0 : 1;
@@ -103,6 +107,7 @@
   ByReason<RefusalReason>(out, "refusals_total", refusals_);
   ByReason<AttemptFailure>(out, "attempt_failures_total", failures_);
   ByReason<AttemptFailure>(out, "retries_total", retries_);
+  ByReason<CrashVerdict>(out, "crash_evidence_total", crash_evidence_);
   Histograms(out, "first_byte_seconds", first_byte_);
   Histograms(out, "request_seconds", responses_);
   Scalar(out, "unknown_outcomes_total", "counter", unknown_outcomes_);
--- a/src/teaselthread/gateway/gateway_metrics.h
+++ b/src/teaselthread/gateway/gateway_metrics.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "libteaselthread/attempts/request_attempts.h"
+#include "libteaselthread/endpoints/crash_evidence_queue.h"
 #include "libteaselthread/requests/reasons.h"
 #include "libteaselthread/routes/route.h"
 
@@ -59,6 +60,8 @@
   void OnBrokenStream() { ++broken_streams_; }
   void OnEndpointLeaving() { ++endpoints_leaving_; }
   void OnEndpointPaused() { ++endpoint_pauses_; }
+  // What became of the evidence of a connection that an engine broke.
+  void OnCrashEvidence(CrashVerdict verdict);
   void OnStoreCall(bool succeeded);
   void OnUnreadableEntry() { ++unreadable_entries_; }
   void OnHeartbeatSent(size_t bytes);
@@ -77,6 +80,7 @@
   uint64_t broken_streams_ = 0;
   uint64_t endpoints_leaving_ = 0;
   uint64_t endpoint_pauses_ = 0;
+  std::array<uint64_t, kCrashVerdictCount> crash_evidence_{};
   uint64_t store_calls_ = 0;
   uint64_t store_failures_ = 0;
   uint64_t unreadable_entries_ = 0;
--- a/src/teaselthread/gateway/peer_heartbeat.cc
+++ b/src/teaselthread/gateway/peer_heartbeat.cc
@@ -406,6 +406,11 @@
       field->add_crashes(crash);
     for (const uint32_t crash : evidence.cleared)
       field->add_cleared(crash);
+    for (const uint32_t crash : evidence.overlapping)
+      field->add_overlapping(crash);
+    for (const uint32_t crash : evidence.tried)
+      field->add_tried(crash);
+    field->set_age_ms(ToMilliseconds(evidence.age));
   }
 }
 
@@ -416,7 +421,10 @@
     const CrashEvidence evidence{
         field.part(),
         {field.crashes().begin(), field.crashes().end()},
-        {field.cleared().begin(), field.cleared().end()}};
+        {field.cleared().begin(), field.cleared().end()},
+        {field.overlapping().begin(), field.overlapping().end()},
+        {field.tried().begin(), field.tried().end()},
+        std::chrono::milliseconds(field.age_ms())};
     const bool is_new = suspects.Merge(evidence, state_->Now());
     passes_on_suspects_ = passes_on_suspects_ || (is_new && !is_zone_peer);
   }
--- a/src/teaselthread/gateway/request_handler.cc
+++ b/src/teaselthread/gateway/request_handler.cc
@@ -186,7 +186,7 @@
   if (result.failure == AttemptFailure::kBroken &&
       exchange.relay.events().event_count() == events_before &&
       !state_->endpoints().IsLeaving(endpoint))
-    crash_guard_.OnCrash(exchange.request, endpoint, sent_at);
+    crash_guard_.OnBreak(exchange.request, selection.endpoint, sent_at);
   bool is_final = true;
   if (result.failure) {
     co_await HandleFailure(exchange, selection, std::move(result), &is_final);
--- a/src/teaselthread/gateway/request_handler.h
+++ b/src/teaselthread/gateway/request_handler.h
@@ -19,7 +19,7 @@
 class RequestHandler {
  public:
   explicit RequestHandler(GatewayState* state)
-      : state_(state), checks_(state), crash_guard_(state) {}
+      : state_(state), checks_(state), crash_guard_(state, &connections_) {}
 
   asio::awaitable<void> Serve(const CallerHttpRequest& message,
                               Timestamp received_at,
--- a/tests/gateway/gateway_harness.cc
+++ b/tests/gateway/gateway_harness.cc
@@ -63,7 +63,23 @@
   }
 }
 
+void ScriptedEndpoint::Crash() {
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+  for (tcp::socket* socket : sockets_) {
+    socket->set_option(asio::socket_base::linger(true, 0), ignored);
+    socket->close(ignored);
+  }
+  sockets_.clear();
+}
+
 asio::awaitable<void> ScriptedEndpoint::Serve(tcp::socket socket) {
+  sockets_.insert(&socket);
+  co_await ServeRequests(socket);
+  sockets_.erase(&socket);
+}
+
+asio::awaitable<void> ScriptedEndpoint::ServeRequests(tcp::socket& socket) {
   std::string buffer;
   for (;;) {
     auto [failure, head_size] = co_await asio::async_read_until(
@@ -84,6 +100,10 @@
     }
     if (reply.reads_body)
       buffer.erase(0, body_size);
+    if (reply.crashes) {
+      Crash();
+      co_return;
+    }
     co_await asio::async_write(socket, asio::buffer(reply.bytes), kAsTuple);
     if (!reply.rest.empty()) {
       asio::steady_timer pause(acceptor_.get_executor(), reply.pause);
--- a/tests/gateway/gateway_harness.h
+++ b/tests/gateway/gateway_harness.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,8 @@
     Duration pause = Duration::zero();
     // Sent once after the bytes and a pause.
     std::string rest = {};
+    // The endpoint ends: it resets all its connections and refuses new ones.
+    bool crashes = false;
   };
   // Called with the request's header, its id and its number, starting at 0.
   using Script = std::function<
@@ -45,11 +48,14 @@
  private:
   asio::awaitable<void> Accept();
   asio::awaitable<void> Serve(tcp::socket socket);
+  asio::awaitable<void> ServeRequests(tcp::socket& socket);
   asio::awaitable<void> Repeat(tcp::socket& socket, const Reply& reply);
+  void Crash();
 
   tcp::acceptor acceptor_;
   Script script_;
   std::vector<std::string> heads_;
+  std::set<tcp::socket*> sockets_;  // open ones
   int connections_ = 0;
   int abandoned_ = 0;
 };
