--- a/src/libteaselthread/endpoints/endpoint_state.h
+++ b/src/libteaselthread/endpoints/endpoint_state.h
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "libteaselthread/endpoints/cold_start_quota.h"
+#include "libteaselthread/endpoints/endpoint_contact.h"
 #include "libteaselthread/endpoints/endpoint_health.h"
 #include "libteaselthread/endpoints/endpoint_record.h"
 #include "libteaselthread/endpoints/endpoint_speed.h"
@@ -27,6 +28,7 @@
   uint32_t slots() const;
   EndpointHealth& health() { return health_; }
   const EndpointHealth& health() const { return health_; }
+  EndpointContact& contact() { return contact_; }
   ColdStartQuota& cold_quota() { return cold_quota_; }
   const ColdStartQuota& cold_quota() const { return cold_quota_; }
 
@@ -64,6 +66,7 @@
   std::optional<uint32_t> reported_slots_;
   EndpointSpeed speed_;
   EndpointHealth health_;
+  EndpointContact contact_;
   ColdStartQuota cold_quota_;
 };
 
--- a/src/teaselthread/gateway/request_handler.h
+++ b/src/teaselthread/gateway/request_handler.h
@@ -20,7 +20,7 @@
   explicit RequestHandler(GatewayState* state)
       : state_(state),
         checks_(state),
-        crash_guard_(state),
+        crash_guard_(state, &connections_),
         placement_(state),
         final_responses_(state),
         log_(state) {}
--- a/src/teaselthread/gateway/tracked_attempt.cc
+++ b/src/teaselthread/gateway/tracked_attempt.cc
@@ -56,7 +56,7 @@
   if (result.failure == AttemptFailure::kBroken &&
       exchange_->relay.events().event_count() == events_before &&
       !state_->endpoints().IsLeaving(endpoint))
-    crash_guard_->OnCrash(exchange_->request, endpoint, sent_at);
+    crash_guard_->OnBreak(exchange_->request, selection_.endpoint, sent_at);
   co_return result;
 }
 
