Hedge late requests of idempotent routes

A few slow responses of single endpoints dominate the slowest responses of a route. With [hedging] share above 0 (the default is 0: off), a request of an idempotent route whose response is late is sent to a second endpoint in parallel. The first response wins; the other attempt is cancelled and its connection closed.

HedgePolicy decides: after the 95th percentile of the route's recent response times, at least 1.5 times their median; not while the service is slow as a whole or short of capacity; within a share of the gateway's own requests and half of the retry allowance. OverdueAttempts names the endpoints and zones in doubt. HedgedAttempt runs the two attempts, with a guard each. RequestAttempts counts both. EndpointHealth counts a cancelled attempt as a failure only if the endpoint has not responded for as long as its silence limit, so that hedges do not hide an endpoint that hangs.

AttemptFailure has a new value "cancelled", so that the metrics by failure have one more label. The test fixture has a new idempotent route, /list/.

--- a/src/libteaselthread/attempts/request_attempts.cc
+++ b/src/libteaselthread/attempts/request_attempts.cc
@@ -28,6 +28,7 @@
     {"silent", false},
     {"timed-out", false},
     {"caller-gone", false},
+    {"cancelled", false},
 }};
 
 const FailureTraits& TraitsOf(AttemptFailure failure) {
@@ -47,28 +48,34 @@
 RequestAttempts::RequestAttempts(bool is_repeatable, uint32_t max_attempts)
     : is_repeatable_(is_repeatable), max_attempts_(max_attempts) {}
 
-void RequestAttempts::OnStart(const std::string& endpoint) {
-  send_started_ = false;
+void RequestAttempts::OnStart(const std::string& endpoint, AttemptRole role) {
+  send_started_[static_cast<size_t>(role)] = false;
   tried_.insert(endpoint);
 }
 
-void RequestAttempts::OnSendStarted() {
-  send_started_ = true;
+void RequestAttempts::OnSendStarted(AttemptRole role) {
+  send_started_[static_cast<size_t>(role)] = true;
   ++sends_;
 }
 
-NextStep RequestAttempts::Decide(AttemptFailure failure,
-                                 bool bytes_relayed,
-                                 bool can_resume) {
-  const bool maybe_ran = send_started_ && !ProvesNotRun(failure);
-  if (maybe_ran) {
+void RequestAttempts::OnParallelFailure(AttemptFailure failure,
+                                        AttemptRole role) {
+  if (MayHaveRun(failure, role)) {
     may_have_run_ = true;
     ++runs_;
-  } else if (send_started_) {
+  } else if (has_sent(role)) {
     ++rejected_sends_;
   } else {
     ++unsent_;
   }
+}
+
+NextStep RequestAttempts::Decide(AttemptFailure failure,
+                                 bool bytes_relayed,
+                                 bool can_resume,
+                                 AttemptRole role) {
+  const bool maybe_ran = MayHaveRun(failure, role);
+  OnParallelFailure(failure, role);
   if (failure == AttemptFailure::kCallerGone)
     return NextStep::kDrop;
   const bool may_retry =
--- a/src/libteaselthread/attempts/request_attempts.h
+++ b/src/libteaselthread/attempts/request_attempts.h
@@ -1,6 +1,8 @@
 #ifndef TEASELTHREAD_ATTEMPTS_REQUEST_ATTEMPTS_H_
 #define TEASELTHREAD_ATTEMPTS_REQUEST_ATTEMPTS_H_
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <set>
@@ -26,13 +28,20 @@
   kSilent,           // no data for longer than the load can explain
   kTimedOut,         // the request's deadline has passed
   kCallerGone,       // the caller has disconnected
+  kCancelled,        // a parallel attempt has succeeded
 };
-inline constexpr size_t kAttemptFailureCount = 12;
+inline constexpr size_t kAttemptFailureCount = 13;
 std::string_view ToString(AttemptFailure failure);
 
 // Whether the failure proves that the endpoint did not run the request.
 bool ProvesNotRun(AttemptFailure failure);
 
+// Which of the attempts that run in parallel is meant.
+enum class AttemptRole : uint8_t {
+  kFirst,
+  kHedge,  // the second one, which is sent because the first one is late
+};
+
 // What to do after a failed attempt.
 enum class NextStep : uint8_t {
   kRetry,          // send it to another endpoint
@@ -58,10 +67,16 @@
   RequestAttempts(bool is_repeatable, uint32_t max_attempts);
 
   // An attempt at `endpoint` starts.
-  void OnStart(const std::string& endpoint);
+  void OnStart(const std::string& endpoint,
+               AttemptRole role = AttemptRole::kFirst);
   // The first bytes of the request are about to be sent. From here on the
   // endpoint may have received some of it.
-  void OnSendStarted();
+  void OnSendStarted(AttemptRole role = AttemptRole::kFirst);
+  // Whether a hedge may be sent while the first attempt runs.
+  bool MayHedge() const { return is_repeatable_ && runs_ + 2 <= max_attempts_; }
+  // One of two parallel attempts has failed while the other one continues.
+  void OnParallelFailure(AttemptFailure failure, AttemptRole role);
+  // The attempt has failed, and no other one runs.
   // `bytes_relayed`: part of the response has been sent to the caller.
   // `can_resume`: the rest can be requested from another endpoint. `take_retry`
   // takes one retry from the retry limit and returns false if none is left. It
@@ -71,9 +86,10 @@
   NextStep OnFailure(AttemptFailure failure,
                      bool bytes_relayed,
                      bool can_resume,
-                     TakeRetry take_retry) {
-    const NextStep step = Decide(failure, bytes_relayed, can_resume);
-    if (step != NextStep::kRetry || !send_started_ || take_retry())
+                     TakeRetry take_retry,
+                     AttemptRole role = AttemptRole::kFirst) {
+    const NextStep step = Decide(failure, bytes_relayed, can_resume, role);
+    if (step != NextStep::kRetry || !has_sent(role) || take_retry())
       return step;
     return FinalStep(failure, bytes_relayed);
   }
@@ -84,7 +100,17 @@
   const std::set<std::string>& tried() const { return tried_; }
 
  private:
-  NextStep Decide(AttemptFailure failure, bool bytes_relayed, bool can_resume);
+  NextStep Decide(AttemptFailure failure,
+                  bool bytes_relayed,
+                  bool can_resume,
+                  AttemptRole role);
+  // Whether the current attempt in this role has begun to send the request.
+  bool has_sent(AttemptRole role) const {
+    return send_started_[static_cast<size_t>(role)];
+  }
+  bool MayHaveRun(AttemptFailure failure, AttemptRole role) const {
+    return has_sent(role) && !ProvesNotRun(failure);
+  }
   NextStep FinalStep(AttemptFailure failure, bool bytes_relayed) const;
 
   bool is_repeatable_;
@@ -93,7 +119,7 @@
   uint32_t rejected_sends_ = 0;
   uint32_t sends_ = 0;  // attempts that began to send the request
   uint32_t unsent_ = 0;
-  bool send_started_ = false;  // in the current attempt
+  std::array<bool, 2> send_started_{};  // in the current attempts, by role
   bool may_have_run_ = false;
   std::set<std::string> tried_;
 };
--- a/src/libteaselthread/attempts/retry_allowance.cc
+++ b/src/libteaselthread/attempts/retry_allowance.cc
@@ -20,6 +20,15 @@
 }
 
 bool RetryAllowance::TryTake(size_t nodes, Timestamp now) {
+  if (!HasRoom(nodes, 1, now))
+    return false;
+  OnRetry(now);
+  return true;
+}
+
+bool RetryAllowance::HasRoom(size_t nodes,
+                             double usable_share,
+                             Timestamp now) const {
   const int64_t current = IndexOf(now);
   uint32_t requests = 0;
   uint32_t retries = 0;
@@ -35,11 +44,9 @@
   }
   const double share =
       limit_.slack / static_cast<double>(std::max<size_t>(1, nodes));
-  const double allowed = kUsableShare * (limit_.ratio * requests + share);
-  if (retries + 1 > allowed)
-    return false;
-  OnRetry(now);
-  return true;
+  const double allowed =
+      usable_share * kUsableShare * (limit_.ratio * requests + share);
+  return retries + 1 <= allowed;
 }
 
 RetryAllowance::Slice& RetryAllowance::SliceAt(Timestamp now) {
--- a/src/libteaselthread/attempts/retry_allowance.h
+++ b/src/libteaselthread/attempts/retry_allowance.h
@@ -28,9 +28,15 @@
  public:
   explicit RetryAllowance(RetryLimit limit) : limit_(limit) {}
 
+  // Changes the limit and keeps the counts. The window must stay the same.
+  void set_limit(RetryLimit limit) { limit_ = limit; }
+
   void OnRequest(Timestamp now);
   // Takes one retry from the allowance; returns false if none is left.
   bool TryTake(size_t nodes, Timestamp now);
+  // Whether one more retry leaves at least the rest of the allowance unused
+  // when `usable_share` of it, from 0 to 1, may be used.
+  bool HasRoom(size_t nodes, double usable_share, Timestamp now) const;
   // Counts a retry that is made whether or not the allowance covers it.
   void OnRetry(Timestamp now);
 
--- a/src/libteaselthread/endpoints/endpoint_health.cc
+++ b/src/libteaselthread/endpoints/endpoint_health.cc
@@ -36,6 +36,7 @@
 void EndpointHealth::OnSuccess() {
   ++samples_;
   consecutive_failures_ = 0;
+  unanswered_since_.reset();
   failure_rate_ -= failure_rate_ * kSampleWeight;
   if (ejected_) {
     ejected_ = false;
@@ -62,6 +63,18 @@
   Eject(kUnreachableEjection, now);
 }
 
+void EndpointHealth::OnCancelled(Timestamp sent_at,
+                                 Duration timeout,
+                                 double tolerated_rate,
+                                 Timestamp now) {
+  if (!unanswered_since_)
+    unanswered_since_ = sent_at;
+  if (now - *unanswered_since_ < timeout)
+    OnAbandoned();
+  else
+    OnFailure(tolerated_rate, now);
+}
+
 void EndpointHealth::Eject(Duration base, Timestamp now) {
   const uint32_t doublings = std::min(ejections_, kMaxDoublings);
   ejected_ = true;
--- a/src/libteaselthread/endpoints/endpoint_health.h
+++ b/src/libteaselthread/endpoints/endpoint_health.h
@@ -2,6 +2,7 @@
 #define TEASELTHREAD_ENDPOINTS_ENDPOINT_HEALTH_H_
 
 #include <cstdint>
+#include <optional>
 
 #include "libteaselthread/timestamp.h"
 
@@ -32,6 +33,14 @@
   void OnFailure(double tolerated_rate, Timestamp now);
   // No connection could be established.
   void OnUnreachable(Timestamp now);
+  // The request, sent at `sent_at`, was cancelled before any response, because
+  // another endpoint has responded first. This is a failure if the endpoint has
+  // completed no request since the first such one was sent, `timeout` ago or
+  // longer.
+  void OnCancelled(Timestamp sent_at,
+                   Duration timeout,
+                   double tolerated_rate,
+                   Timestamp now);
   // The request ended for a reason that is unrelated to the endpoint's health,
   // or its outcome has already been counted.
   void OnAbandoned() { trial_until_ = {}; }
@@ -44,6 +53,8 @@
   uint32_t consecutive_failures_ = 0;
   uint32_t ejections_ = 0;  // since the last success
   bool ejected_ = false;
+  // When the first request was sent that was cancelled since the last success.
+  std::optional<Timestamp> unanswered_since_;
   Timestamp ejected_until_{};
   Timestamp trial_until_{};  // no other trial request is sent before this time
 };
--- a/src/teaselthread/gateway/endpoint_attempt.cc
+++ b/src/teaselthread/gateway/endpoint_attempt.cc
@@ -98,12 +98,14 @@
                                  EndpointConnections* connections,
                                  EndpointPtr endpoint,
                                  RequestGuard* guard,
-                                 RequestAttempts* attempts)
+                                 RequestAttempts* attempts,
+                                 AttemptRole role)
     : state_(state),
       connections_(connections),
       endpoint_(std::move(endpoint)),
       guard_(guard),
       attempts_(attempts),
+      role_(role),
       buffered_(&state->buffers()) {}
 
 asio::awaitable<AttemptResult> EndpointAttempt::Run(
@@ -122,6 +124,13 @@
                                              : AttemptFailure::kUnreachable;
     co_return unreachable;
   }
+  // The cancellation may have come when the connection was established.
+  if (guard_->interruption() == AttemptFailure::kCancelled) {
+    connection_->Reset();
+    AttemptResult cancelled;
+    cancelled.failure = AttemptFailure::kCancelled;
+    co_return cancelled;
+  }
   const bool is_head = request->method() == http::verb::head;
   const bool on_reused_connection = connection_->is_reused;
   guard_->Attach(&connection_->socket, limits_.first);
@@ -130,12 +139,13 @@
     silence_recorded = true;
     on_silence();
   });
-  attempts_->OnSendStarted();
+  attempts_->OnSendStarted(role_);
   StartWrite(std::move(request));
   AttemptResult result;
   std::unique_ptr<Parser> parser;
   if (co_await ReadHead(&parser, is_head)) {
     result = co_await ReadResponse(*parser, relay);
+    result.response_begun = true;
   } else {
     result.failure = ReadFailure();
   }
--- a/src/teaselthread/gateway/endpoint_attempt.h
+++ b/src/teaselthread/gateway/endpoint_attempt.h
@@ -25,6 +25,8 @@
   std::optional<ResponseHead> head;
   std::string body;
   bool on_reused_connection = false;
+  // The head of the response was received.
+  bool response_begun = false;
   // The endpoint's silence has already been recorded in its health.
   bool silence_recorded = false;
 };
@@ -36,7 +38,8 @@
                   EndpointConnections* connections,
                   EndpointPtr endpoint,
                   RequestGuard* guard,
-                  RequestAttempts* attempts);
+                  RequestAttempts* attempts,
+                  AttemptRole role = AttemptRole::kFirst);
 
   // Streams successful responses to `relay` unless it is null. Calls
   // `on_silence` if the endpoint's silence is to be recorded in its health
@@ -76,6 +79,7 @@
   EndpointPtr endpoint_;
   RequestGuard* guard_;
   RequestAttempts* attempts_;
+  AttemptRole role_;
   std::string request_id_;
   ResponseTimeouts limits_;
   EndpointConnectionPtr connection_;
--- a/src/teaselthread/gateway/gateway_metrics.cc
+++ b/src/teaselthread/gateway/gateway_metrics.cc
@@ -109,6 +109,10 @@
   Scalar(out, "broken_streams_total", "counter", broken_streams_);
   Scalar(out, "endpoints_leaving_total", "counter", endpoints_leaving_);
   Scalar(out, "endpoint_pauses_total", "counter", endpoint_pauses_);
+  Scalar(out, "hedges_sent_total", "counter", hedges_sent_);
+  Scalar(out, "hedges_won_total", "counter", hedges_won_);
+  Scalar(out, "hedges_cancelled_total", "counter", attempts_cancelled_);
+  ByReason<HedgeDenial>(out, "hedges_denied_total", hedges_denied_);
   Scalar(out, "store_calls_total", "counter", store_calls_);
   Scalar(out, "store_failures_total", "counter", store_failures_);
   Scalar(out, "unreadable_entries_total", "counter", unreadable_entries_);
--- a/src/teaselthread/gateway/gateway_metrics.h
+++ b/src/teaselthread/gateway/gateway_metrics.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 
+#include "libteaselthread/attempts/hedge_policy.h"
 #include "libteaselthread/attempts/request_attempts.h"
 #include "libteaselthread/requests/reasons.h"
 #include "libteaselthread/routes/route.h"
@@ -59,6 +60,13 @@
   void OnBrokenStream() { ++broken_streams_; }
   void OnEndpointLeaving() { ++endpoints_leaving_; }
   void OnEndpointPaused() { ++endpoint_pauses_; }
+  void OnHedgeSent() { ++hedges_sent_; }
+  void OnHedgeWon() { ++hedges_won_; }
+  // An attempt was cancelled because the one parallel to it has succeeded.
+  void OnParallelAttemptCancelled() { ++attempts_cancelled_; }
+  void OnHedgeDenied(HedgeDenial denial) {
+    ++hedges_denied_[static_cast<size_t>(denial)];
+  }
   void OnStoreCall(bool succeeded);
   void OnUnreadableEntry() { ++unreadable_entries_; }
   void OnHeartbeatSent(size_t bytes);
@@ -77,6 +85,10 @@
   uint64_t broken_streams_ = 0;
   uint64_t endpoints_leaving_ = 0;
   uint64_t endpoint_pauses_ = 0;
+  uint64_t hedges_sent_ = 0;
+  uint64_t hedges_won_ = 0;
+  uint64_t attempts_cancelled_ = 0;
+  std::array<uint64_t, kHedgeDenialCount> hedges_denied_{};
   uint64_t store_calls_ = 0;
   uint64_t store_failures_ = 0;
   uint64_t unreadable_entries_ = 0;
--- a/src/teaselthread/gateway/gateway_settings.cc
+++ b/src/teaselthread/gateway/gateway_settings.cc
@@ -4,13 +4,15 @@
 #include <iterator>
 #include <sstream>
 
+#include "libteaselthread/attempts/hedge_policy.h"
 #include "libteaselthread/section_reader.h"
 #include "libteaselthread/text_file.h"
 
 namespace teaselthread {
 namespace {
 
-constexpr std::string_view kSections[] = {"gateway", "peers", "limits"};
+constexpr std::string_view kSections[] = {"gateway", "peers", "limits",
+                                          "hedging"};
 constexpr std::string_view kLogLevels[] = {"debug", "info", "warn", "error"};
 constexpr IntegerRange kMillisecondsRange = {1, 600'000};
 constexpr IntegerRange kTtlRangeMs = {500, 60'000};
@@ -53,6 +55,7 @@
   settings.ReadNode(find("gateway"), source, &errors);
   settings.ReadPeers(find("peers"), source, &errors);
   settings.ReadLimits(find("limits"), source, &errors);
+  settings.ReadHedging(find("hedging"), source, &errors);
   if (!errors.empty())
     return errors;
   return settings;
@@ -94,7 +97,9 @@
       << "\ncold_over = " << limits_.cold_over
       << "\ncold_slack = " << limits_.cold_slack
       << "\nload_multiple = " << limits_.load_multiple
-      << "\nleaving_grace_s = " << InSeconds(limits_.leaving_grace) << "\n";
+      << "\nleaving_grace_s = " << InSeconds(limits_.leaving_grace)
+      << "\n\n[hedging]\n"
+      << "share = " << hedging_share_ << "\n";
   return out.str();
 }
 
@@ -172,4 +177,12 @@
   reader.RejectUnknownKeys();
 }
 
+void GatewaySettings::ReadHedging(const IniSection& section,
+                                  const std::string& source,
+                                  std::vector<Error>* errors) {
+  SectionReader reader(section, source, errors);
+  hedging_share_ = reader.Number("share", 0, 0, HedgePolicy::kMaxShare);
+  reader.RejectUnknownKeys();
+}
+
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/gateway_settings.h
+++ b/src/teaselthread/gateway/gateway_settings.h
@@ -58,6 +58,8 @@
   // What the process may use in total.
   size_t memory_bytes() const { return memory_bytes_; }
   const GatewayLimits& limits() const { return limits_; }
+  // The most hedges as a share of a service's requests; 0 disables hedging.
+  double hedging_share() const { return hedging_share_; }
 
  private:
   GatewaySettings() = default;
@@ -70,6 +72,9 @@
   void ReadLimits(const IniSection& section,
                   const std::string& source,
                   std::vector<Error>* errors);
+  void ReadHedging(const IniSection& section,
+                   const std::string& source,
+                   std::vector<Error>* errors);
 
   std::string name_;
   std::string zone_;
@@ -86,6 +91,7 @@
   Duration address_ttl_{};
   size_t memory_bytes_ = 0;
   GatewayLimits limits_;
+  double hedging_share_ = 0;
 };
 
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/gateway_state.cc
+++ b/src/teaselthread/gateway/gateway_state.cc
@@ -64,6 +64,14 @@
       .first->second;
 }
 
+HedgePolicy& GatewayState::HedgePolicyFor(const std::string& service) {
+  HedgePolicy& policy =
+      hedge_policies_.try_emplace(service, settings_.limits().retries.window)
+          .first->second;
+  policy.set_share(settings_.hedging_share());
+  return policy;
+}
+
 SelectionContext GatewayState::MakeSelectionContext(
     const std::string& service) const {
   const Timestamp now = Now();
--- a/src/teaselthread/gateway/gateway_state.h
+++ b/src/teaselthread/gateway/gateway_state.h
@@ -7,6 +7,8 @@
 #include <random>
 #include <string>
 
+#include "libteaselthread/attempts/hedge_policy.h"
+#include "libteaselthread/attempts/overdue_attempts.h"
 #include "libteaselthread/attempts/retry_allowance.h"
 #include "libteaselthread/endpoints/crash_suspects.h"
 #include "libteaselthread/endpoints/endpoint_selector.h"
@@ -61,6 +63,9 @@
   const EndpointSelector& selector() const { return selector_; }
   PeerSet& peers() { return peers_; }
   RetryAllowance& RetryAllowanceFor(const std::string& service);
+  // The policy has the share of hedges that the settings allow now.
+  HedgePolicy& HedgePolicyFor(const std::string& service);
+  OverdueAttempts& overdue_attempts() { return overdue_attempts_; }
   SelectionContext MakeSelectionContext(const std::string& service) const;
   // The newest changes that this gateway's own watches have delivered.
   RevisionAnnouncement& endpoint_changes() { return endpoint_changes_; }
@@ -119,6 +124,8 @@
   std::map<std::string, WaitingRequests> waiting_;  // by service
   PeerSet peers_;
   std::map<std::string, RetryAllowance> retries_;
+  std::map<std::string, HedgePolicy> hedge_policies_;  // by service
+  OverdueAttempts overdue_attempts_;
   GatewayMetrics metrics_;
   BufferQuota buffers_;
   DecisionLog log_;
--- a/src/teaselthread/gateway/request_exchange.h
+++ b/src/teaselthread/gateway/request_exchange.h
@@ -2,7 +2,9 @@
 #define TEASELTHREAD_GATEWAY_REQUEST_EXCHANGE_H_
 
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 #include "libteaselthread/attempts/request_attempts.h"
 #include "teaselthread/gateway/request_checks.h"
@@ -13,6 +15,14 @@
 
 using CallerHttpRequest = http::request<http::string_body>;
 
+// What became of a request's hedge.
+enum class HedgeOutcome : uint8_t {
+  kWon,     // its response was the first one
+  kLost,    // the first attempt's was
+  kFailed,  // neither attempt has succeeded
+};
+std::string_view ToString(HedgeOutcome outcome);
+
 // State of one caller's request while it is served. The message and the writer
 // must outlive it.
 struct RequestExchange {
@@ -39,6 +49,7 @@
   std::string outcome = "none";
   std::string reason;
   std::string endpoint;
+  std::optional<HedgeOutcome> hedge;  // empty unless one was sent
   int status = 0;
 };
 
--- a/src/teaselthread/gateway/request_guard.cc
+++ b/src/teaselthread/gateway/request_guard.cc
@@ -18,9 +18,14 @@
 RequestGuard::RequestGuard(tcp::socket* caller, Clock::time_point deadline)
     : caller_(caller), timer_(caller->get_executor()), deadline_(deadline) {}
 
+RequestGuard::RequestGuard(const asio::any_io_executor& executor,
+                           Clock::time_point deadline)
+    : caller_(nullptr), timer_(executor), deadline_(deadline) {}
+
 void RequestGuard::Start() {
   active_ = true;
-  WatchCaller();
+  if (caller_)
+    WatchCaller();
   Schedule();
 }
 
@@ -28,8 +33,13 @@
   active_ = false;
   upstream_ = nullptr;
   timer_.cancel();
+  CancelCaller();
+}
+
+void RequestGuard::CancelCaller() {
   boost::system::error_code ignored;
-  caller_->cancel(ignored);
+  if (caller_)
+    caller_->cancel(ignored);
 }
 
 void RequestGuard::Attach(tcp::socket* upstream,
@@ -41,6 +51,13 @@
   Schedule();
 }
 
+void RequestGuard::ClearSilence() {
+  if (interruption_ != AttemptFailure::kSilent)
+    return;
+  interruption_.reset();
+  Schedule();
+}
+
 void RequestGuard::WatchFirstByte(Clock::duration limit,
                                   std::function<void()> on_silence) {
   silence_report_at_ = Clock::now() + limit;
@@ -132,8 +149,7 @@
     std::exchange(on_silence_, nullptr)();
   if (now >= deadline_ + kWriteGracePeriod) {
     Interrupt(AttemptFailure::kTimedOut);
-    boost::system::error_code ignored;
-    caller_->cancel(ignored);
+    CancelCaller();
     return;
   }
   if (now >= deadline_) {
@@ -148,10 +164,12 @@
 void RequestGuard::Interrupt(AttemptFailure reason) {
   if (!is_final())
     interruption_ = reason;
-  if (!upstream_)
-    return;
-  boost::system::error_code ignored;
-  upstream_->cancel(ignored);
+  if (upstream_) {
+    boost::system::error_code ignored;
+    upstream_->cancel(ignored);
+  }
+  if (is_final() && on_final_)
+    std::exchange(on_final_, nullptr)(*interruption_);
 }
 
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/request_guard.h
+++ b/src/teaselthread/gateway/request_guard.h
@@ -20,11 +20,25 @@
   using Clock = std::chrono::steady_clock;
 
   RequestGuard(tcp::socket* caller, Clock::time_point deadline);
+  // Guards a second attempt that runs in parallel with the first one. It does
+  // not watch the caller; the first attempt's guard does.
+  RequestGuard(const asio::any_io_executor& executor,
+               Clock::time_point deadline);
 
   // Starts watching. The caller's socket must outlive the call of Finish.
   void Start();
   void Finish();
 
+  // Sets a callback for the caller's disconnection and the deadline.
+  void set_on_final(std::function<void(AttemptFailure)> on_final) {
+    on_final_ = std::move(on_final);
+  }
+  // Cancels the current attempt. No further one makes sense.
+  void Cancel(AttemptFailure reason) { Interrupt(reason); }
+  // The current attempt has ended by silence and another one, which another
+  // guard watches, continues.
+  void ClearSilence();
+
   // Called when an attempt starts to use the connection `upstream`.
   void Attach(tcp::socket* upstream, Clock::duration silence_limit);
   void Detach();
@@ -42,8 +56,8 @@
   const std::optional<AttemptFailure>& interruption() const {
     return interruption_;
   }
-  // Whether no further attempt makes sense: the caller has disconnected or the
-  // deadline has passed.
+  // Whether no further attempt makes sense: the caller has disconnected, the
+  // deadline has passed, or a parallel attempt has succeeded.
   bool is_final() const {
     return interruption_ && *interruption_ != AttemptFailure::kSilent;
   }
@@ -57,8 +71,10 @@
   void ScheduleIfEarlier();
   void OnTimer();
   void Interrupt(AttemptFailure reason);
+  // Cancels the operations on the caller's socket.
+  void CancelCaller();
 
-  tcp::socket* caller_;
+  tcp::socket* caller_;  // null if it is not watched
   tcp::socket* upstream_ = nullptr;
   asio::steady_timer timer_;
   Clock::time_point deadline_;
@@ -67,6 +83,7 @@
   std::optional<Clock::time_point> suspended_at_;
   Clock::time_point silence_report_at_;
   std::function<void()> on_silence_;
+  std::function<void(AttemptFailure)> on_final_;
   std::optional<AttemptFailure> interruption_;
   bool active_ = false;
 };
--- a/src/teaselthread/gateway/request_handler.cc
+++ b/src/teaselthread/gateway/request_handler.cc
@@ -1,6 +1,6 @@
 #include "teaselthread/gateway/request_handler.h"
 
-#include "teaselthread/gateway/tracked_attempt.h"
+#include "teaselthread/gateway/hedged_attempt.h"
 
 namespace teaselthread {
 namespace {
@@ -61,6 +61,8 @@
 asio::awaitable<void> RequestHandler::RunAttempts(RequestExchange& exchange) {
   state_->RetryAllowanceFor(exchange.request.service->name)
       .OnRequest(state_->Now());
+  state_->HedgePolicyFor(exchange.request.service->name)
+      .OnRequest(state_->Now());
   bool is_final = false;
   while (!is_final)
     is_final = co_await RunAttempt(exchange);
@@ -79,17 +81,22 @@
   }
   const SelectionResult selected = co_await SelectOrWait(exchange);
   if (const auto* reason = std::get_if<NoEndpointReason>(&selected)) {
+    OnRejection(exchange);
     co_await final_responses_.EndWithoutAttempt(exchange, ToRefusal(*reason));
     co_return true;
   }
-  const Selection& selection = std::get<Selection>(selected);
+  const auto select_hedge = [&](const std::set<std::string>& excluded) {
+    return SelectForHedge(exchange, excluded);
+  };
+  exchange.endpoint = std::get<Selection>(selected).endpoint->record().id;
+  HedgedAttempt attempt(state_, &connections_, &crash_guard_, &exchange,
+                        std::get<Selection>(selected), select_hedge);
+  auto [result, selection, role] = co_await attempt.Run();
   exchange.endpoint = selection.endpoint->record().id;
-  TrackedAttempt attempt(state_, &connections_, &crash_guard_, &exchange,
-                         selection);
-  AttemptResult result = co_await attempt.Run();
   bool is_final = true;
   if (result.failure) {
-    co_await HandleFailure(exchange, selection, std::move(result), &is_final);
+    co_await HandleFailure(exchange, selection, std::move(result), role,
+                           &is_final);
   } else {
     exchange.outcome = "answered";
     exchange.status = 200;
@@ -106,6 +113,7 @@
 asio::awaitable<void> RequestHandler::HandleFailure(RequestExchange& exchange,
                                                     const Selection& selection,
                                                     AttemptResult result,
+                                                    AttemptRole role,
                                                     bool* is_final) {
   const AttemptFailure failure = *result.failure;
   const Route& route = *exchange.request.route;
@@ -113,12 +121,15 @@
   const bool can_resume =
       route.is_resumable && exchange.relay.events().last_id().has_value();
   const std::string& service = exchange.request.service->name;
-  const NextStep step =
-      exchange.attempts.OnFailure(failure, relayed, can_resume, [&] {
-        return state_->RetryAllowanceFor(service).TryTake(
-            state_->peers().NodesSharingLimits(state_->Now()).size(),
-            state_->Now());
-      });
+  if (failure == AttemptFailure::kRejected)
+    OnRejection(exchange);
+  const auto take_retry = [&] {
+    return state_->RetryAllowanceFor(service).TryTake(
+        state_->peers().NodesSharingLimits(state_->Now()).size(),
+        state_->Now());
+  };
+  const NextStep step = exchange.attempts.OnFailure(
+      failure, relayed, can_resume, take_retry, role);
   *is_final = step != NextStep::kRetry;
   state_->metrics().OnAttemptFailure(failure, !*is_final);
   log_.OnAttemptFailed(exchange, selection, result, !*is_final);
@@ -143,7 +154,27 @@
   }
 }
 
-SelectionResult RequestHandler::Select(const RequestExchange& exchange) {
+void RequestHandler::OnRejection(const RequestExchange& exchange) {
+  state_->HedgePolicyFor(exchange.request.service->name)
+      .OnRejection(state_->Now());
+}
+
+std::optional<Selection> RequestHandler::SelectForHedge(
+    RequestExchange& exchange,
+    const std::set<std::string>& excluded) {
+  if (checks_.CheckConfigurationFreshness(exchange.request) ||
+      crash_guard_.Blocks(exchange.request)) {
+    return std::nullopt;
+  }
+  SelectionResult selected = Select(exchange, excluded);
+  auto* selection = std::get_if<Selection>(&selected);
+  if (!selection || selection->over_bound)
+    return std::nullopt;
+  return std::move(*selection);
+}
+
+SelectionResult RequestHandler::Select(const RequestExchange& exchange,
+                                       const std::set<std::string>& excluded) {
   SelectionQuery query;
   query.service = exchange.request.service;
   const std::string& service = query.service->name;
@@ -155,6 +186,7 @@
         state_->demand().ShareOf(service, AffinityPart(query.prompt).id, now);
   }
   query.excluded = exchange.attempts.tried();
+  query.excluded.insert(excluded.begin(), excluded.end());
   // A stream that was broken off is not kept waiting.
   query.ignores_load_bound = exchange.attempts.may_have_run();
   return state_->selector().Select(query, state_->MakeSelectionContext(service),
--- a/src/teaselthread/gateway/request_handler.h
+++ b/src/teaselthread/gateway/request_handler.h
@@ -1,7 +1,9 @@
 #ifndef TEASELTHREAD_GATEWAY_REQUEST_HANDLER_H_
 #define TEASELTHREAD_GATEWAY_REQUEST_HANDLER_H_
 
+#include <optional>
 #include <set>
+#include <string>
 
 #include "teaselthread/gateway/crash_guard.h"
 #include "teaselthread/gateway/final_responses.h"
@@ -41,8 +43,18 @@
   asio::awaitable<void> HandleFailure(RequestExchange& exchange,
                                       const Selection& selection,
                                       AttemptResult result,
+                                      AttemptRole role,
                                       bool* is_final);
-  SelectionResult Select(const RequestExchange& exchange);
+  // Selects none of the endpoints that were tried, and none of `excluded`.
+  SelectionResult Select(const RequestExchange& exchange,
+                         const std::set<std::string>& excluded = {});
+  // The endpoint of a hedge. Empty if none can be selected that has room, or
+  // the request must not be sent any more.
+  std::optional<Selection> SelectForHedge(
+      RequestExchange& exchange,
+      const std::set<std::string>& excluded);
+  // The service has rejected a request.
+  void OnRejection(const RequestExchange& exchange);
   // Selects an endpoint. If all are at their load bound, waits until one is not
   // or the request can no longer be served in time.
   asio::awaitable<SelectionResult> SelectOrWait(RequestExchange& exchange);
--- a/src/teaselthread/gateway/request_log.cc
+++ b/src/teaselthread/gateway/request_log.cc
@@ -3,7 +3,8 @@
 namespace teaselthread {
 
 void RequestLog::OnSend(const RequestExchange& exchange,
-                        const Selection& selection) {
+                        const Selection& selection,
+                        AttemptRole role) {
   const EndpointState& endpoint = *selection.endpoint;
   LogLine line("sent");
   line.Add("id", exchange.request.head.id)
@@ -24,6 +25,8 @@
         .Add("over_bound", selection.over_bound)
         .Add("spread", selection.spread);
   }
+  if (role == AttemptRole::kHedge)
+    line.Add("hedge", true);
   if (selection.kv_source)
     line.Add("kv_source", selection.kv_source->ToString());
   state_->log().Info(line);
@@ -56,6 +59,8 @@
     line.Add("reason", exchange.reason);
   if (!exchange.endpoint.empty())
     line.Add("endpoint", exchange.endpoint);
+  if (exchange.hedge)
+    line.Add("hedge", ToString(*exchange.hedge));
   line.Add("sends", exchange.attempts.sends())
       .Add("events", exchange.relay.events().event_count())
       .AddTime("elapsed", state_->Now() - request.received_at);
--- a/src/teaselthread/gateway/request_log.h
+++ b/src/teaselthread/gateway/request_log.h
@@ -12,7 +12,9 @@
  public:
   explicit RequestLog(GatewayState* state) : state_(state) {}
 
-  void OnSend(const RequestExchange& exchange, const Selection& selection);
+  void OnSend(const RequestExchange& exchange,
+              const Selection& selection,
+              AttemptRole role);
   // `retried`: another attempt follows.
   void OnAttemptFailed(const RequestExchange& exchange,
                        const Selection& selection,
--- a/src/teaselthread/gateway/tracked_attempt.cc
+++ b/src/teaselthread/gateway/tracked_attempt.cc
@@ -8,29 +8,33 @@
                                EndpointConnections* connections,
                                CrashGuard* crash_guard,
                                RequestExchange* exchange,
-                               Selection selection)
+                               Selection selection,
+                               AttemptRole role,
+                               std::shared_ptr<RequestGuard> guard)
     : state_(state),
       connections_(connections),
       crash_guard_(crash_guard),
       log_(state),
       exchange_(exchange),
-      selection_(std::move(selection)) {}
+      selection_(std::move(selection)),
+      role_(role),
+      guard_(std::move(guard)) {}
 
 asio::awaitable<AttemptResult> TrackedAttempt::Run() {
   EndpointState& endpoint = *selection_.endpoint;
-  exchange_->attempts.OnStart(endpoint.record().id);
-  const Timestamp sent_at = state_->Now();
-  endpoint.OnSend(sent_at);
+  exchange_->attempts.OnStart(endpoint.record().id, role_);
+  sent_at_ = state_->Now();
+  endpoint.OnSend(sent_at_);
   const std::string& service = exchange_->request.service->name;
   if (!selection_.affinity_part.empty())
     state_->demand().OnStart(service, selection_.affinity_part, state_->Now());
   const bool is_stream =
       exchange_->request.route->kind == RequestKind::kStreaming;
   EndpointAttempt attempt(state_, connections_, selection_.endpoint,
-                          exchange_->guard.get(), &exchange_->attempts);
-  log_.OnSend(*exchange_, selection_);
+                          guard_.get(), &exchange_->attempts, role_);
+  log_.OnSend(*exchange_, selection_, role_);
   const auto message = MakeEndpointRequest();
-  const ResponseTimeouts limits = TimeoutsFor(endpoint);
+  timeouts_ = TimeoutsFor(endpoint);
   StreamRelay* relay = is_stream ? &exchange_->relay : nullptr;
   std::function<void()> on_silence = [this, &endpoint] {
     AttemptResult silent;
@@ -39,8 +43,8 @@
   };
   const uint32_t events_before = exchange_->relay.events().event_count();
   AttemptResult result =
-      co_await attempt.Run(message, exchange_->request.head.id, limits, relay,
-                           std::move(on_silence));
+      co_await attempt.Run(message, exchange_->request.head.id, timeouts_,
+                           relay, std::move(on_silence));
   endpoint.OnEnd(state_->Now());
   if (!selection_.affinity_part.empty())
     state_->demand().OnEnd(service, selection_.affinity_part, state_->Now());
@@ -48,7 +52,7 @@
   if (result.failure == AttemptFailure::kBroken &&
       exchange_->relay.events().event_count() == events_before &&
       !state_->endpoints().IsLeaving(endpoint))
-    crash_guard_->OnCrash(exchange_->request, endpoint, sent_at);
+    crash_guard_->OnCrash(exchange_->request, endpoint, sent_at_);
   co_return result;
 }
 
@@ -112,6 +116,15 @@
       case AttemptFailure::kNoBufferSpace:
         health.OnAbandoned();
         break;
+      case AttemptFailure::kCancelled:
+        if (result.response_begun) {
+          health.OnAbandoned();
+        } else {
+          health.OnCancelled(sent_at_, timeouts_.health_timeout,
+                             state_->endpoints().ToleratedFailureRate(endpoint),
+                             now);
+        }
+        break;
       case AttemptFailure::kSilent:
         // A new connection at the next attempt shows whether the endpoint is
         // still reachable.
--- a/src/teaselthread/gateway/tracked_attempt.h
+++ b/src/teaselthread/gateway/tracked_attempt.h
@@ -13,17 +13,22 @@
 
 // One attempt of a caller's request at the selected endpoint. Records what it
 // shows: the endpoint's load and health, the demand for the prompt part, and
-// evidence of prompts that crash engines.
+// evidence of prompts that crash engines. An attempt that is cancelled is not
+// counted as the endpoint's failure, unless that has not responded for long.
 class TrackedAttempt {
  public:
   TrackedAttempt(GatewayState* state,
                  EndpointConnections* connections,
                  CrashGuard* crash_guard,
                  RequestExchange* exchange,
-                 Selection selection);
+                 Selection selection,
+                 AttemptRole role,
+                 std::shared_ptr<RequestGuard> guard);
 
   asio::awaitable<AttemptResult> Run();
   const Selection& selection() const { return selection_; }
+  AttemptRole role() const { return role_; }
+  RequestGuard& guard() { return *guard_; }
 
  private:
   std::shared_ptr<EndpointHttpRequest> MakeEndpointRequest() const;
@@ -37,6 +42,10 @@
   RequestLog log_;
   RequestExchange* exchange_;
   Selection selection_;
+  AttemptRole role_;
+  std::shared_ptr<RequestGuard> guard_;
+  Timestamp sent_at_{};
+  ResponseTimeouts timeouts_;
 };
 
 }  // namespace teaselthread
--- a/tests/gateway/gateway_fixtures.cc
+++ b/tests/gateway/gateway_fixtures.cc
@@ -60,7 +60,12 @@
   order.is_resumable = false;
   order.max_attempts = 1;
   order.services = {{"desk", 1}};
-  parts.routes = {chat, order};
+  Route list = order;
+  list.name = "list";
+  list.path_prefix = "/list/";
+  list.kind = RequestKind::kIdempotent;
+  list.max_attempts = 2;
+  parts.routes = {chat, order, list};
   parts.customers = {{"office", {"key-1"}, std::nullopt}};
   parts.bounds = {16'384, 8 << 20, seconds(3), seconds(15)};
   return RouteTable::Create(std::move(parts)).TakeValue();
--- a/tests/gateway/gateway_fixtures.h
+++ b/tests/gateway/gateway_fixtures.h
@@ -16,8 +16,9 @@
 // An endpoint of the plain service "desk".
 EndpointRecord MakeDeskRecord(const std::string& id, const std::string& zone);
 
-// The services "pool" (engines, cold for 3 s) and "desk", with a route each:
-// shop.example/chat/ and shop.example/order/.
+// The services "pool" (engines, cold for 3 s) and "desk". The route of "pool"
+// is shop.example/chat/, those of "desk" are shop.example/order/ and the
+// idempotent shop.example/list/.
 RouteTable MakeRoutes();
 
 }  // namespace teaselthread::test
--- a/tests/gateway/request_timeline_test.cc
+++ b/tests/gateway/request_timeline_test.cc
@@ -29,6 +29,24 @@
 2026-03-12T16:57:53.700 entry-2 endpoints-changed revision=9 removed=["e-1"]
 )";
 
+// The first attempt is late, and the hedge's response is the first one.
+constexpr char kHedgedLog[] =
+    R"({"time":"2026-03-12T16:57:40.700","event":"sent","id":"b28a","endpoint":"e-1","load":1}
+{"time":"2026-03-12T16:57:40.782","event":"hedge-sent","id":"b28a","late_endpoint":"e-1","endpoint":"e-2","delay_ms":82}
+{"time":"2026-03-12T16:57:40.782","event":"sent","id":"b28a","endpoint":"e-2","load":0,"hedge":true}
+{"time":"2026-03-12T16:57:40.842","event":"attempt-cancelled","id":"b28a","endpoint":"e-1","hedge":false}
+{"time":"2026-03-12T16:57:40.842","event":"request-ended","id":"b28a","endpoint":"e-2","hedge":"won"}
+{"time":"2026-03-12T16:57:40.900","event":"endpoint-ejected","endpoint":"e-2"}
+)";
+constexpr char kHedgedTimeline[] =
+    R"(2026-03-12T16:57:40.700 entry-1 sent endpoint="e-1" load=1
+2026-03-12T16:57:40.782 entry-1 hedge-sent late_endpoint="e-1" endpoint="e-2" delay_ms=82
+2026-03-12T16:57:40.782 entry-1 sent endpoint="e-2" load=0 hedge=true
+2026-03-12T16:57:40.842 entry-1 attempt-cancelled endpoint="e-1" hedge=false
+2026-03-12T16:57:40.842 entry-1 request-ended endpoint="e-2" hedge="won"
+2026-03-12T16:57:40.900 entry-1 endpoint-ejected endpoint="e-2"
+)";
+
 struct TimelineFixture {
   void ReadBoth(RequestTimeline& timeline) {
     std::istringstream second(kSecondLog);
@@ -47,6 +65,13 @@
   BOOST_TEST(timeline.unreadable_lines() == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(shows_both_attempts_if_it_was_hedged) {
+  RequestTimeline timeline("b28a");
+  std::istringstream log(kHedgedLog);
+  timeline.Read(log, "entry-1");
+  BOOST_TEST(timeline.Tell() == kHedgedTimeline);
+}
+
 BOOST_AUTO_TEST_CASE(is_empty_if_no_log_line_has_its_id) {
   RequestTimeline timeline("nobody");
   ReadBoth(timeline);
