--- a/src/teaselthread/gateway/endpoint_placement.cc
+++ b/src/teaselthread/gateway/endpoint_placement.cc
@@ -9,8 +9,10 @@
 
 }  // namespace
 
-SelectionResult EndpointPlacement::Select(const ClassifiedRequest& request,
-                                          const RequestAttempts& attempts) {
+SelectionResult EndpointPlacement::Select(
+    const ClassifiedRequest& request,
+    const RequestAttempts& attempts,
+    const std::set<std::string>& excluded) {
   SelectionQuery query;
   query.service = request.service;
   const std::string& service = query.service->name;
@@ -25,6 +27,7 @@
     query.seed = state_->random()();
   }
   query.excluded = attempts.tried();
+  query.excluded.insert(excluded.begin(), excluded.end());
   // A stream that was broken off is not kept waiting.
   query.ignores_load_bound = attempts.may_have_run();
   return rollout_guard_.Select(request, query);
--- a/src/teaselthread/gateway/endpoint_placement.h
+++ b/src/teaselthread/gateway/endpoint_placement.h
@@ -1,6 +1,9 @@
 #ifndef TEASELTHREAD_GATEWAY_ENDPOINT_PLACEMENT_H_
 #define TEASELTHREAD_GATEWAY_ENDPOINT_PLACEMENT_H_
 
+#include <set>
+#include <string>
+
 #include "libteaselthread/attempts/request_attempts.h"
 #include "libteaselthread/attempts/response_timeouts.h"
 #include "teaselthread/gateway/gateway_state.h"
@@ -25,15 +28,16 @@
       const ClassifiedRequest& request,
       const RequestAttempts& attempts,
       const RequestGuard& guard);
+  // Selects none of the endpoints that were tried, and none of `excluded`.
+  SelectionResult Select(const ClassifiedRequest& request,
+                         const RequestAttempts& attempts,
+                         const std::set<std::string>& excluded = {});
   ResponseTimeouts TimeoutsFor(const ClassifiedRequest& request,
                                const EndpointState& endpoint) const;
   // The endpoint has served the request `elapsed` after it was sent.
   void OnServed(const Selection& selection, Duration elapsed);
 
  private:
-  SelectionResult Select(const ClassifiedRequest& request,
-                         const RequestAttempts& attempts);
-
   GatewayState* state_;
   RolloutGuard rollout_guard_;
 };
--- a/src/teaselthread/gateway/gateway_settings.cc
+++ b/src/teaselthread/gateway/gateway_settings.cc
@@ -4,14 +4,15 @@
 #include <iterator>
 #include <sstream>
 
+#include "libteaselthread/attempts/hedge_policy.h"
 #include "libteaselthread/section_reader.h"
 #include "libteaselthread/text_file.h"
 
 namespace teaselthread {
 namespace {
 
-constexpr std::string_view kSections[] = {"gateway", "peers", "limits",
-                                          "callers", "rollouts"};
+constexpr std::string_view kSections[] = {"gateway", "peers",    "limits",
+                                          "callers", "rollouts", "hedging"};
 constexpr std::string_view kLogLevels[] = {"debug", "info", "warn", "error"};
 constexpr IntegerRange kMillisecondsRange = {1, 600'000};
 constexpr IntegerRange kTtlRangeMs = {500, 60'000};
@@ -60,6 +61,7 @@
   settings.ReadLimits(find("limits"), source, &errors);
   settings.ReadCallers(find("callers"), source, &errors);
   settings.ReadRollouts(find("rollouts"), source, &errors);
+  settings.ReadHedging(find("hedging"), source, &errors);
   if (!errors.empty())
     return errors;
   return settings;
@@ -110,7 +112,9 @@
       << "\n\n[rollouts]\n"
       << "expose_share = " << rollouts_.expose_share
       << "\nexpose_slack = " << rollouts_.expose_slack
-      << "\nrollback_ms = " << InMilliseconds(rollouts_.rollback) << "\n";
+      << "\nrollback_ms = " << InMilliseconds(rollouts_.rollback)
+      << "\n\n[hedging]\n"
+      << "share = " << hedging_share_ << "\n";
   return out.str();
 }
 
@@ -215,4 +219,12 @@
   reader.RejectUnknownKeys();
 }
 
+void GatewaySettings::ReadHedging(const IniSection& section,
+                                  const std::string& source,
+                                  std::vector<Error>* errors) {
+  SectionReader reader(section, source, errors);
+  hedging_share_ = reader.Number("share", 0, 0, HedgePolicy::kMaxShare);
+  reader.RejectUnknownKeys();
+}
+
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/gateway_settings.h
+++ b/src/teaselthread/gateway/gateway_settings.h
@@ -75,6 +75,8 @@
   const GatewayLimits& limits() const { return limits_; }
   const UntrustedCallerLimits& callers() const { return callers_; }
   const RolloutLimits& rollouts() const { return rollouts_; }
+  // The most hedges as a share of a service's requests; 0 disables hedging.
+  double hedging_share() const { return hedging_share_; }
 
  private:
   GatewaySettings() = default;
@@ -93,6 +95,9 @@
   void ReadRollouts(const IniSection& section,
                     const std::string& source,
                     std::vector<Error>* errors);
+  void ReadHedging(const IniSection& section,
+                   const std::string& source,
+                   std::vector<Error>* errors);
 
   std::string name_;
   std::string zone_;
@@ -111,6 +116,7 @@
   GatewayLimits limits_;
   UntrustedCallerLimits callers_;
   RolloutLimits rollouts_;
+  double hedging_share_ = 0;
 };
 
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/request_handler.h
+++ b/src/teaselthread/gateway/request_handler.h
@@ -1,7 +1,9 @@
 #ifndef TEASELTHREAD_GATEWAY_REQUEST_HANDLER_H_
 #define TEASELTHREAD_GATEWAY_REQUEST_HANDLER_H_
 
+#include <optional>
 #include <set>
+#include <string>
 
 #include "teaselthread/gateway/crash_guard.h"
 #include "teaselthread/gateway/endpoint_placement.h"
@@ -43,7 +45,15 @@
   asio::awaitable<void> HandleFailure(RequestExchange& exchange,
                                       const Selection& selection,
                                       AttemptResult result,
+                                      AttemptRole role,
                                       bool* is_final);
+  // The endpoint of a hedge, none of `excluded`. Empty if none can be selected
+  // that has room, or the request must not be sent any more.
+  std::optional<Selection> SelectForHedge(
+      RequestExchange& exchange,
+      const std::set<std::string>& excluded);
+  // The service has rejected a request.
+  void OnRejection(const RequestExchange& exchange);
 
   GatewayState* state_;
   RequestChecks checks_;
--- a/src/teaselthread/gateway/request_log.cc
+++ b/src/teaselthread/gateway/request_log.cc
@@ -4,6 +4,7 @@
 
 void RequestLog::OnSend(const RequestExchange& exchange,
                         const Selection& selection,
+                        AttemptRole role,
                         RolloutGuard* rollout_guard) {
   const EndpointState& endpoint = *selection.endpoint;
   LogLine line("sent");
@@ -29,6 +30,8 @@
         .Add("over_bound", selection.over_bound)
         .Add("spread", selection.spread);
   }
+  if (role == AttemptRole::kHedge)
+    line.Add("hedge", true);
   if (selection.kv_source)
     line.Add("kv_source", selection.kv_source->ToString());
   rollout_guard->OnSend(exchange.request, selection, &line);
@@ -62,6 +65,8 @@
     line.Add("reason", exchange.reason);
   if (!exchange.endpoint.empty())
     line.Add("endpoint", exchange.endpoint);
+  if (exchange.hedge)
+    line.Add("hedge", ToString(*exchange.hedge));
   line.Add("sends", exchange.attempts.sends())
       .Add("events", exchange.relay.events().event_count())
       .AddTime("elapsed", state_->Now() - request.received_at);
--- a/src/teaselthread/gateway/request_log.h
+++ b/src/teaselthread/gateway/request_log.h
@@ -15,6 +15,7 @@
 
   void OnSend(const RequestExchange& exchange,
               const Selection& selection,
+              AttemptRole role,
               RolloutGuard* rollout_guard);
   // `retried`: another attempt follows.
   void OnAttemptFailed(const RequestExchange& exchange,
--- a/src/teaselthread/gateway/rollout_guard.cc
+++ b/src/teaselthread/gateway/rollout_guard.cc
@@ -17,6 +17,7 @@
     return Kind::kAnswered;
   switch (*failure) {
     case AttemptFailure::kCallerGone:
+    case AttemptFailure::kCancelled:
       return Kind::kAbandoned;
     case AttemptFailure::kStaleConnection:
     case AttemptFailure::kRejected:
--- a/src/teaselthread/gateway/tracked_attempt.cc
+++ b/src/teaselthread/gateway/tracked_attempt.cc
@@ -9,31 +9,34 @@
                                CrashGuard* crash_guard,
                                EndpointPlacement* placement,
                                RequestExchange* exchange,
-                               Selection selection)
+                               Selection selection,
+                               AttemptRole role,
+                               std::shared_ptr<RequestGuard> guard)
     : state_(state),
       connections_(connections),
       crash_guard_(crash_guard),
       placement_(placement),
       log_(state),
       exchange_(exchange),
-      selection_(std::move(selection)) {}
+      selection_(std::move(selection)),
+      role_(role),
+      guard_(std::move(guard)) {}
 
 asio::awaitable<AttemptResult> TrackedAttempt::Run() {
   EndpointState& endpoint = *selection_.endpoint;
-  exchange_->attempts.OnStart(endpoint.record().id);
-  const Timestamp sent_at = state_->Now();
-  endpoint.OnSend(sent_at);
+  exchange_->attempts.OnStart(endpoint.record().id, role_);
+  sent_at_ = state_->Now();
+  endpoint.OnSend(sent_at_);
   const std::string& service = exchange_->request.service->name;
   if (!selection_.affinity_part.empty())
     state_->demand().OnStart(service, selection_.affinity_part, state_->Now());
   const bool is_stream =
       exchange_->request.route->kind == RequestKind::kStreaming;
   EndpointAttempt attempt(state_, connections_, selection_.endpoint,
-                          exchange_->guard.get(), &exchange_->attempts);
-  log_.OnSend(*exchange_, selection_, &placement_->rollout_guard());
+                          guard_.get(), &exchange_->attempts, role_);
+  log_.OnSend(*exchange_, selection_, role_, &placement_->rollout_guard());
   const auto message = MakeEndpointRequest();
-  const ResponseTimeouts limits =
-      placement_->TimeoutsFor(exchange_->request, endpoint);
+  timeouts_ = placement_->TimeoutsFor(exchange_->request, endpoint);
   StreamRelay* relay = is_stream ? &exchange_->relay : nullptr;
   std::function<void()> on_silence = [this, &endpoint] {
     AttemptResult silent;
@@ -42,21 +45,21 @@
   };
   const uint32_t events_before = exchange_->relay.events().event_count();
   AttemptResult result =
-      co_await attempt.Run(message, exchange_->request.head.id, limits, relay,
-                           std::move(on_silence));
+      co_await attempt.Run(message, exchange_->request.head.id, timeouts_,
+                           relay, std::move(on_silence));
   endpoint.OnEnd(state_->Now());
   placement_->rollout_guard().OnEnd(exchange_->request, selection_, result,
-                                    sent_at,
-                                    exchange_->relay.FirstEventAfter(sent_at));
+                                    sent_at_,
+                                    exchange_->relay.FirstEventAfter(sent_at_));
   if (!selection_.affinity_part.empty())
     state_->demand().OnEnd(service, selection_.affinity_part, state_->Now());
   UpdateEndpointHealth(endpoint, result);
   if (!result.failure)
-    placement_->OnServed(selection_, state_->Now() - sent_at);
+    placement_->OnServed(selection_, state_->Now() - sent_at_);
   if (result.failure == AttemptFailure::kBroken &&
       exchange_->relay.events().event_count() == events_before &&
       !state_->endpoints().IsLeaving(endpoint))
-    crash_guard_->OnBreak(exchange_->request, selection_.endpoint, sent_at);
+    crash_guard_->OnBreak(exchange_->request, selection_.endpoint, sent_at_);
   co_return result;
 }
 
@@ -108,6 +111,15 @@
       case AttemptFailure::kNoBufferSpace:
         health.OnAbandoned();
         break;
+      case AttemptFailure::kCancelled:
+        if (result.response_begun) {
+          health.OnAbandoned();
+        } else {
+          health.OnCancelled(sent_at_, timeouts_.health_timeout,
+                             state_->endpoints().ToleratedFailureRate(endpoint),
+                             now);
+        }
+        break;
       case AttemptFailure::kSilent:
         // A new connection at the next attempt shows whether the endpoint is
         // still reachable.
