Keep partitions and re-ordered versions from failing a rollout

Cause: canary endpoints are few, so a partition between zones, or the way to another zone for short requests, showed at the target's endpoints only and looked like a bad version. An order for the version that is already in use left no endpoint for most requests.

Change: endpoints of other zones that cannot be reached do not count, and a response is slow only if it is also 20 ms over the mean. Without endpoints of other versions the target's get all requests.

--- a/src/libteaselthread/rollouts/rollout_table.cc
+++ b/src/libteaselthread/rollouts/rollout_table.cc
@@ -132,6 +132,16 @@
     case RolloutStage::kCanary:
       break;
   }
+  // An order for the version that is in use already, as after a completed one,
+  // leaves no others.
+  const std::vector<EndpointPtr> running = endpoints_->Running(service);
+  const bool has_old =
+      std::any_of(running.begin(), running.end(), [&](const auto& endpoint) {
+        return old_versions.Allows(endpoint->record()) &&
+               !endpoints_->IsLeaving(*endpoint);
+      });
+  if (!has_old)
+    return {old_versions, target};
   if (!rollout->canary_share().Allows(route, nodes, rollout->ElapsedShare(now)))
     return {old_versions};
   target.endpoints = CanaryEndpoints(*rollout, now);
@@ -227,16 +237,22 @@
   const bool is_target = rollout && endpoint.version == rollout->order().target;
   if (outcome.kind == Kind::kAnswered && outcome.is_timed && !is_target)
     route_times_.OnResponse(service, route, outcome.time);
+  // An endpoint of another zone that cannot be reached may be sound: most of a
+  // zone's requests go to endpoints of the zone, but canary endpoints are few,
+  // so a partition between zones would show at the target only. Nodes of the
+  // endpoint's own zone can tell.
+  const bool is_failure =
+      outcome.kind == Kind::kFailed ||
+      (outcome.kind == Kind::kUnreachable && !outcome.is_other_zone);
   // A caller that leaves says something only if it has waited for long.
-  const bool counts = outcome.kind == Kind::kAnswered ||
-                      outcome.kind == Kind::kFailed ||
+  const bool counts = outcome.kind == Kind::kAnswered || is_failure ||
                       (outcome.kind == Kind::kAbandoned && is_slow);
   if (!rollout || !counts)
     return;
   RouteCounters& counters = rollout->evidence().own().routes[route];
   SideCounters& side = is_target ? counters.target : counters.old_side;
   ++side.responses;
-  side.failures += outcome.kind == Kind::kFailed ? 1 : 0;
+  side.failures += is_failure ? 1 : 0;
   side.timed += is_timed ? 1 : 0;
   side.slow += is_slow ? 1 : 0;
 }
--- a/src/libteaselthread/rollouts/rollout_table.h
+++ b/src/libteaselthread/rollouts/rollout_table.h
@@ -18,13 +18,15 @@
 struct ResponseOutcome {
   enum class Kind : uint8_t {
     kAnswered,
-    kFailed,     // the endpoint ran it, or broke off
+    kFailed,  // the endpoint ran it, or broke off
+    kUnreachable,
     kAbandoned,  // the caller has left before the response
     kNotRun,
   };
   Kind kind = Kind::kNotRun;
-  Duration time{};        // to the response or its first event
-  bool is_timed = false;  // the time can be compared with the usual one
+  Duration time{};             // to the response or its first event
+  bool is_timed = false;       // the time can be compared with the usual one
+  bool is_other_zone = false;  // the endpoint is in another zone than this node
 
   friend auto operator<=>(const ResponseOutcome&,
                           const ResponseOutcome&) = default;
--- a/src/libteaselthread/rollouts/route_times.cc
+++ b/src/libteaselthread/rollouts/route_times.cc
@@ -7,6 +7,9 @@
 
 // A response is slow if it took more than this multiple of the mean.
 constexpr double kSlowMultiple = 2.5;
+// ... and more than this longer: two round trips between zones, of up to 4.4 ms
+// one way, for a new connection and the request.
+constexpr Duration kMinSlowExcess = std::chrono::milliseconds(20);
 // The mean of fewer responses says little.
 constexpr uint32_t kMinResponses = 5;
 // Weight of a new response once the mean is known.
@@ -37,9 +40,11 @@
                         uint32_t route,
                         Duration time) const {
   const auto found = means_.find({service, route});
-  return found != means_.end() &&
-         static_cast<double>(time.count()) >
-             kSlowMultiple * found->second.microseconds;
+  if (found == means_.end())
+    return false;
+  const double mean = found->second.microseconds;
+  return static_cast<double>(time.count()) > kSlowMultiple * mean &&
+         static_cast<double>((time - kMinSlowExcess).count()) > mean;
 }
 
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/request_handler.cc
+++ b/src/teaselthread/gateway/request_handler.cc
@@ -264,13 +264,11 @@
 SelectionResult RequestHandler::Select(const Exchange& exchange) {
   SelectionQuery query;
   query.service = exchange.request.service;
-  const std::string& service = query.service->name;
-  const Timestamp now = state_->Now();
   if (query.service->engine)
     query.prompt = exchange.request.head.prompt;
   if (!query.prompt.empty()) {
-    query.affinity_share =
-        state_->demand().ShareOf(service, AffinityPart(query.prompt).id, now);
+    query.affinity_share = state_->demand().ShareOf(
+        query.service->name, AffinityPart(query.prompt).id, state_->Now());
   }
   query.excluded = exchange.attempts.tried();
   // A stream that was broken off is not kept waiting.
--- a/src/teaselthread/gateway/rollout_guard.cc
+++ b/src/teaselthread/gateway/rollout_guard.cc
@@ -16,6 +16,8 @@
   if (!failure)
     return Kind::kAnswered;
   switch (*failure) {
+    case AttemptFailure::kUnreachable:
+      return Kind::kUnreachable;
     case AttemptFailure::kCallerGone:
       return Kind::kAbandoned;
     case AttemptFailure::kStaleConnection:
@@ -83,6 +85,7 @@
   if (result.failure == AttemptFailure::kBroken &&
       IsRepeatedLoss(endpoint, now))
     return;
+  outcome.is_other_zone = endpoint.zone != state_->settings().zone();
   outcome.time = first_event_at.value_or(now) - sent_at;
   const bool is_whole = result.head || first_event_at || result.failure;
   const bool is_first_read =
