Check that the writer of the rollout test does die

Cause: the test of a writer that dies between read and write passed without showing that the simulated node had died.

Change: the test checks it.

Results: rollouts_test (53 cases) passes.

--- a/tests/rollouts/rollout_fleet.h
+++ b/tests/rollouts/rollout_fleet.h
@@ -58,6 +58,9 @@
   // Writes are applied after this time although their responses are lost.
   void set_late_writes(Duration delay) { late_writes_ = delay; }
   void Kill(int node) { nodes_[static_cast<size_t>(node)].is_alive = false; }
+  bool is_alive(int node) const {
+    return nodes_[static_cast<size_t>(node)].is_alive;
+  }
   // The node's process starts anew.
   void Restart(int node);
   // The node neither sends to the others nor receives from them.
--- a/tests/rollouts/rollout_stages_test.cc
+++ b/tests/rollouts/rollout_stages_test.cc
@@ -222,6 +222,7 @@
   run.fleet.RunFor(seconds(4));
   run.fleet.KillAtNextWrite(0);
   run.fleet.RunFor(seconds(8));
+  BOOST_TEST(!run.fleet.is_alive(0));
   BOOST_TEST(run.fleet.state() == "completed");
 }
 
