Bound connections to the directory, readiness check and metrics

Cause: connections to these addresses had no bound. 400 that sent nothing took all 256 descriptors of a gateway for 20 s.

Change: they share a bound of their own, a quarter of the descriptors that are kept back from callers (16 to 128). Above it, the connection that has been silent or idle for the longest time is closed for the new one, counted and logged as on the callers' address.

--- a/src/libteaselthread/callers/caller_connections.cc
+++ b/src/libteaselthread/callers/caller_connections.cc
@@ -10,13 +10,32 @@
 constexpr size_t kMinSpare = 64;
 constexpr size_t kMaxSpare = 512;
 
+size_t SpareFor(size_t descriptors) {
+  return std::clamp(descriptors / 8, kMinSpare, kMaxSpare);
+}
+
 }  // namespace
 
 size_t CallerConnections::LimitFor(size_t descriptors) {
-  const size_t spare = std::clamp(descriptors / 8, kMinSpare, kMaxSpare);
+  const size_t spare = SpareFor(descriptors);
   return descriptors > spare + 2 ? (descriptors - spare) / 2 : 1;
 }
 
+size_t CallerConnections::AdminLimitFor(size_t descriptors) {
+  return SpareFor(descriptors) / 4;
+}
+
+ClosingReason CallerConnections::ReasonFor(State state) {
+  switch (state) {
+    case State::kEnding:
+      return ClosingReason::kRefusedBefore;
+    case State::kSilent:
+      return ClosingReason::kSilent;
+    default:
+      return ClosingReason::kIdle;
+  }
+}
+
 CallerConnections::Admission CallerConnections::Admit(Timestamp now) {
   Admission admission;
   if (states_.size() >= limit_) {
--- a/src/libteaselthread/callers/caller_connections.h
+++ b/src/libteaselthread/callers/caller_connections.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <utility>
 
+#include "libteaselthread/callers/closing_reason.h"
 #include "libteaselthread/timestamp.h"
 
 namespace teaselthread {
@@ -40,6 +41,11 @@
   // The limit for a process that may have `descriptors` open. A request in
   // progress needs a descriptor for its endpoint besides its caller's.
   static size_t LimitFor(size_t descriptors);
+  // The same for the connections to all addresses that take no requests for
+  // services, such as the directory's.
+  static size_t AdminLimitFor(size_t descriptors);
+  // Why a connection that was in this state is closed for a new one.
+  static ClosingReason ReasonFor(State state);
 
   // A connection was accepted. It starts as kSilent. The connection to close is
   // removed at once.
--- a/src/teaselthread/gateway/admin_server.cc
+++ b/src/teaselthread/gateway/admin_server.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 #include "teaselthread/io_timeout.h"
 
@@ -29,11 +30,9 @@
                                              settings.directory_listen(),
                                              settings.metrics_listen()};
   for (const SocketAddress& address : addresses) {
-    auto listener =
-        Listener::Start(&state_->io(), address, [this](tcp::socket socket) {
-          asio::co_spawn(state_->io(), Serve(std::move(socket)),
-                         asio::detached);
-        });
+    auto listener = Listener::Start(
+        &state_->io(), address,
+        [this](tcp::socket socket) { OnConnection(std::move(socket)); });
     if (!listener)
       return listener.last_reason();
     listeners_.push_back(listener.TakeValue());
@@ -41,7 +40,32 @@
   return true;
 }
 
-asio::awaitable<void> AdminServer::Serve(tcp::socket socket) {
+void AdminServer::OnConnection(tcp::socket socket) {
+  CallerConnections& bound = state_->admin_connections();
+  // Always admitted: no connection here is ever busy.
+  const CallerConnections::Admission admission = bound.Admit(state_->Now());
+  if (admission.close) {
+    state_->OnClosedForRoom(admission.closed_state, bound);
+    boost::system::error_code ignored;
+    const auto found = connections_.find(*admission.close);
+    if (found != connections_.end())
+      found->second->close(ignored);
+  }
+  const auto connection = std::make_shared<tcp::socket>(std::move(socket));
+  connections_.emplace(admission.id, connection);
+  asio::co_spawn(state_->io(), Serve(connection, admission.id), asio::detached);
+}
+
+asio::awaitable<void> AdminServer::Serve(
+    std::shared_ptr<tcp::socket> connection,
+    CallerConnections::Id id) {
+  co_await ServeRequests(*connection, id);
+  state_->admin_connections().Remove(id);
+  connections_.erase(id);
+}
+
+asio::awaitable<void> AdminServer::ServeRequests(tcp::socket& socket,
+                                                 CallerConnections::Id id) {
   beast::flat_buffer buffer;
   boost::system::error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
@@ -62,6 +86,8 @@
         co_await http::async_write(socket, response, kAsTuple);
     if (write_failure)
       co_return;
+    state_->admin_connections().SetState(id, CallerConnections::State::kIdle,
+                                         state_->Now());
   }
 }
 
--- a/src/teaselthread/gateway/front_server.cc
+++ b/src/teaselthread/gateway/front_server.cc
@@ -6,21 +6,6 @@
 #include "teaselthread/callers/problem.h"
 
 namespace teaselthread {
-namespace {
-
-ClosingReason ReasonFor(CallerConnections::State state) {
-  switch (state) {
-    case CallerConnections::State::kEnding:
-      return ClosingReason::kRefusedBefore;
-    case CallerConnections::State::kSilent:
-      return ClosingReason::kSilent;
-    default:
-      return ClosingReason::kIdle;
-  }
-}
-
-}  // namespace
-
 FrontServer::FrontServer(GatewayState* state)
     : state_(state), handler_(state) {}
 
@@ -69,12 +54,7 @@
 void FrontServer::CloseForRoom(const CallerConnections::Admission& admission) {
   if (!admission.close)
     return;
-  const ClosingReason reason = ReasonFor(admission.closed_state);
-  state_->metrics().OnCallerClosed(reason);
-  LogLine line("caller-closed");
-  line.Add("reason", ToString(reason))
-      .Add("connections", state_->caller_connections().size());
-  state_->LogUntrustedCaller(line);
+  state_->OnClosedForRoom(admission.closed_state, state_->caller_connections());
   const auto found = connections_.find(*admission.close);
   if (found != connections_.end())
     found->second->Close();
--- a/src/teaselthread/gateway/gateway_state.cc
+++ b/src/teaselthread/gateway/gateway_state.cc
@@ -49,6 +49,7 @@
       buffers_(BufferQuota::LimitFor(settings_.memory_bytes()),
                [this] { return Now(); }),
       caller_connections_(ConnectionLimit(settings_.callers())),
+      admin_connections_(CallerConnections::AdminLimitFor(DescriptorLimit())),
       log_(settings_.log_level()) {}
 
 Timestamp GatewayState::Now() const {
@@ -117,6 +118,17 @@
   settings_ = std::move(settings);
 }
 
+void GatewayState::OnClosedForRoom(CallerConnections::State state,
+                                   const CallerConnections& connections) {
+  const ClosingReason reason = CallerConnections::ReasonFor(state);
+  metrics_.OnCallerClosed(reason);
+  LogLine line("caller-closed");
+  line.Add("reason", ToString(reason))
+      .Add("connections", connections.size())
+      .Add("limit", connections.limit());
+  LogUntrustedCaller(line);
+}
+
 void GatewayState::LogUntrustedCaller(LogLine& line) {
   const auto suppressed = caller_lines_.Take(Now());
   if (!suppressed)
--- a/src/teaselthread/gateway/gateway_state.h
+++ b/src/teaselthread/gateway/gateway_state.h
@@ -75,6 +75,12 @@
   GatewayMetrics& metrics() { return metrics_; }
   BufferQuota& buffers() { return buffers_; }
   CallerConnections& caller_connections() { return caller_connections_; }
+  // Connections to the addresses of the readiness check, the directory and the
+  // metrics.
+  CallerConnections& admin_connections() { return admin_connections_; }
+  // Counts and logs that a connection in `state` was closed for a new one.
+  void OnClosedForRoom(CallerConnections::State state,
+                       const CallerConnections& connections);
   // Writes a line about a caller that was refused or closed, unless there are
   // too many of them.
   void LogUntrustedCaller(LogLine& line);
@@ -128,6 +134,7 @@
   GatewayMetrics metrics_;
   BufferQuota buffers_;
   CallerConnections caller_connections_;
+  CallerConnections admin_connections_;
   LogLineLimit caller_lines_;
   DecisionLog log_;
   TimerService timers_;
--- a/tests/clients/caller_limits_test.cc
+++ b/tests/clients/caller_limits_test.cc
@@ -21,6 +21,9 @@
     const size_t limit = CallerConnections::LimitFor(descriptors);
     BOOST_TEST(2 * limit + 64 <= descriptors);
     BOOST_TEST(3 * limit > descriptors);
+    const size_t admin = CallerConnections::AdminLimitFor(descriptors);
+    BOOST_TEST(admin >= 16u);
+    BOOST_TEST(2 * limit + admin + 48 <= descriptors);
   }
   BOOST_TEST(CallerConnections::LimitFor(10) == 1u);
 }
