Capture the time of a crash by value and join two equal branches

clang-tidy rejected a structured binding that a nested lambda captured, and a repeated branch in the load test.

--- a/src/libteaselthread/endpoints/crash_suspects.cc
+++ b/src/libteaselthread/endpoints/crash_suspects.cc
@@ -398,7 +398,7 @@
   const auto is_other = [&](const auto& item) {
     const auto& [crash, at] = item;
     return now - at < kRecentTime && !evidence.WasAt(crash) &&
-           std::none_of(own.begin(), own.end(), [&](Timestamp own_at) {
+           std::none_of(own.begin(), own.end(), [at = at](Timestamp own_at) {
              return std::chrono::abs(at - own_at) < kSameCauseTime;
            });
   };
--- a/tests/crashes/crash_fleet.cc
+++ b/tests/crashes/crash_fleet.cc
@@ -165,16 +165,16 @@
   requests_.erase(open, requests_.end());
   for (const Request& request : ended) {
     Gateway& gateway = gateways_[request.gateway];
-    // The engine was stopped in this step.
-    if (!engines_[request.engine].is_running) {
+    // The engine may have been stopped in this step.
+    const bool is_lost = !engines_[request.engine].is_running ||
+                         (!request.is_tainted && DrawShare(load_.reset_share));
+    if (is_lost) {
       OnBreak(request);
     } else if (request.is_tainted) {
       if (++figures_.crashes == 5)
         fifth_crash_at_ = now_;
       StopEngine(request.engine);
       OnBreak(request);
-    } else if (DrawShare(load_.reset_share)) {
-      OnBreak(request);
     } else {
       request.endpoint->contact().bytes_at = now_;
       gateway.queue.OnAnswerBegun(request.parts);
