--- a/src/libteaselthread/rollouts/version_test.cc
+++ b/src/libteaselthread/rollouts/version_test.cc
@@ -31,9 +31,9 @@
 
 // Shares of bad responses, beyond those of the old side, that must be ruled out
 // for a good verdict, and the error: for all routes together, and for each
-// route. A route gets only a part of the canary requests; with the first
-// criterion for each of three routes, 54 of 100 simulated orders for a good
-// version at 100 requests/s missed their deadline.
+// route. A route gets only a part of the canary requests: with an excess of 0.1
+// for each of three routes, and an error of 0.02 for all together, 54 of 100
+// simulated orders for a good version at 100 requests/s missed their deadline.
 struct GoodCriterion {
   double excess;
   double error;
