--- a/src/libteaselthread/endpoints/crash_suspects.h
+++ b/src/libteaselthread/endpoints/crash_suspects.h
@@ -22,7 +22,9 @@
 // crashes that blocks a part is higher while engines crash without it, too.
 //
 // Nodes exchange their evidence. It only grows, so that it can be merged in any
-// order and more than once.
+// order and more than once. The oldest cleared crashes are forgotten when there
+// are too many; if another node brings one back, the next answer clears it
+// again.
 //
 // Load pattern: requests of one kind crash one engine after the other, while
 // sound requests share the customer and the other parts of the prompt.
@@ -106,7 +108,7 @@
   // The number of recent crashes at which the part was not, neither then nor
   // within a second.
   size_t CrashesWithout(const CrashEvidence& evidence, Timestamp now) const;
-  // Notes when the crash of an incarnation was first known.
+  // Notes when an incarnation has crashed.
   void NoteCrash(uint32_t crash, Timestamp crashed_at);
   // What other nodes need to know of it.
   CrashEvidence WithoutOld(CrashEvidence evidence, Timestamp now) const;
@@ -118,7 +120,7 @@
                      Timestamp now) const;
 
   Suspects suspects_;
-  std::map<uint32_t, Timestamp> recent_crashes_;
+  std::map<uint32_t, Timestamp> recent_crashes_;  // when they happened
   bool is_urgent_ = false;
 };
 
