Give engines their usual headroom again while few are usable

Shared parts that were read again went from 974 to 1,239 thousand tokens and copies of the KV cache from 26 to 36 GB: engines that are cold or ejected for a moment also reduce the usable ones, and eight gateways are more than the bound of a small load, so that requests left their primary engines.

--- a/src/libteaselthread/endpoints/endpoint_selector.cc
+++ b/src/libteaselthread/endpoints/endpoint_selector.cc
@@ -30,15 +30,10 @@
 // the mean load or nearly so, which leaves little headroom.
 constexpr LocalLimit kCrowdedLimit = {1.5, 2};
 constexpr double kCrowdedShare = 0.6;
-// While no more than this share of the engines are usable, as while one of up
-// to six zones is evacuated, most of them are near the bound. At three
-// quarters, engines that were added during an evacuation ended that state too
-// early.
+// While no more than this share of the engines are usable, as while one of up to
+// six zones is evacuated, most of them are near the bound. At three quarters,
+// engines that were added during an evacuation ended that state too early.
 constexpr double kReducedShare = 0.85;
-// Replaces kLoadSlack then, if there are so many nodes that a burst sends an
-// engine several requests before any of them knows: the operators' bound is
-// only one request above the usual one at a mean load of 3.
-constexpr double kReducedLoadSlack = 1.5;
 // Share of the operators' multiple of the mean load that is used. The rest is a
 // margin, since loads are estimates.
 constexpr double kUsableLoadMultiple = 0.9;
@@ -170,24 +165,8 @@
                                           static_cast<double>(nodes));
 }
 
-bool IsReduced(size_t usable, size_t in_service) {
-  return static_cast<double>(usable) <=
-         kReducedShare * static_cast<double>(in_service);
-}
-
-// The load that an engine is not to exceed while `requests` are in progress at
-// the `usable` ones of the engines `in_service`.
-double LoadBound(double requests,
-                 size_t usable,
-                 size_t in_service,
-                 size_t nodes) {
-  const double mean = requests / static_cast<double>(in_service);
-  const double bound = kLoadMultiple * mean + kLoadSlack;
-  if (!IsReduced(usable, in_service) || static_cast<double>(nodes) <= bound)
-    return bound;
-  const double usable_mean = requests / static_cast<double>(usable);
-  const double reduced = kLoadMultiple * mean + kReducedLoadSlack;
-  return std::min(bound, std::max(reduced, usable_mean + 1));
+double LoadBound(double mean_load) {
+  return kLoadMultiple * mean_load + kLoadSlack;
 }
 
 bool IsBusy(const EndpointState& endpoint, Timestamp now) {
@@ -264,8 +243,7 @@
   selection.shared_tokens = SharedTokens(query.prompt);
   const double requests = ServiceRequests(in_service, context, now);
   const double mean = requests / static_cast<double>(in_service.size());
-  selection.load_bound = LoadBound(requests, usable.size(), in_service.size(),
-                                   context.nodes.size());
+  selection.load_bound = LoadBound(mean);
   selection.mean_load = mean;
   selection.engines_counted = static_cast<uint32_t>(in_service.size());
   selection.engines_usable = static_cast<uint32_t>(usable.size());
@@ -363,10 +341,11 @@
   const std::vector<EndpointPtr> in_service =
       NotLeaving(table_->Running(service), *table_);
   const size_t usable = table_->Available(service, now).size();
-  if (usable == 0 || !IsReduced(usable, in_service.size()))
+  if (usable == 0 || static_cast<double>(usable) >
+                         kReducedShare * static_cast<double>(in_service.size()))
     return std::nullopt;
-  return LoadBound(ServiceRequests(in_service, context, now), usable,
-                   in_service.size(), context.nodes.size());
+  return LoadBound(ServiceRequests(in_service, context, now) /
+                   static_cast<double>(in_service.size()));
 }
 
 SelectionResult EndpointSelector::Select(const SelectionQuery& query,
