Ask for the length of a body only after the header is complete

Cause: RequestReader counts what is held while the header arrives, and asked Beast's parser for the content length then. That breaks its precondition: a build with assertions aborted at the first request. A release build read fields that are not set yet.

Change: the length is asked for only after the header.

--- a/src/teaselthread/gateway/request_reader.cc
+++ b/src/teaselthread/gateway/request_reader.cc
@@ -183,8 +183,8 @@
   const std::string& body = parser_.get().body();
   // A body of known length is allocated once, and its pages are used as it
   // arrives. Another one grows by doubling.
-  const size_t body_bytes =
-      parser_.content_length() ? body.size() : body.capacity();
+  const bool has_length = parser_.is_header_done() && parser_.content_length();
+  const size_t body_bytes = has_length ? body.size() : body.capacity();
   return memory_.GrowTo(body_bytes + buffer_->size());
 }
 
