--- a/src/libteaselthread/endpoints/endpoint_selector.cc
+++ b/src/libteaselthread/endpoints/endpoint_selector.cc
@@ -30,9 +30,10 @@
 // the mean load or nearly so, which leaves little headroom.
 constexpr LocalLimit kCrowdedLimit = {1.5, 2};
 constexpr double kCrowdedShare = 0.6;
-// While no more than this share of the engines are usable, as while one of up to
-// six zones is evacuated, most of them are near the bound. At three quarters,
-// engines that were added during an evacuation ended that state too early.
+// While no more than this share of the engines are usable, as while one of up
+// to six zones is evacuated, most of them are near the bound. At three
+// quarters, engines that were added during an evacuation ended that state too
+// early.
 constexpr double kReducedShare = 0.85;
 // Share of the operators' multiple of the mean load that is used. The rest is a
 // margin, since loads are estimates.
