Move the path of a request through a gateway into a folder of its own

Change: a pure move of 14 classes from gateway/ to requests/, with their include lines and header guards.

--- a/src/teaselthread/gateway/front_connection.h
+++ b/src/teaselthread/gateway/front_connection.h
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "teaselthread/gateway/gateway_state.h"
-#include "teaselthread/gateway/request_handler.h"
+#include "teaselthread/requests/request_handler.h"
 
 namespace teaselthread {
 
--- a/src/teaselthread/gateway/request_reader.h
+++ b/src/teaselthread/gateway/request_reader.h
@@ -6,8 +6,8 @@
 #include "libteaselthread/callers/body_rate.h"
 #include "libteaselthread/callers/read_pacing.h"
 #include "teaselthread/gateway/gateway_state.h"
-#include "teaselthread/gateway/request_handler.h"
 #include "teaselthread/io_timeout.h"
+#include "teaselthread/requests/request_handler.h"
 
 namespace teaselthread {
 
--- a/src/teaselthread/gateway/crash_guard.cc
+++ b/src/teaselthread/requests/crash_guard.cc
@@ -1,4 +1,4 @@
-#include "teaselthread/gateway/crash_guard.h"
+#include "teaselthread/requests/crash_guard.h"
 
 #include <algorithm>
 
--- a/src/teaselthread/gateway/crash_guard.h
+++ b/src/teaselthread/requests/crash_guard.h
@@ -1,9 +1,9 @@
-#ifndef TEASELTHREAD_GATEWAY_CRASH_GUARD_H_
-#define TEASELTHREAD_GATEWAY_CRASH_GUARD_H_
+#ifndef TEASELTHREAD_REQUESTS_CRASH_GUARD_H_
+#define TEASELTHREAD_REQUESTS_CRASH_GUARD_H_
 
 #include "libteaselthread/endpoints/crash_evidence_queue.h"
-#include "teaselthread/gateway/engine_probe.h"
-#include "teaselthread/gateway/request_checks.h"
+#include "teaselthread/requests/engine_probe.h"
+#include "teaselthread/requests/request_checks.h"
 
 namespace teaselthread {
 
@@ -37,4 +37,4 @@
 
 }  // namespace teaselthread
 
-#endif  // TEASELTHREAD_GATEWAY_CRASH_GUARD_H_
+#endif  // TEASELTHREAD_REQUESTS_CRASH_GUARD_H_
--- a/src/teaselthread/gateway/endpoint_attempt.cc
+++ b/src/teaselthread/requests/endpoint_attempt.cc
@@ -1,4 +1,4 @@
-#include "teaselthread/gateway/endpoint_attempt.h"
+#include "teaselthread/requests/endpoint_attempt.h"
 
 #include <charconv>
 
--- a/src/teaselthread/gateway/endpoint_attempt.h
+++ b/src/teaselthread/requests/endpoint_attempt.h
@@ -1,5 +1,5 @@
-#ifndef TEASELTHREAD_GATEWAY_ENDPOINT_ATTEMPT_H_
-#define TEASELTHREAD_GATEWAY_ENDPOINT_ATTEMPT_H_
+#ifndef TEASELTHREAD_REQUESTS_ENDPOINT_ATTEMPT_H_
+#define TEASELTHREAD_REQUESTS_ENDPOINT_ATTEMPT_H_
 
 #include <functional>
 #include <memory>
@@ -8,10 +8,10 @@
 
 #include "libteaselthread/attempts/request_attempts.h"
 #include "libteaselthread/attempts/response_timeouts.h"
-#include "teaselthread/gateway/endpoint_connections.h"
 #include "teaselthread/gateway/gateway_state.h"
-#include "teaselthread/gateway/request_guard.h"
 #include "teaselthread/gateway/stream_relay.h"
+#include "teaselthread/requests/endpoint_connections.h"
+#include "teaselthread/requests/request_guard.h"
 
 namespace teaselthread {
 
@@ -92,4 +92,4 @@
 
 }  // namespace teaselthread
 
-#endif  // TEASELTHREAD_GATEWAY_ENDPOINT_ATTEMPT_H_
+#endif  // TEASELTHREAD_REQUESTS_ENDPOINT_ATTEMPT_H_
--- a/src/teaselthread/gateway/endpoint_connections.cc
+++ b/src/teaselthread/requests/endpoint_connections.cc
@@ -1,4 +1,4 @@
-#include "teaselthread/gateway/endpoint_connections.h"
+#include "teaselthread/requests/endpoint_connections.h"
 
 #include <sys/socket.h>
 
--- a/src/teaselthread/gateway/endpoint_placement.cc
+++ b/src/teaselthread/requests/endpoint_placement.cc
@@ -1,4 +1,4 @@
-#include "teaselthread/gateway/endpoint_placement.h"
+#include "teaselthread/requests/endpoint_placement.h"
 
 #include <algorithm>
 
--- a/src/teaselthread/gateway/endpoint_placement.h
+++ b/src/teaselthread/requests/endpoint_placement.h
@@ -1,5 +1,5 @@
-#ifndef TEASELTHREAD_GATEWAY_ENDPOINT_PLACEMENT_H_
-#define TEASELTHREAD_GATEWAY_ENDPOINT_PLACEMENT_H_
+#ifndef TEASELTHREAD_REQUESTS_ENDPOINT_PLACEMENT_H_
+#define TEASELTHREAD_REQUESTS_ENDPOINT_PLACEMENT_H_
 
 #include <set>
 #include <string>
@@ -7,9 +7,9 @@
 #include "libteaselthread/attempts/request_attempts.h"
 #include "libteaselthread/attempts/response_timeouts.h"
 #include "teaselthread/gateway/gateway_state.h"
-#include "teaselthread/gateway/request_checks.h"
-#include "teaselthread/gateway/request_guard.h"
-#include "teaselthread/gateway/rollout_guard.h"
+#include "teaselthread/requests/request_checks.h"
+#include "teaselthread/requests/request_guard.h"
+#include "teaselthread/requests/rollout_guard.h"
 
 namespace teaselthread {
 
@@ -44,4 +44,4 @@
 
 }  // namespace teaselthread
 
-#endif  // TEASELTHREAD_GATEWAY_ENDPOINT_PLACEMENT_H_
+#endif  // TEASELTHREAD_REQUESTS_ENDPOINT_PLACEMENT_H_
--- a/src/teaselthread/gateway/engine_probe.cc
+++ b/src/teaselthread/requests/engine_probe.cc
@@ -1,4 +1,4 @@
-#include "teaselthread/gateway/engine_probe.h"
+#include "teaselthread/requests/engine_probe.h"
 
 #include "teaselthread/io_timeout.h"
 
--- a/src/teaselthread/gateway/engine_probe.h
+++ b/src/teaselthread/requests/engine_probe.h
@@ -1,12 +1,12 @@
-#ifndef TEASELTHREAD_GATEWAY_ENGINE_PROBE_H_
-#define TEASELTHREAD_GATEWAY_ENGINE_PROBE_H_
+#ifndef TEASELTHREAD_REQUESTS_ENGINE_PROBE_H_
+#define TEASELTHREAD_REQUESTS_ENGINE_PROBE_H_
 
 #include <functional>
 #include <set>
 
 #include "libteaselthread/endpoints/crash_evidence_queue.h"
-#include "teaselthread/gateway/endpoint_connections.h"
 #include "teaselthread/gateway/gateway_state.h"
+#include "teaselthread/requests/endpoint_connections.h"
 
 namespace teaselthread {
 
@@ -39,4 +39,4 @@
 
 }  // namespace teaselthread
 
-#endif  // TEASELTHREAD_GATEWAY_ENGINE_PROBE_H_
+#endif  // TEASELTHREAD_REQUESTS_ENGINE_PROBE_H_
--- a/src/teaselthread/gateway/final_responses.cc
+++ b/src/teaselthread/requests/final_responses.cc
@@ -1,4 +1,4 @@
-#include "teaselthread/gateway/final_responses.h"
+#include "teaselthread/requests/final_responses.h"
 
 #include "libteaselthread/attempts/retry_after.h"
 #include "teaselthread/callers/problem.h"
--- a/src/teaselthread/gateway/final_responses.h
+++ b/src/teaselthread/requests/final_responses.h
@@ -1,9 +1,9 @@
-#ifndef TEASELTHREAD_GATEWAY_FINAL_RESPONSES_H_
-#define TEASELTHREAD_GATEWAY_FINAL_RESPONSES_H_
+#ifndef TEASELTHREAD_REQUESTS_FINAL_RESPONSES_H_
+#define TEASELTHREAD_REQUESTS_FINAL_RESPONSES_H_
 
 #include "libteaselthread/endpoints/endpoint_selector.h"
-#include "teaselthread/gateway/endpoint_attempt.h"
-#include "teaselthread/gateway/request_exchange.h"
+#include "teaselthread/requests/endpoint_attempt.h"
+#include "teaselthread/requests/request_exchange.h"
 
 namespace teaselthread {
 
@@ -33,4 +33,4 @@
 
 }  // namespace teaselthread
 
-#endif  // TEASELTHREAD_GATEWAY_FINAL_RESPONSES_H_
+#endif  // TEASELTHREAD_REQUESTS_FINAL_RESPONSES_H_
--- a/src/teaselthread/gateway/hedged_attempt.cc
+++ b/src/teaselthread/requests/hedged_attempt.cc
@@ -1,4 +1,4 @@
-#include "teaselthread/gateway/hedged_attempt.h"
+#include "teaselthread/requests/hedged_attempt.h"
 
 #include <algorithm>
 #include <exception>
--- a/src/teaselthread/gateway/hedged_attempt.h
+++ b/src/teaselthread/requests/hedged_attempt.h
@@ -1,5 +1,5 @@
-#ifndef TEASELTHREAD_GATEWAY_HEDGED_ATTEMPT_H_
-#define TEASELTHREAD_GATEWAY_HEDGED_ATTEMPT_H_
+#ifndef TEASELTHREAD_REQUESTS_HEDGED_ATTEMPT_H_
+#define TEASELTHREAD_REQUESTS_HEDGED_ATTEMPT_H_
 
 #include <functional>
 #include <memory>
@@ -9,7 +9,7 @@
 #include <variant>
 
 #include "libteaselthread/attempts/hedge_policy.h"
-#include "teaselthread/gateway/tracked_attempt.h"
+#include "teaselthread/requests/tracked_attempt.h"
 
 namespace teaselthread {
 
@@ -105,4 +105,4 @@
 
 }  // namespace teaselthread
 
-#endif  // TEASELTHREAD_GATEWAY_HEDGED_ATTEMPT_H_
+#endif  // TEASELTHREAD_REQUESTS_HEDGED_ATTEMPT_H_
--- a/src/teaselthread/gateway/request_checks.cc
+++ b/src/teaselthread/requests/request_checks.cc
@@ -1,4 +1,4 @@
-#include "teaselthread/gateway/request_checks.h"
+#include "teaselthread/requests/request_checks.h"
 
 #include <algorithm>
 
--- a/src/teaselthread/gateway/request_checks.h
+++ b/src/teaselthread/requests/request_checks.h
@@ -1,5 +1,5 @@
-#ifndef TEASELTHREAD_GATEWAY_REQUEST_CHECKS_H_
-#define TEASELTHREAD_GATEWAY_REQUEST_CHECKS_H_
+#ifndef TEASELTHREAD_REQUESTS_REQUEST_CHECKS_H_
+#define TEASELTHREAD_REQUESTS_REQUEST_CHECKS_H_
 
 #include <optional>
 #include <string>
@@ -55,4 +55,4 @@
 
 }  // namespace teaselthread
 
-#endif  // TEASELTHREAD_GATEWAY_REQUEST_CHECKS_H_
+#endif  // TEASELTHREAD_REQUESTS_REQUEST_CHECKS_H_
--- a/src/teaselthread/gateway/request_exchange.cc
+++ b/src/teaselthread/requests/request_exchange.cc
@@ -1,4 +1,4 @@
-#include "teaselthread/gateway/request_exchange.h"
+#include "teaselthread/requests/request_exchange.h"
 
 namespace teaselthread {
 
--- a/src/teaselthread/gateway/request_exchange.h
+++ b/src/teaselthread/requests/request_exchange.h
@@ -1,5 +1,5 @@
-#ifndef TEASELTHREAD_GATEWAY_REQUEST_EXCHANGE_H_
-#define TEASELTHREAD_GATEWAY_REQUEST_EXCHANGE_H_
+#ifndef TEASELTHREAD_REQUESTS_REQUEST_EXCHANGE_H_
+#define TEASELTHREAD_REQUESTS_REQUEST_EXCHANGE_H_
 
 #include <memory>
 #include <optional>
@@ -7,9 +7,9 @@
 #include <string_view>
 
 #include "libteaselthread/attempts/request_attempts.h"
-#include "teaselthread/gateway/request_checks.h"
-#include "teaselthread/gateway/request_guard.h"
 #include "teaselthread/gateway/stream_relay.h"
+#include "teaselthread/requests/request_checks.h"
+#include "teaselthread/requests/request_guard.h"
 
 namespace teaselthread {
 
@@ -55,4 +55,4 @@
 
 }  // namespace teaselthread
 
-#endif  // TEASELTHREAD_GATEWAY_REQUEST_EXCHANGE_H_
+#endif  // TEASELTHREAD_REQUESTS_REQUEST_EXCHANGE_H_
--- a/src/teaselthread/gateway/request_guard.cc
+++ b/src/teaselthread/requests/request_guard.cc
@@ -1,4 +1,4 @@
-#include "teaselthread/gateway/request_guard.h"
+#include "teaselthread/requests/request_guard.h"
 
 #include <sys/socket.h>
 
--- a/src/teaselthread/gateway/request_guard.h
+++ b/src/teaselthread/requests/request_guard.h
@@ -1,5 +1,5 @@
-#ifndef TEASELTHREAD_GATEWAY_REQUEST_GUARD_H_
-#define TEASELTHREAD_GATEWAY_REQUEST_GUARD_H_
+#ifndef TEASELTHREAD_REQUESTS_REQUEST_GUARD_H_
+#define TEASELTHREAD_REQUESTS_REQUEST_GUARD_H_
 
 #include <functional>
 #include <memory>
@@ -90,4 +90,4 @@
 
 }  // namespace teaselthread
 
-#endif  // TEASELTHREAD_GATEWAY_REQUEST_GUARD_H_
+#endif  // TEASELTHREAD_REQUESTS_REQUEST_GUARD_H_
--- a/src/teaselthread/gateway/request_handler.cc
+++ b/src/teaselthread/requests/request_handler.cc
@@ -1,6 +1,6 @@
-#include "teaselthread/gateway/request_handler.h"
+#include "teaselthread/requests/request_handler.h"
 
-#include "teaselthread/gateway/hedged_attempt.h"
+#include "teaselthread/requests/hedged_attempt.h"
 
 namespace teaselthread {
 namespace {
--- a/src/teaselthread/gateway/request_handler.h
+++ b/src/teaselthread/requests/request_handler.h
@@ -1,16 +1,16 @@
-#ifndef TEASELTHREAD_GATEWAY_REQUEST_HANDLER_H_
-#define TEASELTHREAD_GATEWAY_REQUEST_HANDLER_H_
+#ifndef TEASELTHREAD_REQUESTS_REQUEST_HANDLER_H_
+#define TEASELTHREAD_REQUESTS_REQUEST_HANDLER_H_
 
 #include <optional>
 #include <set>
 #include <string>
 
-#include "teaselthread/gateway/crash_guard.h"
-#include "teaselthread/gateway/endpoint_placement.h"
-#include "teaselthread/gateway/final_responses.h"
-#include "teaselthread/gateway/request_checks.h"
-#include "teaselthread/gateway/request_exchange.h"
-#include "teaselthread/gateway/request_log.h"
+#include "teaselthread/requests/crash_guard.h"
+#include "teaselthread/requests/endpoint_placement.h"
+#include "teaselthread/requests/final_responses.h"
+#include "teaselthread/requests/request_checks.h"
+#include "teaselthread/requests/request_exchange.h"
+#include "teaselthread/requests/request_log.h"
 
 namespace teaselthread {
 
@@ -67,4 +67,4 @@
 
 }  // namespace teaselthread
 
-#endif  // TEASELTHREAD_GATEWAY_REQUEST_HANDLER_H_
+#endif  // TEASELTHREAD_REQUESTS_REQUEST_HANDLER_H_
--- a/src/teaselthread/gateway/request_log.cc
+++ b/src/teaselthread/requests/request_log.cc
@@ -1,4 +1,4 @@
-#include "teaselthread/gateway/request_log.h"
+#include "teaselthread/requests/request_log.h"
 
 namespace teaselthread {
 
--- a/src/teaselthread/gateway/request_log.h
+++ b/src/teaselthread/requests/request_log.h
@@ -1,10 +1,10 @@
-#ifndef TEASELTHREAD_GATEWAY_REQUEST_LOG_H_
-#define TEASELTHREAD_GATEWAY_REQUEST_LOG_H_
+#ifndef TEASELTHREAD_REQUESTS_REQUEST_LOG_H_
+#define TEASELTHREAD_REQUESTS_REQUEST_LOG_H_
 
 #include "libteaselthread/endpoints/endpoint_selector.h"
-#include "teaselthread/gateway/endpoint_attempt.h"
-#include "teaselthread/gateway/request_exchange.h"
-#include "teaselthread/gateway/rollout_guard.h"
+#include "teaselthread/requests/endpoint_attempt.h"
+#include "teaselthread/requests/request_exchange.h"
+#include "teaselthread/requests/rollout_guard.h"
 
 namespace teaselthread {
 
@@ -31,4 +31,4 @@
 
 }  // namespace teaselthread
 
-#endif  // TEASELTHREAD_GATEWAY_REQUEST_LOG_H_
+#endif  // TEASELTHREAD_REQUESTS_REQUEST_LOG_H_
--- a/src/teaselthread/gateway/rollout_guard.cc
+++ b/src/teaselthread/requests/rollout_guard.cc
@@ -1,4 +1,4 @@
-#include "teaselthread/gateway/rollout_guard.h"
+#include "teaselthread/requests/rollout_guard.h"
 
 #include "libteaselthread/rendezvous_hash.h"
 
--- a/src/teaselthread/gateway/rollout_guard.h
+++ b/src/teaselthread/requests/rollout_guard.h
@@ -1,5 +1,5 @@
-#ifndef TEASELTHREAD_GATEWAY_ROLLOUT_GUARD_H_
-#define TEASELTHREAD_GATEWAY_ROLLOUT_GUARD_H_
+#ifndef TEASELTHREAD_REQUESTS_ROLLOUT_GUARD_H_
+#define TEASELTHREAD_REQUESTS_ROLLOUT_GUARD_H_
 
 #include <map>
 #include <optional>
@@ -7,8 +7,8 @@
 #include <string>
 #include <utility>
 
-#include "teaselthread/gateway/endpoint_attempt.h"
-#include "teaselthread/gateway/request_checks.h"
+#include "teaselthread/requests/endpoint_attempt.h"
+#include "teaselthread/requests/request_checks.h"
 
 namespace teaselthread {
 
@@ -50,4 +50,4 @@
 
 }  // namespace teaselthread
 
-#endif  // TEASELTHREAD_GATEWAY_ROLLOUT_GUARD_H_
+#endif  // TEASELTHREAD_REQUESTS_ROLLOUT_GUARD_H_
--- a/src/teaselthread/gateway/tracked_attempt.cc
+++ b/src/teaselthread/requests/tracked_attempt.cc
@@ -1,4 +1,4 @@
-#include "teaselthread/gateway/tracked_attempt.h"
+#include "teaselthread/requests/tracked_attempt.h"
 
 #include <algorithm>
 
--- a/src/teaselthread/gateway/tracked_attempt.h
+++ b/src/teaselthread/requests/tracked_attempt.h
@@ -1,14 +1,14 @@
-#ifndef TEASELTHREAD_GATEWAY_TRACKED_ATTEMPT_H_
-#define TEASELTHREAD_GATEWAY_TRACKED_ATTEMPT_H_
+#ifndef TEASELTHREAD_REQUESTS_TRACKED_ATTEMPT_H_
+#define TEASELTHREAD_REQUESTS_TRACKED_ATTEMPT_H_
 
 #include <memory>
 
 #include "libteaselthread/endpoints/endpoint_selector.h"
-#include "teaselthread/gateway/crash_guard.h"
-#include "teaselthread/gateway/endpoint_attempt.h"
-#include "teaselthread/gateway/endpoint_placement.h"
-#include "teaselthread/gateway/request_exchange.h"
-#include "teaselthread/gateway/request_log.h"
+#include "teaselthread/requests/crash_guard.h"
+#include "teaselthread/requests/endpoint_attempt.h"
+#include "teaselthread/requests/endpoint_placement.h"
+#include "teaselthread/requests/request_exchange.h"
+#include "teaselthread/requests/request_log.h"
 
 namespace teaselthread {
 
@@ -52,4 +52,4 @@
 
 }  // namespace teaselthread
 
-#endif  // TEASELTHREAD_GATEWAY_TRACKED_ATTEMPT_H_
+#endif  // TEASELTHREAD_REQUESTS_TRACKED_ATTEMPT_H_
--- a/tests/gateway/stream_end_test.cc
+++ b/tests/gateway/stream_end_test.cc
@@ -2,7 +2,7 @@
 
 #include "gateway/gateway_harness.h"
 #include "platform/wire_names.h"
-#include "teaselthread/gateway/endpoint_attempt.h"
+#include "teaselthread/requests/endpoint_attempt.h"
 
 namespace teaselthread {
 namespace {
