Keep requests within the token memory of engines

With long prompts the token memory of an engine is full before its slots are, and gateways placed requests by their number only.

A request's tokens are estimated from its prompt, X-Teaselthread-Token-Usage and X-Teaselthread-Length-Hint. A gateway counts its own requests at an engine exactly, with a shared part once, and those of others by their counts. Engines without room are passed over, earlier for less urgent requests, and the room until the next count is divided among the gateways. Requests that no engine has room for wait as at the load bound. A request that would be refused after its wait tries once more, whatever its place in the queue.

The tests with real processes were not run.

--- a/src/libteaselthread/endpoints/endpoint_selector.cc
+++ b/src/libteaselthread/endpoints/endpoint_selector.cc
@@ -5,6 +5,7 @@
 #include <limits>
 
 #include "libteaselthread/endpoints/plain_selection.h"
+#include "libteaselthread/endpoints/token_limits.h"
 #include "libteaselthread/rendezvous_hash.h"
 
 namespace teaselthread {
@@ -40,6 +41,9 @@
 constexpr double kPartHeadroomShare = 0.25;
 // An endpoint of a plain service is busy from this share of its slots on.
 constexpr double kBusyShare = 0.7;
+// While a smaller share of an engine service's slots is taken, no request is to
+// be refused that an engine can hold.
+constexpr double kFreeSlotsShare = 0.5;
 // An engine that started this much later than another cannot be expected to
 // hold the KV cache of the parts that hash to it. The engines of one deployment
 // start within 2 s of each other.
@@ -188,6 +192,8 @@
       return "all-tried";
     case NoEndpointReason::kAllAtBound:
       return "all-at-bound";
+    case NoEndpointReason::kNoTokenRoom:
+      return "no-token-room";
   }
   return "unknown";
 }
@@ -215,6 +221,45 @@
   return endpoints;
 }
 
+TokenLimits MakeTokenLimits(const SelectionQuery& query,
+                            const SelectionContext& context,
+                            double mean_load,
+                            size_t engines) {
+  TokenLimitsQuery limits;
+  if (!query.token_mix || !query.service->engine)
+    return TokenLimits(limits);
+  limits.capacity = query.service->engine->kv_tokens;
+  limits.priority = query.priority;
+  limits.tokens = query.tokens;
+  limits.mix = query.token_mix;
+  limits.mean_load = mean_load;
+  limits.engines = engines;
+  limits.node = context.node;
+  limits.nodes = context.nodes;
+  return TokenLimits(limits);
+}
+
+// The engines with token memory for the request. While under half of the slots
+// are taken, or the mean engine is not full, a request that no engine has a
+// share of room for goes to any that can hold it.
+std::vector<EndpointPtr> WithTokenRoom(const std::vector<EndpointPtr>& usable,
+                                       const TokenLimits& limits,
+                                       double mean_load,
+                                       Timestamp now) {
+  std::vector<EndpointPtr> with_room;
+  std::copy_if(
+      usable.begin(), usable.end(), std::back_inserter(with_room),
+      [&](const EndpointPtr& engine) { return limits.HasRoom(*engine, now); });
+  const double slots = usable.front()->record().slots;
+  const bool has_free_slots = mean_load < kFreeSlotsShare * slots;
+  if (!with_room.empty() || (limits.is_full() && !has_free_slots))
+    return with_room;
+  std::copy_if(
+      usable.begin(), usable.end(), std::back_inserter(with_room),
+      [&](const EndpointPtr& engine) { return limits.Fits(*engine, now); });
+  return with_room;
+}
+
 // Chooses one of the `usable` engines, all of which may receive the request.
 // The mean load is taken over all engines `in_service`, as the operators do:
 // some receive requests from other nodes only, and those in evacuated zones or
@@ -233,6 +278,7 @@
   Selection selection;
   selection.affinity_part = AffinityPart(query.prompt).id;
   selection.shared_tokens = SharedTokens(query.prompt);
+  selection.tokens = query.tokens;
   const double requests = ServiceRequests(in_service, context, now);
   const double mean = requests / static_cast<double>(in_service.size());
   selection.load_bound = kLoadMultiple * mean + kLoadSlack;
@@ -250,20 +296,29 @@
                LocalBound(load_bound, usable_share, nodes);
   };
   const double mean_slowness = MeanSlowness(in_service, now);
+  const TokenLimits token_limits =
+      MakeTokenLimits(query, context, mean, in_service.size());
   RankFor(selection.affinity_part, candidates.begin(), candidates.end());
   selection.spread = EngineCountFor(query.affinity_share * requests,
                                     selection.load_bound - mean);
   RerankFirst(selection.spread, query.prompt.back().id, &candidates);
   for (const EndpointPtr& endpoint : candidates) {
     const double slowness = RelativeSlowness(*endpoint, mean_slowness, now);
-    if (has_room(*endpoint, selection.load_bound / slowness)) {
+    if (has_room(*endpoint, selection.load_bound / slowness) &&
+        token_limits.HasRoom(*endpoint, now)) {
       selection.endpoint = endpoint;
       return selection;
     }
     ++selection.rank;
   }
   selection.over_bound = true;
-  selection.endpoint = LeastUsed(usable, mean_slowness, now);
+  std::vector<EndpointPtr> with_tokens =
+      WithTokenRoom(usable, token_limits, mean, now);
+  if (with_tokens.empty() && query.ignores_load_bound)
+    with_tokens = usable;
+  if (with_tokens.empty())
+    return NoEndpointReason::kNoTokenRoom;
+  selection.endpoint = LeastUsed(with_tokens, mean_slowness, now);
   const double operators_bound =
       kUsableLoadMultiple * context.load_multiple * mean + kLoadSlack;
   if (!query.ignores_load_bound &&
--- a/src/libteaselthread/endpoints/endpoint_selector.h
+++ b/src/libteaselthread/endpoints/endpoint_selector.h
@@ -8,18 +8,10 @@
 #include <vector>
 
 #include "libteaselthread/endpoints/endpoint_table.h"
+#include "libteaselthread/endpoints/prompt_part.h"
 
 namespace teaselthread {
 
-// One part of a prompt. Requests with equal leading parts share their KV
-// cache; the last part is specific to the request or its session.
-struct PromptPart {
-  std::string id;
-  uint32_t tokens = 0;
-
-  friend auto operator<=>(const PromptPart&, const PromptPart&) = default;
-};
-
 // The properties of a request that its placement depends on.
 struct SelectionQuery {
   const ServiceSpec* service = nullptr;
@@ -30,6 +22,12 @@
   double affinity_share = 0;
   // Whether the request is sent even if each engine is at its load bound.
   bool ignores_load_bound = false;
+  // For model engines: the tokens that the request holds there, its priority
+  // and the tokens of the service's other requests. Without `token_mix` the
+  // memory of engines is not limited.
+  RequestTokens tokens;
+  int priority = 0;
+  const TokenMix* token_mix = nullptr;
   // For plain services: the time that a request usually takes, and a random
   // number. Used only if endpoints report their speed.
   Duration work_time{};
@@ -60,6 +58,8 @@
   uint32_t engines_usable = 0;
   // All of them were over load_bound, and the least loaded one was chosen.
   bool over_bound = false;
+  // The tokens that the request holds, as in the query.
+  RequestTokens tokens;
   // The multiple of the usual work time after which the response was expected;
   // 0 if no endpoint reports its speed. For plain services.
   double work_multiple = 0;
@@ -75,6 +75,7 @@
   kAllCold,        // this node's shares of their cold-start limits are used up
   kAllTried,       // all were tried before for this request
   kAllAtBound,     // all engines are at the load bound of the operators
+  kNoTokenRoom,    // no engine has token memory for the request
 };
 std::string_view ToString(NoEndpointReason reason);
 
@@ -100,7 +101,8 @@
 // the primary engine has more than its fair share of the load, requests go to
 // the next in rank, which copies the KV cache from it. If all have, the least
 // loaded one is chosen, and if that one is at the operators' bound, none is:
-// more requests there would only wait in its queue. For short shared parts,
+// more requests there would only wait in its queue. Engines whose token memory
+// is short are passed over (TokenLimits). For short shared parts,
 // one prefill in each availability zone is cheaper than sending requests across
 // zones, so they have a primary engine in each zone.
 // Load pattern: many recurring chats on few long documents, one of which
--- a/src/libteaselthread/endpoints/endpoint_state.cc
+++ b/src/libteaselthread/endpoints/endpoint_state.cc
@@ -51,6 +51,16 @@
   return local_requests_ + remote_requests_ * weight;
 }
 
+std::optional<double> EndpointState::RemoteRequests(Timestamp now) const {
+  if (!latest_count_ || now - latest_count_->at > kReportLifetime)
+    return std::nullopt;
+  return remote_requests_;
+}
+
+uint32_t EndpointState::SendsSinceCount() const {
+  return tokens_.SendsSince(latest_count_ ? latest_count_->at : Timestamp{});
+}
+
 void EndpointState::OnSend(Timestamp now) {
   ++local_requests_;
   Append(now, &sends_);
--- a/src/libteaselthread/endpoints/endpoint_state.h
+++ b/src/libteaselthread/endpoints/endpoint_state.h
@@ -8,6 +8,7 @@
 #include "libteaselthread/endpoints/endpoint_health.h"
 #include "libteaselthread/endpoints/endpoint_record.h"
 #include "libteaselthread/endpoints/endpoint_speed.h"
+#include "libteaselthread/endpoints/token_room.h"
 
 namespace teaselthread {
 
@@ -22,6 +23,9 @@
   bool IsCold(Timestamp now) const { return now < cold_until_; }
   uint32_t local_requests() const { return local_requests_; }
   const EndpointSpeed& speed() const { return speed_; }
+  // For model engines.
+  TokenRoom& tokens() { return tokens_; }
+  const TokenRoom& tokens() const { return tokens_; }
   // The requests that it runs concurrently, at least 1: as it has last reported
   // itself, or else as registered.
   uint32_t slots() const;
@@ -39,6 +43,13 @@
   // of the latter decreases with the age of the report.
   double EstimatedLoad(Timestamp now) const;
 
+  // The requests of other nodes by the latest count, without regard to its age.
+  // Empty if there is none, or if it is so old that it says nothing.
+  std::optional<double> RemoteRequests(Timestamp now) const;
+  // Local requests with tokens that were sent after the latest count; those of
+  // the last seconds if there is none.
+  uint32_t SendsSinceCount() const;
+
   void OnSend(Timestamp now);
   void OnEnd(Timestamp now);
   // Stores the endpoint's count of its requests unless a later one is known.
@@ -63,6 +74,7 @@
   std::optional<CountedRequests> latest_count_;
   std::optional<uint32_t> reported_slots_;
   EndpointSpeed speed_;
+  TokenRoom tokens_;
   EndpointHealth health_;
   ColdStartQuota cold_quota_;
 };
--- a/src/libteaselthread/endpoints/endpoint_table.h
+++ b/src/libteaselthread/endpoints/endpoint_table.h
@@ -77,6 +77,10 @@
   UsualWorkTime& WorkTimeOf(const std::string& service) {
     return work_times_[service];
   }
+  // The tokens of the requests of a service whose endpoints are model engines.
+  TokenMix& TokenMixOf(const std::string& service) {
+    return token_mixes_[service];
+  }
   // How slow the fastest endpoint of a service is that may receive new
   // requests; 1 if there is none.
   double LeastSlowness(const std::string& service, Timestamp now) const;
@@ -115,6 +119,7 @@
   std::set<std::string> evacuated_zones_;
   std::map<std::string, Duration> cold_starts_;      // by service
   std::map<std::string, UsualWorkTime> work_times_;  // by service
+  std::map<std::string, TokenMix> token_mixes_;      // by service
   Timestamp defer_until_{};
 };
 
--- a/src/libteaselthread/endpoints/plain_selection.cc
+++ b/src/libteaselthread/endpoints/plain_selection.cc
@@ -3,20 +3,14 @@
 #include <algorithm>
 #include <cmath>
 
+#include "libteaselthread/endpoints/random_sequence.h"
+
 namespace teaselthread {
 namespace {
 
 // Time to another availability zone and back. One way takes up to 4.4 ms.
 constexpr Duration kZoneRoundTrip = std::chrono::microseconds(8'800);
 
-// The next number of the SplitMix64 sequence.
-uint64_t NextRandom(uint64_t* state) {
-  uint64_t z = (*state += 0x9e3779b97f4a7c15);
-  z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9;
-  z = (z ^ (z >> 27)) * 0x94d049bb133111eb;
-  return z ^ (z >> 31);
-}
-
 double ExpectedTime(const EndpointState& endpoint,
                     const PlainQuery& query,
                     Timestamp now) {
--- a/src/teaselthread/gateway/endpoint_placement.cc
+++ b/src/teaselthread/gateway/endpoint_placement.cc
@@ -20,6 +20,10 @@
   if (!query.prompt.empty()) {
     query.affinity_share =
         state_->demand().ShareOf(service, AffinityPart(query.prompt).id, now);
+    query.tokens = EstimateTokens(query.prompt, request.head.token_usage,
+                                  request.head.output_hint);
+    query.priority = request.Priority();
+    query.token_mix = &state_->endpoints().TokenMixOf(service);
   } else {
     query.work_time = state_->endpoints().WorkTimeOf(service).Estimate();
     query.seed = state_->random()();
@@ -44,7 +48,8 @@
       is_queued ? NoEndpointReason::kAllAtBound : Select(request, attempts);
   const auto is_at_bound = [&result] {
     const auto* reason = std::get_if<NoEndpointReason>(&result);
-    return reason && *reason == NoEndpointReason::kAllAtBound;
+    return reason && (*reason == NoEndpointReason::kAllAtBound ||
+                      *reason == NoEndpointReason::kNoTokenRoom);
   };
   if (!is_at_bound())
     co_return result;
@@ -61,6 +66,9 @@
     if (waiting.IsFirst(place))
       result = Select(request, attempts);
   }
+  // No request is refused that an endpoint has room for, whatever its place.
+  if (is_at_bound() && !waiting.IsFirst(place) && !guard.is_final())
+    result = Select(request, attempts);
   waiting.Leave(place);
   LogLine line("waited-for-room");
   line.Add("id", request.head.id)
@@ -69,10 +77,36 @@
       .Add("waiting", waiting.size())
       .Add("found_room", !is_at_bound())
       .AddTime("elapsed", state_->Now() - entered_at);
+  if (const auto* reason = std::get_if<NoEndpointReason>(&result))
+    line.Add("reason", ToString(*reason));
   state_->log().Info(line);
   co_return result;
 }
 
+void EndpointPlacement::OnSend(const Selection& selection) {
+  const Timestamp now = state_->Now();
+  EndpointState& endpoint = *selection.endpoint;
+  endpoint.OnSend(now);
+  if (selection.affinity_part.empty())
+    return;
+  const std::string& service = endpoint.record().service;
+  state_->demand().OnStart(service, selection.affinity_part, now);
+  endpoint.tokens().OnSend(selection.tokens, now);
+  state_->endpoints().TokenMixOf(service).OnSend(selection.tokens, now);
+}
+
+void EndpointPlacement::OnEnd(const Selection& selection) {
+  const Timestamp now = state_->Now();
+  EndpointState& endpoint = *selection.endpoint;
+  endpoint.OnEnd(now);
+  if (selection.affinity_part.empty())
+    return;
+  const std::string& service = endpoint.record().service;
+  state_->demand().OnEnd(service, selection.affinity_part, now);
+  endpoint.tokens().OnEnd(selection.tokens);
+  state_->endpoints().TokenMixOf(service).OnEnd(selection.tokens, now);
+}
+
 ResponseTimeouts EndpointPlacement::TimeoutsFor(
     const ClassifiedRequest& request,
     const EndpointState& endpoint) const {
--- a/src/teaselthread/gateway/endpoint_placement.h
+++ b/src/teaselthread/gateway/endpoint_placement.h
@@ -21,6 +21,9 @@
       const ClassifiedRequest& request,
       const RequestAttempts& attempts,
       const RequestGuard& guard);
+  // The request is sent to the selected endpoint, or has ended there.
+  void OnSend(const Selection& selection);
+  void OnEnd(const Selection& selection);
   ResponseTimeouts TimeoutsFor(const ClassifiedRequest& request,
                                const EndpointState& endpoint) const;
   // The endpoint has served the request `elapsed` after it was sent.
--- a/src/teaselthread/gateway/request_handler.cc
+++ b/src/teaselthread/gateway/request_handler.cc
@@ -22,6 +22,7 @@
       return RefusalReason::kEndpointsCold;
     case NoEndpointReason::kAllTried:
     case NoEndpointReason::kAllAtBound:
+    case NoEndpointReason::kNoTokenRoom:
       return RefusalReason::kEndpointBusy;
     case NoEndpointReason::kNoneAvailable:
       break;
@@ -158,10 +159,7 @@
   exchange.endpoint = endpoint.record().id;
   exchange.attempts.OnStart(endpoint.record().id);
   const Timestamp sent_at = state_->Now();
-  endpoint.OnSend(sent_at);
-  const std::string& service = exchange.request.service->name;
-  if (!selection.affinity_part.empty())
-    state_->demand().OnStart(service, selection.affinity_part, state_->Now());
+  placement_.OnSend(selection);
   const bool is_stream =
       exchange.request.route->kind == RequestKind::kStreaming;
   EndpointAttempt attempt(state_, &connections_, selection.endpoint,
@@ -179,9 +177,7 @@
   const uint32_t events_before = exchange.relay.events().event_count();
   AttemptResult result = co_await attempt.Run(
       message, exchange.request.head.id, limits, relay, std::move(on_silence));
-  endpoint.OnEnd(state_->Now());
-  if (!selection.affinity_part.empty())
-    state_->demand().OnEnd(service, selection.affinity_part, state_->Now());
+  placement_.OnEnd(selection);
   UpdateEndpointHealth(endpoint, result);
   if (result.failure == AttemptFailure::kBroken &&
       exchange.relay.events().event_count() == events_before &&
--- a/src/teaselthread/gateway/wire_codec.h
+++ b/src/teaselthread/gateway/wire_codec.h
@@ -24,6 +24,8 @@
   std::string key;                        // API key; empty if absent
   std::vector<PromptPart> prompt;         // in the prompt's order
   std::optional<uint64_t> last_event_id;  // last event the caller received
+  std::optional<TokenUsage> token_usage;
+  std::optional<uint32_t> output_hint;  // expected output, in tokens
 };
 
 // What the gateway adds to a request that it sends to an endpoint.
