--- a/src/libteaselthread/endpoints/endpoint_selector.cc
+++ b/src/libteaselthread/endpoints/endpoint_selector.cc
@@ -235,7 +235,7 @@
   limits.mean_load = mean_load;
   limits.engines = engines;
   limits.node = context.node;
-  limits.nodes = context.nodes;
+  limits.nodes = context.nodes.size();
   return TokenLimits(limits);
 }
 
--- a/src/libteaselthread/endpoints/token_limits.cc
+++ b/src/libteaselthread/endpoints/token_limits.cc
@@ -84,7 +84,7 @@
 uint32_t TokenLimits::ShareOf(double requests,
                               const EndpointState& engine,
                               Timestamp now) const {
-  const size_t nodes = std::max<size_t>(1, query_.nodes.size());
+  const size_t nodes = std::max<size_t>(1, query_.nodes);
   const auto whole = static_cast<size_t>(std::max(0.0, requests));
   if (whole >= nodes)
     return static_cast<uint32_t>(whole / nodes);
--- a/src/libteaselthread/endpoints/token_limits.h
+++ b/src/libteaselthread/endpoints/token_limits.h
@@ -2,7 +2,6 @@
 #define TEASELTHREAD_ENDPOINTS_TOKEN_LIMITS_H_
 
 #include <string>
-#include <vector>
 
 #include "libteaselthread/endpoints/endpoint_state.h"
 
@@ -13,11 +12,11 @@
   uint64_t capacity = 0;  // of one engine, in tokens; 0 if it is not known
   int priority = 0;       // of the request; 0 is the most urgent
   RequestTokens tokens;   // of the request
-  const TokenMix* mix = nullptr;   // of the service
-  double mean_load = 0;            // requests per engine, in the whole fleet
-  size_t engines = 1;              // of the service
-  std::string node;                // this one
-  std::vector<std::string> nodes;  // all that may be alive
+  const TokenMix* mix = nullptr;  // of the service
+  double mean_load = 0;           // requests per engine, in the whole fleet
+  size_t engines = 1;             // of the service
+  std::string node;               // this one
+  size_t nodes = 1;               // that may be alive
 };
 
 // Whether engines have memory for one more request, so that the requests of all
--- a/tests/admission/token_room_test.cc
+++ b/tests/admission/token_room_test.cc
@@ -58,8 +58,7 @@
     query.priority = priority;
     query.tokens = tokens;
     query.mix = &mix;
-    for (size_t i = 0; i < nodes; ++i)
-      query.nodes.push_back("node-" + std::to_string(i));
+    query.nodes = nodes;
     query.node = "node-0";
     return TokenLimits(query);
   }
@@ -152,9 +151,8 @@
     query.capacity = 100'000;
     query.tokens = tokens;
     query.mix = &mix;
-    for (size_t i = 0; i < 63; ++i)
-      query.nodes.push_back("node-" + std::to_string(100 + i));
-    query.node = query.nodes[node];
+    query.nodes = 63;
+    query.node = "node-" + std::to_string(100 + node);
     nodes_with_room += TokenLimits(query).HasRoom(engine, kNow) ? 1 : 0;
   }
   BOOST_TEST(nodes_with_room >= 5u);
