Compute the bound for notices of full engines without a selection context

Cause: each gateway built a whole selection context for each service of engines every 100 ms, with the names of up to 410 nodes, to read the service's number of requests from it. The emulator had a function for its copy of the context. Change: ReducedLoadBound takes the number of requests. GatewayState has one function for it, which the selection context uses too.

--- a/src/libteaselthread/emulator/emulated_fleet.cc
+++ b/src/libteaselthread/emulator/emulated_fleet.cc
@@ -252,7 +252,7 @@
   for (const auto& from : gateways_) {
     const auto bound =
         EndpointSelector(&from->table)
-            .ReducedLoadBound(kServiceName, from->MakeSelectionContext(), now);
+            .ReducedLoadBound(kServiceName, from->service_requests, now);
     if (!bound)
       continue;
     const std::vector<LoadUpdate> due = from->notices.TakeDue(
--- a/src/libteaselthread/emulator/placement_strategy.cc
+++ b/src/libteaselthread/emulator/placement_strategy.cc
@@ -30,7 +30,11 @@
     query.prompt = prompt;
     query.affinity_share =
         gateway.demand.ShareOf(service_->name, AffinityPart(prompt).id, now);
-    const SelectionContext context = gateway.MakeSelectionContext();
+    SelectionContext context;
+    context.zone = gateway.zone;
+    context.node = gateway.name;
+    context.nodes = gateway.fleet;
+    context.service_requests = gateway.service_requests;
     const EndpointSelector selector(&gateway.table);
     const SelectionResult result = selector.Select(query, context, now);
     if (std::holds_alternative<NoEndpointReason>(result))
@@ -134,15 +138,6 @@
 
 }  // namespace
 
-SelectionContext EmulatedGateway::MakeSelectionContext() const {
-  SelectionContext context;
-  context.zone = zone;
-  context.node = name;
-  context.nodes = fleet;
-  context.service_requests = service_requests;
-  return context;
-}
-
 std::vector<std::unique_ptr<PlacementStrategy>> AllStrategies(
     const ServiceSpec* service) {
   std::vector<std::unique_ptr<PlacementStrategy>> all;
--- a/src/libteaselthread/emulator/placement_strategy.h
+++ b/src/libteaselthread/emulator/placement_strategy.h
@@ -26,8 +26,6 @@
   FullEngineNotices notices;
   double service_requests = 0;  // of all gateways, as last exchanged
   uint32_t next_engine = 0;     // next index for round robin
-
-  SelectionContext MakeSelectionContext() const;
 };
 
 // The engine that serves a request, and the engine to copy its cached prefix
--- a/src/libteaselthread/endpoints/endpoint_selector.cc
+++ b/src/libteaselthread/endpoints/endpoint_selector.cc
@@ -337,16 +337,14 @@
 
 std::optional<double> EndpointSelector::ReducedLoadBound(
     const std::string& service,
-    const SelectionContext& context,
+    double requests,
     Timestamp now) const {
-  const std::vector<EndpointPtr> in_service =
-      NotLeaving(table_->Running(service), *table_);
+  const auto in_service =
+      static_cast<double>(NotLeaving(table_->Running(service), *table_).size());
   const size_t usable = table_->Available(service, now).size();
-  if (usable == 0 || static_cast<double>(usable) >
-                         kReducedShare * static_cast<double>(in_service.size()))
+  if (usable == 0 || static_cast<double>(usable) > kReducedShare * in_service)
     return std::nullopt;
-  return LoadBound(ServiceRequests(in_service, context, now) /
-                   static_cast<double>(in_service.size()));
+  return LoadBound(requests / in_service);
 }
 
 SelectionResult EndpointSelector::Select(const SelectionQuery& query,
--- a/src/libteaselthread/endpoints/endpoint_selector.h
+++ b/src/libteaselthread/endpoints/endpoint_selector.h
@@ -123,8 +123,9 @@
                          Timestamp now) const;
   // The load that an engine of the service is not to exceed, while so few of
   // its engines are usable that most of them are near it. Empty otherwise.
+  // `requests`: those of the service in progress, from all nodes.
   std::optional<double> ReducedLoadBound(const std::string& service,
-                                         const SelectionContext& context,
+                                         double requests,
                                          Timestamp now) const;
 
  private:
--- a/src/teaselthread/gateway/gateway.cc
+++ b/src/teaselthread/gateway/gateway.cc
@@ -93,7 +93,7 @@
     if (!service.engine)
       continue;
     const auto load_bound = state_.selector().ReducedLoadBound(
-        service.name, state_.MakeSelectionContext(service.name), now);
+        service.name, state_.FleetRequests(service.name), now);
     if (!load_bound)
       continue;
     const std::vector<LoadUpdate> due = state_.full_engine_notices().TakeDue(
--- a/src/teaselthread/gateway/gateway_state.cc
+++ b/src/teaselthread/gateway/gateway_state.cc
@@ -104,11 +104,15 @@
   context.cold_over = settings_.limits().cold_over;
   context.cold_slack = settings_.limits().cold_slack;
   context.load_multiple = settings_.limits().load_multiple;
-  context.service_requests = peers_.FleetRequests(
-      ShortHash(service), endpoints_.LocalRequests(service), now);
+  context.service_requests = FleetRequests(service);
   return context;
 }
 
+uint32_t GatewayState::FleetRequests(const std::string& service) const {
+  return peers_.FleetRequests(ShortHash(service),
+                              endpoints_.LocalRequests(service), Now());
+}
+
 RolloutFleet GatewayState::MakeRolloutFleet() const {
   const Timestamp now = Now();
   return {settings_.zone(), peers_.LiveZoneNodes(now),
--- a/src/teaselthread/gateway/gateway_state.h
+++ b/src/teaselthread/gateway/gateway_state.h
@@ -71,6 +71,8 @@
   HedgePolicy& HedgePolicyFor(const std::string& service);
   OverdueAttempts& overdue_attempts() { return overdue_attempts_; }
   SelectionContext MakeSelectionContext(const std::string& service) const;
+  // The requests in progress for a service, from all nodes.
+  uint32_t FleetRequests(const std::string& service) const;
   // The newest changes that this gateway's own watches have delivered.
   RevisionAnnouncement& endpoint_changes() { return endpoint_changes_; }
   RevisionAnnouncement& evacuation_changes() { return evacuation_changes_; }
