Rollouts: one share constant, no work without open orders

Cause: the half of the exposure bound that canaries use was a constant in two files. RolloutTable::ReplaceAll was called by tests only, while the store's controller removes and puts orders one by one. Closed orders and gateways without any order scanned endpoints and peers ten times a second. Change: CanaryShare::kUsedPart serves both; ReplaceAll is gone, and the tests put their orders as the product does, with the same assertions; closed orders are skipped and nothing is computed while there is no order.

--- a/src/libteaselthread/rollouts/canary_share.cc
+++ b/src/libteaselthread/rollouts/canary_share.cc
@@ -5,9 +5,6 @@
 namespace teaselthread {
 namespace {
 
-// The rest of the operators' bound is for what is sent between the first bad
-// response and the decision.
-constexpr double kUsedPart = 0.5;
 // The slack becomes available over this share of the order's time, so that the
 // requests of all nodes do not meet at the few canary endpoints.
 constexpr double kSlackTimeShare = 0.25;
--- a/src/libteaselthread/rollouts/canary_share.h
+++ b/src/libteaselthread/rollouts/canary_share.h
@@ -17,6 +17,10 @@
 // some have little.
 class CanaryShare {
  public:
+  // The part of the operators' bound that is used. The rest is for what is sent
+  // between the first bad response and the decision.
+  static constexpr double kUsedPart = 0.5;
+
   // `rounding`: from 0 to 1, added to the number of requests that are allowed.
   // Nodes with few requests are allowed fractions of one. If the values of the
   // nodes differ, their sum is right on average.
--- a/src/libteaselthread/rollouts/rollout_table.cc
+++ b/src/libteaselthread/rollouts/rollout_table.cc
@@ -10,9 +10,6 @@
 namespace teaselthread {
 namespace {
 
-// The canary stage uses half of the share that the operators allow; see
-// CanaryShare.
-constexpr double kCanaryPart = 0.5;
 // The target's endpoints must have at least this share of the slots that the
 // old ones have before they take over the traffic.
 constexpr double kMinSlotShare = 0.5;
@@ -39,19 +36,6 @@
       start_(start),
       endpoints_(endpoints) {}
 
-void RolloutTable::ReplaceAll(const std::vector<RolloutOrder>& orders,
-                              Timestamp now) {
-  std::set<std::string> missing;
-  for (const auto& [name, rollout] : rollouts_)
-    missing.insert(name);
-  for (const RolloutOrder& order : orders) {
-    Put(order, now);
-    missing.erase(order.name);
-  }
-  for (const std::string& name : missing)
-    Remove(name);
-}
-
 bool RolloutTable::Put(const RolloutOrder& order, Timestamp now) {
   uint64_t& revision = revisions_[order.name];
   if (order.revision <= revision)
@@ -167,7 +151,7 @@
       ranked.emplace_back(key.WeightOf(record.id), record.id);
   }
   std::sort(ranked.rbegin(), ranked.rend());
-  const double share = kCanaryPart * limits_.expose_share;
+  const double share = CanaryShare::kUsedPart * limits_.expose_share;
   const auto count = static_cast<size_t>(
       std::max(1.0, std::ceil(share * static_cast<double>(old_count))));
   std::set<std::string> ids;
@@ -263,7 +247,8 @@
   std::vector<StageChange> changes;
   for (auto& [name, rollout] : rollouts_) {
     const RolloutStage from = rollout.stage();
-    if (rollout.Advance(fleet, HasRoom(rollout, now), now))
+    const bool has_room = !rollout.order().is_closed() && HasRoom(rollout, now);
+    if (rollout.Advance(fleet, has_room, now))
       changes.push_back({&rollout, from});
   }
   return changes;
@@ -273,6 +258,8 @@
                                                      Timestamp now) const {
   std::vector<RolloutWrite> writes;
   for (const auto& [name, rollout] : rollouts_) {
+    if (rollout.order().is_closed())
+      continue;
     const auto state =
         rollout.WantedState(node_, fleet, OldRequests(rollout), now);
     const RolloutOrder& order = rollout.order();
--- a/src/libteaselthread/rollouts/rollout_table.h
+++ b/src/libteaselthread/rollouts/rollout_table.h
@@ -56,10 +56,8 @@
 
   bool enabled() const { return limits_.enabled(); }
 
-  // Orders as read from the store. Revisions that are not newer than the known
-  // one of the same object are ignored.
-  void ReplaceAll(const std::vector<RolloutOrder>& orders, Timestamp now);
-  // Returns whether it is a new order.
+  // An order as read from the store. A revision that is not newer than the
+  // known one of the same object is ignored. Returns whether it is a new order.
   bool Put(const RolloutOrder& order, Timestamp now);
   void Remove(const std::string& name);
 
--- a/src/teaselthread/gateway/rollout_controller.cc
+++ b/src/teaselthread/gateway/rollout_controller.cc
@@ -35,6 +35,8 @@
 }
 
 void RolloutController::Advance() {
+  if (state_->rollouts().rollouts().empty())
+    return;
   const auto changes =
       state_->rollouts().Advance(state_->MakeRolloutFleet(), state_->Now());
   for (const RolloutTable::StageChange& change : changes) {
@@ -55,6 +57,8 @@
 }
 
 void RolloutController::SendCounters() {
+  if (state_->rollouts().rollouts().empty())
+    return;
   const Timestamp now = state_->Now();
   RolloutTable& rollouts = state_->rollouts();
   const std::vector<SocketAddress> zone =
--- a/src/teaselthread/store/rollout_writer.cc
+++ b/src/teaselthread/store/rollout_writer.cc
@@ -34,6 +34,7 @@
   for (;;) {
     Duration next = kCheckInterval;
     const bool is_due =
+        !state_->rollouts().rollouts().empty() &&
         !state_->rollouts()
              .WantedWrites(state_->MakeRolloutFleet(), state_->Now())
              .empty();
--- a/tests/rollouts/rollout_fleet.cc
+++ b/tests/rollouts/rollout_fleet.cc
@@ -81,7 +81,7 @@
   Node& node = nodes_[static_cast<size_t>(index)];
   Start(&node, static_cast<uint32_t>(now_.count()));
   if (order_)
-    node.table->ReplaceAll({*order_}, Time());
+    node.table->Put(*order_, Time());
 }
 
 Timestamp SimulatedFleet::Time() const {
@@ -283,7 +283,7 @@
   if (store_down_)
     return;
   if (order_)
-    node->table->ReplaceAll({*order_}, Time());
+    node->table->Put(*order_, Time());
   node->table->Advance(FleetOf(*node), Time());
   for (const RolloutWrite& write :
        node->table->WantedWrites(FleetOf(*node), Time())) {
--- a/tests/rollouts/rollout_table_test.cc
+++ b/tests/rollouts/rollout_table_test.cc
@@ -92,11 +92,12 @@
 
 // A process that starts after the end of an order has seen nothing of it.
 BOOST_FIXTURE_TEST_CASE(honours_a_state_that_was_stored_before, Table) {
-  table.ReplaceAll({{"desk", "desk", "v2", seconds(12),
-                     RolloutStatus{RolloutState::kCompleted, "v2"}, 5},
-                    {"pool", "pool", "v2", seconds(12),
-                     RolloutStatus{RolloutState::kReverted, "v2"}, 6}},
-                   At(seconds(0)));
+  table.Put({"desk", "desk", "v2", seconds(12),
+             RolloutStatus{RolloutState::kCompleted, "v2"}, 5},
+            At(seconds(0)));
+  table.Put({"pool", "pool", "v2", seconds(12),
+             RolloutStatus{RolloutState::kReverted, "v2"}, 6},
+            At(seconds(0)));
   BOOST_TEST(Usable("desk") == Versions{"v2"});
   BOOST_TEST(Usable("pool") == (Versions{"v1", "v3"}));
 }
