Share the refusal of unread requests and the connect timeout

Cause: FrontServer and FrontConnection each counted, logged and rendered the refusal of a request that is not read, and EngineProbe repeated the connect timeout of attempts. Change: RefuseUnreadRequest serves both; EndpointConnection has the timeout.

--- a/src/teaselthread/gateway/front_connection.cc
+++ b/src/teaselthread/gateway/front_connection.cc
@@ -2,10 +2,9 @@
 
 #include <netinet/tcp.h>
 
-#include "libteaselthread/attempts/retry_after.h"
 #include "teaselthread/callers/discard_input.h"
-#include "teaselthread/callers/problem.h"
 #include "teaselthread/gateway/request_reader.h"
+#include "teaselthread/gateway/unread_refusal.h"
 #include "teaselthread/io_timeout.h"
 
 namespace teaselthread {
@@ -147,19 +146,8 @@
 
 asio::awaitable<void> FrontConnection::RefuseUnread(RefusalReason reason) {
   SetState(CallerConnections::State::kEnding);
-  state_->metrics().OnRefusal(reason);
-  LogLine line("request-unread");
-  line.Add("reason", ToString(reason))
-      .Add("connections", state_->connections)
-      .Add("buffered_bytes", state_->buffers().used());
-  state_->LogUntrustedCaller(line);
+  auto problem = RefuseUnreadRequest(state_, reason);
   ResponseWriter writer(&socket_, {.keep_alive = false});
-  const double jitter =
-      std::uniform_real_distribution<double>(0, 1)(state_->random());
-  const Duration retry_after = RetryAfterFor(reason, jitter);
-  auto problem = MakeUnreadProblem({reason, retry_after}, "");
-  if (retry_after > Duration::zero())
-    problem.set(http::field::retry_after, RetryAfterText(retry_after));
   ResponseHead head{static_cast<int>(problem.result_int()), problem.base()};
   std::string body = std::move(problem.body());
   co_await writer.WriteResponse(std::move(head), std::move(body));
--- a/src/teaselthread/gateway/front_server.cc
+++ b/src/teaselthread/gateway/front_server.cc
@@ -2,10 +2,10 @@
 
 #include <sstream>
 
-#include "libteaselthread/attempts/retry_after.h"
-#include "teaselthread/callers/problem.h"
+#include "teaselthread/gateway/unread_refusal.h"
 
 namespace teaselthread {
+
 FrontServer::FrontServer(GatewayState* state)
     : state_(state), handler_(state) {}
 
@@ -61,17 +61,8 @@
 }
 
 void FrontServer::Refuse(tcp::socket socket) {
-  constexpr auto kReason = RefusalReason::kTooManyConnections;
-  state_->metrics().OnRefusal(kReason);
-  LogLine line("request-unread");
-  line.Add("reason", ToString(kReason))
-      .Add("connections", state_->caller_connections().size());
-  state_->LogUntrustedCaller(line);
-  const double jitter =
-      std::uniform_real_distribution<double>(0, 1)(state_->random());
-  const Duration retry_after = RetryAfterFor(kReason, jitter);
-  auto problem = MakeUnreadProblem({kReason, retry_after}, "");
-  problem.set(http::field::retry_after, RetryAfterText(retry_after));
+  auto problem =
+      RefuseUnreadRequest(state_, RefusalReason::kTooManyConnections);
   problem.keep_alive(false);
   problem.prepare_payload();
   std::ostringstream text;
--- a/src/teaselthread/requests/endpoint_attempt.cc
+++ b/src/teaselthread/requests/endpoint_attempt.cc
@@ -10,9 +10,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// Allows several round trips between availability zones. A lost SYN, which TCP
-// retransmits only after 1 s, is not waited for.
-constexpr Duration kConnectTimeout = milliseconds(250);
 // A response that is not streamed is buffered until it is complete.
 constexpr size_t kMaxBufferedBodyBytes = size_t{16} << 20;
 constexpr size_t kBodyBufferBytes = size_t{8} * 1024;
@@ -164,7 +161,7 @@
                              address.port);
   boost::system::error_code ignored;
   connection_->socket.open(target.protocol(), ignored);
-  guard_->Attach(&connection_->socket, kConnectTimeout);
+  guard_->Attach(&connection_->socket, EndpointConnection::kConnectTimeout);
   const Timestamp started_at = state_->Now();
   auto [failure] = co_await connection_->socket.async_connect(target, kAsTuple);
   endpoint_->contact().OnConnectEnded(
--- a/src/teaselthread/requests/endpoint_connections.h
+++ b/src/teaselthread/requests/endpoint_connections.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "libteaselthread/timestamp.h"
 #include "teaselthread/asio.h"
 
 namespace teaselthread {
@@ -14,6 +15,9 @@
 struct EndpointConnection {
   // Limit on a response's head, chunk header or trailers.
   static constexpr size_t kMaxHeaderBytes = size_t{32} * 1024;
+  // Allows several round trips between availability zones. A lost SYN, which
+  // TCP retransmits only after 1 s, is not waited for.
+  static constexpr Duration kConnectTimeout = std::chrono::milliseconds(250);
 
   explicit EndpointConnection(asio::io_context& io) : socket(io) {}
   // Closes the connection and discards unsent data, so that none of it is
--- a/src/teaselthread/requests/engine_probe.cc
+++ b/src/teaselthread/requests/engine_probe.cc
@@ -5,11 +5,6 @@
 namespace teaselthread {
 namespace {
 
-using std::chrono::milliseconds;
-
-// As for requests: several round trips between availability zones, but no
-// retransmitted SYN.
-constexpr Duration kConnectTimeout = milliseconds(250);
 // Shorter than the keep-alive times of engines, of which none is known before
 // the first response.
 constexpr std::chrono::seconds kIdleTime(3);
@@ -49,7 +44,7 @@
                              address.port);
   const Timestamp started_at = state_->Now();
   IoTimeout timeout(connection->socket);
-  timeout.Arm(kConnectTimeout);
+  timeout.Arm(EndpointConnection::kConnectTimeout);
   auto [failure] = co_await connection->socket.async_connect(target, kAsTuple);
   timeout.Disarm();
   engine->contact().OnConnectEnded(
