Log and count how callers' connections end

How a connection was closed, by whom and with what on its way is written nowhere. Change: event connection-ended with the bytes that the caller had not acknowledged and those that were not read, for each connection while the gateway leaves and otherwise where the caller may lack part of a response; metric caller_connection_ends_total by kind of end. No logic is changed.

--- a/src/teaselthread/gateway/front_connection.cc
+++ b/src/teaselthread/gateway/front_connection.cc
@@ -3,6 +3,7 @@
 #include <netinet/tcp.h>
 
 #include "teaselthread/callers/discard_input.h"
+#include "teaselthread/callers/socket_backlog.h"
 #include "teaselthread/gateway/request_reader.h"
 #include "teaselthread/gateway/unread_refusal.h"
 #include "teaselthread/io_timeout.h"
@@ -54,12 +55,18 @@
 }
 
 void FrontConnection::Close() {
+  if (socket_.is_open()) {
+    RecordEnd(caller_has_closed_ ? ConnectionEnd::kCallerClosed
+                                 : EndOf(BacklogOf(socket_)));
+  }
   boost::system::error_code ignored;
   socket_.shutdown(tcp::socket::shutdown_send, ignored);
   socket_.close(ignored);
 }
 
 void FrontConnection::Reset() {
+  if (socket_.is_open())
+    RecordEnd(ConnectionEnd::kReset);
   boost::system::error_code ignored;
   socket_.set_option(asio::socket_base::linger(true, 0), ignored);
   socket_.close(ignored);
@@ -81,6 +88,22 @@
   state_->caller_connections().SetState(id_, state, state_->Now());
 }
 
+void FrontConnection::RecordEnd(ConnectionEnd end) {
+  state_->metrics().OnConnectionEnded(end);
+  const bool is_delivered = end == ConnectionEnd::kCallerClosed ||
+                            end == ConnectionEnd::kAcknowledged;
+  if (last_request_id_.empty() || (is_delivered && !state_->leaving()))
+    return;
+  const SocketBacklog backlog = BacklogOf(socket_);
+  LogLine line("connection-ended");
+  line.Add("id", last_request_id_)
+      .Add("end", ToString(end))
+      .Add("unacknowledged_bytes", backlog.unacknowledged)
+      .Add("unread_bytes", backlog.unread)
+      .Add("leaving", state_->leaving());
+  state_->log().Info(line);
+}
+
 asio::awaitable<bool> FrontConnection::ServeNextRequest() {
   if (!HasInput() && !state_->KeepsIdleConnections())
     co_return false;
@@ -94,8 +117,10 @@
   std::optional<RequestReader> reader(std::in_place, state_, &socket_, &buffer_,
                                       bounds);
   const auto refusal = co_await reader->Read();
-  if (reader->caller_disconnected())
+  if (reader->caller_disconnected()) {
+    caller_has_closed_ = true;
     co_return false;
+  }
   if (refusal) {
     // The memory of the body is released before the rest is discarded.
     reader.reset();
@@ -105,6 +130,7 @@
   }
   const CallerHttpRequest& message = reader->message();
   ResponseWriter writer(&socket_, WriterOptions(message, reader->caller()));
+  last_request_id_ = state_->codec().DecodeCaller(message.base()).id;
   co_await handler_->Serve(message, state_->Now(), &socket_, &writer);
   is_aborted_ = writer.is_aborted();
   if (!writer.is_usable())
--- a/src/teaselthread/gateway/front_connection.h
+++ b/src/teaselthread/gateway/front_connection.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "libteaselthread/callers/connection_end.h"
 #include "teaselthread/gateway/gateway_state.h"
 #include "teaselthread/requests/request_handler.h"
 
@@ -39,6 +40,9 @@
   ResponseWriter::Options WriterOptions(const CallerHttpRequest& message,
                                         const std::string& caller);
   void SetState(CallerConnections::State state);
+  // Counts how the connection ends and, if the caller may not have the whole
+  // last response, logs it.
+  void RecordEnd(ConnectionEnd end);
 
   GatewayState* state_;
   RequestHandler* handler_;
@@ -47,6 +51,8 @@
   beast::flat_buffer buffer_;
   bool is_idle_ = true;
   bool is_aborted_ = false;
+  bool caller_has_closed_ = false;
+  std::string last_request_id_;  // empty before the first request
 };
 
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/gateway_metrics.cc
+++ b/src/teaselthread/gateway/gateway_metrics.cc
@@ -150,6 +150,8 @@
   ByReason<AttemptFailure>(out, "retries_total", retries_);
   ByReason<ClosingReason>(out, "caller_connections_closed_total",
                           callers_closed_);
+  ByReason<ConnectionEnd>(out, "caller_connection_ends_total",
+                          connection_ends_);
   ByReason<CrashVerdict>(out, "crash_evidence_total", crash_evidence_);
   Histograms(out, "first_byte_seconds", first_byte_);
   Histograms(out, "request_seconds", responses_);
--- a/src/teaselthread/gateway/gateway_metrics.h
+++ b/src/teaselthread/gateway/gateway_metrics.h
@@ -9,6 +9,7 @@
 #include "libteaselthread/attempts/hedge_policy.h"
 #include "libteaselthread/attempts/request_attempts.h"
 #include "libteaselthread/callers/closing_reason.h"
+#include "libteaselthread/callers/connection_end.h"
 #include "libteaselthread/endpoints/crash_evidence_queue.h"
 #include "libteaselthread/requests/reasons.h"
 #include "libteaselthread/rollouts/rollout.h"
@@ -65,6 +66,9 @@
   void OnCallerClosed(ClosingReason reason) {
     ++callers_closed_[static_cast<size_t>(reason)];
   }
+  void OnConnectionEnded(ConnectionEnd end) {
+    ++connection_ends_[static_cast<size_t>(end)];
+  }
   void OnFirstByte(RequestKind kind, Duration latency);
   void OnResponse(RequestKind kind, Duration latency);
   void OnUnknownOutcome() { ++unknown_outcomes_; }
@@ -97,6 +101,7 @@
   std::array<uint64_t, kAttemptFailureCount> failures_{};
   std::array<uint64_t, kAttemptFailureCount> retries_{};
   std::array<uint64_t, kClosingReasonCount> callers_closed_{};
+  std::array<uint64_t, kConnectionEndCount> connection_ends_{};
   std::array<LatencyHistogram, kKinds> first_byte_;
   std::array<LatencyHistogram, kKinds> responses_;
   uint64_t unknown_outcomes_ = 0;
