Close callers' connections only once they have the response

Cause: a connection was closed as soon as the last response was written. The kernel resets it, and drops what is on its way, if input is unread or arrives later. The class: written was taken for delivered. Only refusals of unread requests were closed otherwise. Change: FinishOutput (was DiscardInput) ends every connection with a complete response: it waits until the caller closes its side, for 2 s or longer while the caller goes on acknowledging. The exit of a gateway waits for it and does not reset such connections. The addresses of the directory and the readiness check, and callers of a node, had the same cause.

--- a/src/teaselthread/callers/caller_server.cc
+++ b/src/teaselthread/callers/caller_server.cc
@@ -4,7 +4,7 @@
 #include <boost/json.hpp>
 
 #include "teaselthread/callers/caller_request_parser.h"
-#include "teaselthread/callers/discard_input.h"
+#include "teaselthread/callers/finish_output.h"
 #include "teaselthread/callers/http_response_sink.h"
 #include "teaselthread/callers/problem.h"
 #include "teaselthread/io_timeout.h"
@@ -92,14 +92,13 @@
     co_await Write(socket,
                    MakeUnreadProblem(
                        {RefusalReason::kTooManyConnections, kRetryAfter}, ""));
-    co_await DiscardInput(socket);
   } else {
     beast::flat_buffer buffer;
     while (co_await ServeOneRequest(socket, buffer)) {
     }
   }
+  co_await FinishOutput(socket);
   --connections_;
-  socket.shutdown(tcp::socket::shutdown_both, ignored);
 }
 
 asio::awaitable<bool> CallerServer::ServeOneRequest(
@@ -136,7 +135,6 @@
       MakeUnreadProblem({reason, Duration::zero()}, failure.message());
   refusal.keep_alive(false);
   co_await Write(socket, std::move(refusal));
-  co_await DiscardInput(socket);
   co_return false;
 }
 
--- a/src/teaselthread/callers/socket_backlog.h
+++ b/src/teaselthread/callers/socket_backlog.h
@@ -11,8 +11,9 @@
 
 // Bytes that one side of a TCP connection has sent and the other has not taken.
 struct SocketBacklog {
-  size_t unacknowledged = 0;  // written here, not acknowledged by the other side
-  size_t unread = 0;          // received from the other side, not read here
+  size_t unacknowledged =
+      0;              // written here, not acknowledged by the other side
+  size_t unread = 0;  // received from the other side, not read here
 
   friend auto operator<=>(const SocketBacklog&, const SocketBacklog&) = default;
 };
--- a/src/teaselthread/gateway/admin_server.cc
+++ b/src/teaselthread/gateway/admin_server.cc
@@ -4,6 +4,7 @@
 #include <set>
 #include <utility>
 
+#include "teaselthread/callers/finish_output.h"
 #include "teaselthread/io_timeout.h"
 
 namespace teaselthread {
@@ -60,6 +61,9 @@
     std::shared_ptr<tcp::socket> connection,
     CallerConnections::Id id) {
   co_await ServeRequests(*connection, id);
+  state_->admin_connections().SetState(id, CallerConnections::State::kEnding,
+                                       state_->Now());
+  co_await FinishOutput(*connection);
   state_->admin_connections().Remove(id);
   connections_.erase(id);
 }
--- a/src/teaselthread/gateway/front_connection.cc
+++ b/src/teaselthread/gateway/front_connection.cc
@@ -2,7 +2,7 @@
 
 #include <netinet/tcp.h>
 
-#include "teaselthread/callers/discard_input.h"
+#include "teaselthread/callers/finish_output.h"
 #include "teaselthread/callers/socket_backlog.h"
 #include "teaselthread/gateway/request_reader.h"
 #include "teaselthread/gateway/unread_refusal.h"
@@ -44,6 +44,8 @@
   ++state_->connections;
   while (co_await ServeNextRequest()) {
   }
+  if (!is_aborted_ && !is_idle_ && !caller_has_closed_)
+    co_await AwaitDelivery();
   --state_->connections;
   state_->caller_connections().Remove(id_);
   // An aborted response is ended by a reset: an orderly close could be taken
@@ -72,6 +74,13 @@
   socket_.close(ignored);
 }
 
+void FrontConnection::CloseForExit() {
+  if (is_ending_)
+    Close();
+  else
+    Reset();
+}
+
 void FrontConnection::CloseIfIdle() {
   if (!is_idle_ || buffer_.size() > 0)
     return;
@@ -88,6 +97,14 @@
   state_->caller_connections().SetState(id_, state, state_->Now());
 }
 
+asio::awaitable<void> FrontConnection::AwaitDelivery() {
+  is_ending_ = true;
+  SetState(CallerConnections::State::kEnding);
+  buffer_ = {};
+  const ConnectionEnd end = co_await FinishOutput(socket_);
+  caller_has_closed_ = end == ConnectionEnd::kCallerClosed;
+}
+
 void FrontConnection::RecordEnd(ConnectionEnd end) {
   state_->metrics().OnConnectionEnded(end);
   const bool is_delivered = end == ConnectionEnd::kCallerClosed ||
@@ -124,7 +141,6 @@
   if (refusal) {
     // The memory of the body is released before the rest is discarded.
     reader.reset();
-    buffer_ = {};
     co_await RefuseUnread(*refusal);
     co_return false;
   }
@@ -177,7 +193,6 @@
   ResponseHead head{static_cast<int>(problem.result_int()), problem.base()};
   std::string body = std::move(problem.body());
   co_await writer.WriteResponse(std::move(head), std::move(body));
-  co_await DiscardInput(socket_);
 }
 
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/front_connection.h
+++ b/src/teaselthread/gateway/front_connection.h
@@ -26,10 +26,13 @@
   void CloseIfIdle();
   // Closes the connection in an orderly way. No request may be in progress.
   void Close();
-  // Closes the connection in such a way that the caller sees an error.
-  void Reset();
+  // Closes the connection as the process exits: in such a way that the caller
+  // sees an error, unless the last response is complete.
+  void CloseForExit();
 
  private:
+  // Closes the connection in such a way that the caller sees an error.
+  void Reset();
   // Returns false if the connection is to be closed.
   asio::awaitable<bool> ServeNextRequest();
   // Whether the caller has sent bytes that have not been processed.
@@ -40,6 +43,8 @@
   ResponseWriter::Options WriterOptions(const CallerHttpRequest& message,
                                         const std::string& caller);
   void SetState(CallerConnections::State state);
+  // Waits until the caller has the whole last response, for a limited time.
+  asio::awaitable<void> AwaitDelivery();
   // Counts how the connection ends and, if the caller may not have the whole
   // last response, logs it.
   void RecordEnd(ConnectionEnd end);
@@ -51,6 +56,7 @@
   beast::flat_buffer buffer_;
   bool is_idle_ = true;
   bool is_aborted_ = false;
+  bool is_ending_ = false;  // the last response is complete
   bool caller_has_closed_ = false;
   std::string last_request_id_;  // empty before the first request
 };
--- a/src/teaselthread/gateway/front_server.cc
+++ b/src/teaselthread/gateway/front_server.cc
@@ -25,9 +25,9 @@
     connection->CloseIfIdle();
 }
 
-void FrontServer::ResetConnections() {
+void FrontServer::CloseForExit() {
   for (const auto& [id, connection] : connections_)
-    connection->Reset();
+    connection->CloseForExit();
 }
 
 void FrontServer::OnConnection(tcp::socket socket) {
--- a/src/teaselthread/gateway/front_server.h
+++ b/src/teaselthread/gateway/front_server.h
@@ -18,9 +18,9 @@
   Result<bool> Start();
   // Stops accepting new connections and closes idle ones.
   void StopAccepting();
-  // Resets the connections that are still open, so that callers do not take
-  // partial responses for complete ones.
-  void ResetConnections();
+  // Closes the connections that are still open. Those with a response in
+  // progress are reset, so that callers do not take it for a complete one.
+  void CloseForExit();
   RequestHandler& handler() { return handler_; }
 
  private:
--- a/src/teaselthread/gateway/gateway.cc
+++ b/src/teaselthread/gateway/gateway.cc
@@ -153,7 +153,7 @@
     co_await pause.async_wait(kAsTuple);
   }
   front_.handler().LogCutRequests();
-  front_.ResetConnections();
+  front_.CloseForExit();
   LogLine left("left");
   left.Add("requests_cut", state_.requests_in_progress);
   state_.log().Info(left);
