--- a/src/libteaselthread/endpoints/cold_start_quota.cc
+++ b/src/libteaselthread/endpoints/cold_start_quota.cc
@@ -24,13 +24,7 @@
   const auto count = static_cast<uint32_t>(std::max<size_t>(1, nodes.size()));
   if (usable >= count)
     return usable / count;
-  const RendezvousKey key(endpoint_id);
-  const uint64_t own_weight = key.WeightOf(self);
-  const auto higher_ranked =
-      std::count_if(nodes.begin(), nodes.end(), [&](const std::string& node) {
-        return node != self && key.WeightOf(node) > own_weight;
-      });
-  return higher_ranked < static_cast<int64_t>(usable) ? 1 : 0;
+  return RendezvousKey(endpoint_id).RankOf(self, nodes) < usable ? 1 : 0;
 }
 
 bool ColdStartQuota::Allows(uint32_t share, Timestamp now) const {
--- a/src/libteaselthread/endpoints/endpoint_table.cc
+++ b/src/libteaselthread/endpoints/endpoint_table.cc
@@ -117,6 +117,7 @@
 
 void EndpointTable::Sweep(Timestamp now) {
   announcements_.Sweep(now);
+  rate_limits_.Sweep(now);
   if (now < defer_until_)
     return;
   for (auto entry = endpoints_.begin(); entry != endpoints_.end();)
@@ -231,13 +232,46 @@
 }
 
 void EndpointTable::OnLoadUpdate(const LoadUpdate& update, Timestamp now) {
-  const auto id = ids_.find(update.endpoint);
+  if (const EndpointPtr endpoint = FindByHash(update.endpoint)) {
+    endpoint->OnReport({update.requests, 0, std::nullopt, update.percent},
+                       now - update.age);
+  }
+}
+
+EndpointTable::RateLimitResult EndpointTable::OnRateLimitUpdate(
+    const RateLimitUpdate& update,
+    Timestamp now) {
+  EndpointPtr endpoint = FindByHash(update.endpoint);
+  if (!endpoint)
+    return {};
+  const RateLimitChange change =
+      rate_limits_.OnUpdate(endpoint->record(), update, now);
+  return {change, std::move(endpoint)};
+}
+
+RateLimitRoom EndpointTable::RoomUnderRateLimits(const std::string& service,
+                                                 Timestamp now) const {
+  RateLimitRoom room;
+  for (const EndpointPtr& endpoint : Available(service, now)) {
+    const auto status = rate_limits_.StatusOf(endpoint->record(), now);
+    if (!status)
+      continue;
+    room.requests_per_second += status->rate / status->share.nodes;
+    const auto next = rate_limits_.NextSendAt(endpoint->record(), now);
+    if (!next)
+      continue;
+    const Duration left = std::max(Duration::zero(), *next - now);
+    room.until_next = std::min(room.until_next.value_or(left), left);
+  }
+  return room;
+}
+
+EndpointPtr EndpointTable::FindByHash(uint32_t hash) const {
+  const auto id = ids_.find(hash);
   if (id == ids_.end())
-    return;
+    return nullptr;
   const auto found = endpoints_.find(id->second);
-  if (found != endpoints_.end())
-    found->second.endpoint->OnReport(
-        {update.requests, 0, std::nullopt, update.percent}, now - update.age);
+  return found == endpoints_.end() ? nullptr : found->second.endpoint;
 }
 
 std::optional<UnusableReason> EndpointTable::WhyUnusable(
--- a/src/libteaselthread/endpoints/endpoint_table.h
+++ b/src/libteaselthread/endpoints/endpoint_table.h
@@ -11,6 +11,7 @@
 
 #include "libteaselthread/endpoints/endpoint_announcements.h"
 #include "libteaselthread/endpoints/endpoint_state.h"
+#include "libteaselthread/rate_limits/rate_limit_table.h"
 #include "libteaselthread/routes/route_table.h"
 
 namespace teaselthread {
@@ -51,6 +52,8 @@
 
   // What the endpoints have said in their responses.
   EndpointAnnouncements& announcements() { return announcements_; }
+  RateLimitTable& rate_limits() { return rate_limits_; }
+  const RateLimitTable& rate_limits() const { return rate_limits_; }
 
   // Endpoints of a service that may receive new requests.
   std::vector<EndpointPtr> Available(const std::string& service,
@@ -83,6 +86,18 @@
   // Applies an endpoint's load as received from another node. Unknown endpoints
   // are ignored.
   void OnLoadUpdate(const LoadUpdate& update, Timestamp now);
+  // Applies what another node tells of a rate limit. Returns how the knowledge
+  // of it has changed, and the endpoint if it is known.
+  struct RateLimitResult {
+    RateLimitChange change = RateLimitChange::kNone;
+    EndpointPtr endpoint;
+  };
+  RateLimitResult OnRateLimitUpdate(const RateLimitUpdate& update,
+                                    Timestamp now);
+  // What this node's shares of rate limits leave room for at the endpoints of a
+  // service that may receive new requests.
+  RateLimitRoom RoomUnderRateLimits(const std::string& service,
+                                    Timestamp now) const;
   // Empty if the endpoint may receive new requests at the moment.
   std::optional<UnusableReason> WhyUnusable(const EndpointState& endpoint,
                                             Timestamp now) const;
@@ -109,12 +124,15 @@
 
   void Add(const EndpointRecord& record, Duration cold, Timestamp now);
   Duration ColdStartOf(const std::string& service) const;
+  // Null if no endpoint with that ShortHash is known.
+  EndpointPtr FindByHash(uint32_t hash) const;
   // Returns the entry after the erased one.
   Entries::iterator Erase(Entries::iterator entry);
 
   Entries endpoints_;
   std::map<uint32_t, std::string> ids_;  // by ShortHash
   EndpointAnnouncements announcements_;
+  RateLimitTable rate_limits_;
   std::set<std::string> evacuated_zones_;
   std::map<std::string, Duration> cold_starts_;      // by service
   std::map<std::string, UsualWorkTime> work_times_;  // by service
--- a/src/libteaselthread/rendezvous_hash.h
+++ b/src/libteaselthread/rendezvous_hash.h
@@ -2,7 +2,9 @@
 #define TEASELTHREAD_RENDEZVOUS_HASH_H_
 
 #include <cstdint>
+#include <string>
 #include <string_view>
+#include <vector>
 
 namespace teaselthread {
 
@@ -14,6 +16,9 @@
   explicit RendezvousKey(std::string_view key);
 
   uint64_t WeightOf(std::string_view node) const;
+  // Number of `nodes` other than `node` that have a higher weight than it.
+  uint32_t RankOf(const std::string& node,
+                  const std::vector<std::string>& nodes) const;
 
  private:
   uint64_t seed_;
--- a/src/teaselthread/gateway/gateway_metrics.cc
+++ b/src/teaselthread/gateway/gateway_metrics.cc
@@ -159,6 +159,13 @@
   Scalar(out, "broken_streams_total", "counter", broken_streams_);
   Scalar(out, "endpoints_leaving_total", "counter", endpoints_leaving_);
   Scalar(out, "endpoint_pauses_total", "counter", endpoint_pauses_);
+  ByReason<RateLimitChange>(out, "rate_limit_changes_total",
+                            rate_limit_changes_);
+  Scalar(out, "unreadable_rate_limits_total", "counter",
+         unreadable_rate_limits_);
+  Scalar(out, "rate_limited_endpoints_left_out_total", "counter",
+         endpoints_left_out_);
+  Scalar(out, "rate_limits", "gauge", gauges.rate_limits);
   Scalar(out, "hedges_sent_total", "counter", hedges_sent_);
   Scalar(out, "hedges_won_total", "counter", hedges_won_);
   Scalar(out, "hedges_cancelled_total", "counter", attempts_cancelled_);
--- a/src/teaselthread/gateway/gateway_metrics.h
+++ b/src/teaselthread/gateway/gateway_metrics.h
@@ -11,6 +11,7 @@
 #include "libteaselthread/callers/closing_reason.h"
 #include "libteaselthread/callers/connection_end.h"
 #include "libteaselthread/endpoints/crash_evidence_queue.h"
+#include "libteaselthread/rate_limits/rate_limit_table.h"
 #include "libteaselthread/requests/reasons.h"
 #include "libteaselthread/rollouts/rollout.h"
 #include "libteaselthread/routes/route.h"
@@ -51,6 +52,7 @@
   uint64_t buffered_bytes = 0;  // reserved for bodies
   uint64_t buffer_limit_bytes = 0;
   uint64_t log_lines_dropped = 0;
+  uint64_t rate_limits = 0;  // of endpoints, in force
   bool ready = false;
   bool rollouts_enabled = false;
   std::vector<const Rollout*> rollouts;  // valid while rendering
@@ -75,6 +77,15 @@
   void OnBrokenStream() { ++broken_streams_; }
   void OnEndpointLeaving() { ++endpoints_leaving_; }
   void OnEndpointPaused() { ++endpoint_pauses_; }
+  void OnRateLimitChange(RateLimitChange change) {
+    ++rate_limit_changes_[static_cast<size_t>(change)];
+  }
+  // A response named a limit that is not a number of requests.
+  void OnUnreadableRateLimit() { ++unreadable_rate_limits_; }
+  // Endpoints were left out of a selection because of their limits.
+  void OnLimitedSelection(uint32_t endpoints) {
+    endpoints_left_out_ += endpoints;
+  }
   // What became of the evidence of a connection that an engine broke.
   void OnCrashEvidence(CrashVerdict verdict);
   void OnHedgeSent() { ++hedges_sent_; }
@@ -108,6 +119,9 @@
   uint64_t broken_streams_ = 0;
   uint64_t endpoints_leaving_ = 0;
   uint64_t endpoint_pauses_ = 0;
+  std::array<uint64_t, kRateLimitChangeCount> rate_limit_changes_{};
+  uint64_t unreadable_rate_limits_ = 0;
+  uint64_t endpoints_left_out_ = 0;
   std::array<uint64_t, kCrashVerdictCount> crash_evidence_{};
   uint64_t hedges_sent_ = 0;
   uint64_t hedges_won_ = 0;
--- a/src/teaselthread/gateway/gateway_state.cc
+++ b/src/teaselthread/gateway/gateway_state.cc
@@ -155,6 +155,25 @@
   LogUntrustedCaller(line);
 }
 
+void GatewayState::OnRateLimitChange(const EndpointRecord& endpoint,
+                                     RateLimitChange change,
+                                     const std::string& request_id) {
+  metrics_.OnRateLimitChange(change);
+  LogLine line("rate-limit-changed");
+  line.Add("endpoint", endpoint.id).Add("change", ToString(change));
+  if (request_id.empty())
+    line.Add("source", "gateway");
+  else
+    line.Add("source", "endpoint").Add("id", request_id);
+  if (const auto status = endpoints_.rate_limits().StatusOf(endpoint, Now())) {
+    line.Add("rate", status->rate)
+        .AddTime("age", status->age)
+        .Add("share", status->share.requests)
+        .Add("nodes", status->share.nodes);
+  }
+  log_.Info(line);
+}
+
 void GatewayState::LogUntrustedCaller(LogLine& line) {
   const auto suppressed = caller_lines_.Take(Now());
   if (!suppressed)
@@ -196,6 +215,7 @@
   gauges.buffered_bytes = buffers_.used();
   gauges.buffer_limit_bytes = buffers_.limit();
   gauges.log_lines_dropped = log_.dropped();
+  gauges.rate_limits = endpoints_.rate_limits().size();
   gauges.ready = IsReady();
   gauges.rollouts_enabled = rollouts_.enabled();
   for (const auto& [name, rollout] : rollouts_.rollouts())
--- a/src/teaselthread/gateway/gateway_state.h
+++ b/src/teaselthread/gateway/gateway_state.h
@@ -94,6 +94,11 @@
   // Counts and logs that a connection in `state` was closed for a new one.
   void OnClosedForRoom(CallerConnections::State state,
                        const CallerConnections& connections);
+  // Counts and logs what is new about an endpoint's rate limit. `request_id`:
+  // of the response that named it; empty if another gateway has told of it.
+  void OnRateLimitChange(const EndpointRecord& endpoint,
+                         RateLimitChange change,
+                         const std::string& request_id);
   // Writes a line about a caller that was refused or closed, unless there are
   // too many of them.
   void LogUntrustedCaller(LogLine& line);
--- a/src/teaselthread/gateway/wire_codec.h
+++ b/src/teaselthread/gateway/wire_codec.h
@@ -47,6 +47,10 @@
   std::optional<Duration> cold_left;
   // For how long the endpoint wants no requests if it has turned this one away.
   std::optional<Duration> pause;
+  // Requests per second that the endpoint takes from all nodes together.
+  std::optional<double> rate_limit;
+  // It names a limit that is not a number of requests.
+  bool has_unreadable_rate_limit = false;
 };
 
 enum class StoreKind : uint8_t {
--- a/src/teaselthread/requests/endpoint_attempt.cc
+++ b/src/teaselthread/requests/endpoint_attempt.cc
@@ -137,6 +137,7 @@
     on_silence();
   });
   attempts_->OnSendStarted(role_);
+  sent_at_ = state_->Now();
   StartWrite(std::move(request));
   AttemptResult result;
   std::unique_ptr<Parser> parser;
@@ -149,6 +150,7 @@
   guard_->Detach();
   result.on_reused_connection = on_reused_connection;
   result.silence_recorded = silence_recorded;
+  result.is_rate_limited = endpoint_head_.rate_limit.has_value();
   if (connection_)
     connection_->Reset();
   co_return result;
@@ -245,6 +247,7 @@
     endpoint_->OnReport(*endpoint_head_.load, now);
   if (endpoint_head_.cold_left)
     endpoint_->ExtendCold(now + *endpoint_head_.cold_left);
+  ObserveRateLimit(status);
   if (endpoint_head_.is_leaving && announcements.OnLeaving(record, now)) {
     state_->metrics().OnEndpointLeaving();
     LogLine line("endpoint-leaving");
@@ -262,6 +265,22 @@
   }
 }
 
+void EndpointAttempt::ObserveRateLimit(int status) {
+  NamedRate named;
+  if (endpoint_head_.rate_limit) {
+    named = {NamedRate::Kind::kLimited, *endpoint_head_.rate_limit};
+  } else if (endpoint_head_.has_unreadable_rate_limit) {
+    state_->metrics().OnUnreadableRateLimit();
+  } else if (IsSuccess(status)) {
+    named.kind = NamedRate::Kind::kUnlimited;
+  }
+  const EndpointRecord& record = endpoint_->record();
+  const RateLimitChange change = state_->endpoints().rate_limits().OnResponse(
+      record, named, sent_at_, state_->Now());
+  if (change != RateLimitChange::kNone)
+    state_->OnRateLimitChange(record, change, request_id_);
+}
+
 asio::awaitable<AttemptResult> EndpointAttempt::ReadResponse(
     Parser& parser,
     StreamRelay* relay) {
--- a/src/teaselthread/requests/endpoint_attempt.h
+++ b/src/teaselthread/requests/endpoint_attempt.h
@@ -29,6 +29,8 @@
   bool response_begun = false;
   // The endpoint's silence has already been recorded in its health.
   bool silence_recorded = false;
+  // The response named a rate limit.
+  bool is_rate_limited = false;
 };
 
 // One attempt to have one endpoint run a request.
@@ -69,6 +71,7 @@
   bool BelongsToRequest(const EndpointHead& head) const;
   // Takes note of what the endpoint says of itself in its response.
   void ObserveEndpoint(int status);
+  void ObserveRateLimit(int status);
   void ReleaseConnection(const Parser& parser);
   // Why reading has failed: the interruption, if any, or the last error.
   AttemptFailure ReadFailure() const;
@@ -81,6 +84,7 @@
   RequestAttempts* attempts_;
   AttemptRole role_;
   std::string request_id_;
+  Timestamp sent_at_{};
   ResponseTimeouts limits_;
   EndpointConnectionPtr connection_;
   EndpointHead endpoint_head_;
--- a/src/teaselthread/requests/request_log.cc
+++ b/src/teaselthread/requests/request_log.cc
@@ -15,6 +15,12 @@
   if (const auto count = endpoint.LatestCount(Duration::max(), state_->Now())) {
     line.AddTime("load_age", state_->Now() - count->at);
   }
+  if (const auto limit = state_->endpoints().rate_limits().StatusOf(
+          endpoint.record(), state_->Now())) {
+    line.Add("rate_limit", limit->rate)
+        .AddTime("rate_limit_age", limit->age)
+        .Add("rate_limit_share", limit->share.requests);
+  }
   if (endpoint.speed().IsKnown(state_->Now())) {
     line.AddRounded("slowness_percent",
                     100 * endpoint.speed().Slowness(state_->Now()));
