Tell the other gateways of rate limits

Change: RateLimitController passes changes on to six gateways of the zone and from the one that learned them to the other zones, repeats limits every 2 s, tells gateways that have just started, and keeps the list of those that share limits.

--- a/src/teaselthread/gateway/gateway.cc
+++ b/src/teaselthread/gateway/gateway.cc
@@ -72,6 +72,9 @@
   registrar_.Start();
   rollouts_ = std::make_unique<RolloutController>(&state_, heartbeat_.get());
   rollouts_->Start();
+  rate_limits_ =
+      std::make_unique<RateLimitController>(&state_, heartbeat_.get());
+  rate_limits_->Start();
   rollout_writer_.Start();
   state_.timers().Subscribe(kSweepInterval, state_.Now(),
                             [this](Timestamp) { front_.handler().Sweep(); });
--- a/src/teaselthread/gateway/gateway.h
+++ b/src/teaselthread/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "teaselthread/gateway/admin_server.h"
 #include "teaselthread/gateway/front_server.h"
 #include "teaselthread/gateway/peer_heartbeat.h"
+#include "teaselthread/gateway/rate_limit_controller.h"
 #include "teaselthread/gateway/rollout_controller.h"
 #include "teaselthread/store/node_registrar.h"
 #include "teaselthread/store/rollout_writer.h"
@@ -44,6 +45,7 @@
   std::unique_ptr<PeerHeartbeat> heartbeat_;
   RolloutWriter rollout_writer_;
   std::unique_ptr<RolloutController> rollouts_;
+  std::unique_ptr<RateLimitController> rate_limits_;
 };
 
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/heartbeat_conversion.cc
+++ b/src/teaselthread/gateway/heartbeat_conversion.cc
@@ -1,5 +1,7 @@
 #include "teaselthread/gateway/heartbeat_conversion.h"
 
+#include <cmath>
+
 #include "heartbeat.pb.h"
 
 namespace teaselthread {
@@ -7,6 +9,8 @@
 
 using std::chrono::milliseconds;
 
+constexpr Duration kAgeUnit = milliseconds(10);
+constexpr float kNotLimited = -1;
 // Numbers of one side of a route in a report.
 constexpr int kSideNumbers = 4;
 // Routes of a valid report: those with counters of their own and the others.
@@ -92,6 +96,11 @@
   return static_cast<uint32_t>(std::chrono::ceil<milliseconds>(time).count());
 }
 
+ListStatus DecodeListStatus(const wire::ListStatus& message) {
+  return {message.changed_at(), message.complete_to(),
+          milliseconds(message.age_ms())};
+}
+
 void EncodeChange(const StoreChange& change,
                   bool with_version,
                   wire::StoreChange* message) {
@@ -169,4 +178,35 @@
   return reports;
 }
 
+void EncodeRateLimits(const std::vector<RateLimitUpdate>& updates,
+                      wire::RateLimitReport* message) {
+  for (const RateLimitUpdate& update : updates) {
+    message->add_endpoints(update.endpoint);
+    message->add_starts(update.start);
+    message->add_rates(update.rate ? static_cast<float>(*update.rate)
+                                   : kNotLimited);
+    message->add_ages(static_cast<uint32_t>(update.age / kAgeUnit));
+  }
+}
+
+std::optional<std::vector<RateLimitUpdate>> DecodeRateLimits(
+    const wire::RateLimitReport& message) {
+  const int count = message.endpoints_size();
+  if (message.starts_size() != count || message.rates_size() != count ||
+      message.ages_size() != count) {
+    return std::nullopt;
+  }
+  std::vector<RateLimitUpdate> updates;
+  for (int i = 0; i < count; ++i) {
+    if (!std::isfinite(message.rates(i)))
+      return std::nullopt;
+    RateLimitUpdate update{message.endpoints(i), message.starts(i),
+                           std::nullopt, message.ages(i) * kAgeUnit};
+    if (message.rates(i) >= 0)
+      update.rate = message.rates(i);
+    updates.push_back(update);
+  }
+  return updates;
+}
+
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/heartbeat_conversion.h
+++ b/src/teaselthread/gateway/heartbeat_conversion.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "libteaselthread/peers/store_changes.h"
+#include "libteaselthread/rate_limits/rate_limit_update.h"
 #include "libteaselthread/rollouts/rollout_evidence.h"
 
 // Conversion of parts of heartbeats to and from their wire format.
@@ -12,6 +13,8 @@
 
 namespace wire {
 class GatewayHeartbeat;
+class ListStatus;
+class RateLimitReport;
 class RolloutReport;
 class StoreChange;
 }  // namespace wire
@@ -19,6 +22,8 @@
 // Rounds up.
 uint32_t ToMilliseconds(Duration time);
 
+ListStatus DecodeListStatus(const wire::ListStatus& message);
+
 // `with_version`: includes the versions of endpoints.
 void EncodeChange(const StoreChange& change,
                   bool with_version,
@@ -31,6 +36,12 @@
 // The valid reports of a heartbeat.
 std::vector<RolloutReport> DecodeReports(const wire::GatewayHeartbeat& message);
 
+void EncodeRateLimits(const std::vector<RateLimitUpdate>& updates,
+                      wire::RateLimitReport* message);
+// Empty if the message is not valid.
+std::optional<std::vector<RateLimitUpdate>> DecodeRateLimits(
+    const wire::RateLimitReport& message);
+
 }  // namespace teaselthread
 
 #endif  // TEASELTHREAD_GATEWAY_HEARTBEAT_CONVERSION_H_
--- a/src/teaselthread/gateway/peer_heartbeat.cc
+++ b/src/teaselthread/gateway/peer_heartbeat.cc
@@ -45,11 +45,6 @@
   return {asio::ip::make_address(address.host), address.port};
 }
 
-ListStatus ToListStatus(const wire::ListStatus& message) {
-  return {message.changed_at(), message.complete_to(),
-          std::chrono::milliseconds(message.age_ms())};
-}
-
 }  // namespace
 
 Result<std::unique_ptr<PeerHeartbeat>> PeerHeartbeat::Start(
@@ -200,6 +195,14 @@
     SendTo(target, message);
 }
 
+void PeerHeartbeat::SendRateLimits(const std::vector<RateLimitUpdate>& updates,
+                                   const std::vector<SocketAddress>& targets) {
+  wire::GatewayHeartbeat message = MakeMessage();
+  EncodeRateLimits(updates, message.mutable_rate_limits());
+  for (const SocketAddress& target : targets)
+    SendTo(target, message);
+}
+
 void PeerHeartbeat::SetListStatuses(wire::GatewayHeartbeat* message) const {
   if (!list_status_source_)
     return;
@@ -358,11 +361,11 @@
   if (message.has_load())
     status.requests = OnLoadReport(message.load());
   if (message.has_endpoints())
-    status.lists[0] = ToListStatus(message.endpoints());
+    status.lists[0] = DecodeListStatus(message.endpoints());
   if (message.has_evacuations())
-    status.lists[1] = ToListStatus(message.evacuations());
+    status.lists[1] = DecodeListStatus(message.evacuations());
   if (message.has_rollouts())
-    status.lists[2] = ToListStatus(message.rollouts());
+    status.lists[2] = DecodeListStatus(message.rollouts());
   if (!state_->peers().OnHeartbeat(from, status, state_->Now()))
     return;
   if (on_peer_status_)
@@ -370,6 +373,10 @@
   if (message.has_changes())
     OnChangePart(message.changes());
   OnSuspects(message, state_->peers().IsZonePeer(from));
+  if (message.has_rate_limits())
+    OnRateLimits(message.rate_limits());
+  if (on_new_peer_ && !status.echoed_at && state_->peers().IsZonePeer(from))
+    on_new_peer_(from);
   if (on_rollout_reports_ && message.rollout_reports_size() > 0) {
     on_rollout_reports_(DecodeReports(message),
                         state_->peers().IsZonePeer(from));
@@ -398,6 +405,14 @@
     SendTo(follower, std::move(message));
 }
 
+void PeerHeartbeat::OnRateLimits(const wire::RateLimitReport& report) {
+  const auto updates = DecodeRateLimits(report);
+  if (!updates)
+    state_->metrics().OnUnreadableEntry();
+  else if (on_rate_limits_)
+    on_rate_limits_(*updates);
+}
+
 void PeerHeartbeat::SetSuspects(wire::GatewayHeartbeat* message) const {
   for (const CrashEvidence& evidence :
        state_->crash_suspects().ToShare(kMaxSuspectBytes, state_->Now())) {
--- a/src/teaselthread/gateway/peer_heartbeat.h
+++ b/src/teaselthread/gateway/peer_heartbeat.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 
+#include "libteaselthread/rate_limits/rate_limit_update.h"
 #include "teaselthread/gateway/gateway_state.h"
 
 namespace teaselthread {
@@ -13,6 +14,7 @@
 class ChangePart;
 class GatewayHeartbeat;
 class LoadReport;
+class RateLimitReport;
 }  // namespace wire
 
 // Sends this node's state to its peers as UDP datagrams and receives theirs.
@@ -46,6 +48,22 @@
     on_rollout_reports_ = std::move(on_rollout_reports);
   }
 
+  // Called with the rate limits of endpoints of each heartbeat that has any.
+  using RateLimitsCallback =
+      std::function<void(const std::vector<RateLimitUpdate>&)>;
+  void set_on_rate_limits(RateLimitsCallback on_rate_limits) {
+    on_rate_limits_ = std::move(on_rate_limits);
+  }
+  // Called with the address of a node of this zone that has not received any
+  // heartbeat from this one since it started.
+  using NewPeerCallback = std::function<void(const SocketAddress&)>;
+  void set_on_new_peer(NewPeerCallback on_new_peer) {
+    on_new_peer_ = std::move(on_new_peer);
+  }
+  // Sends a heartbeat with rate limits of endpoints.
+  void SendRateLimits(const std::vector<RateLimitUpdate>& updates,
+                      const std::vector<SocketAddress>& targets);
+
   // Sends a heartbeat with a report on a rollout.
   void SendReport(const RolloutReport& report,
                   const std::vector<SocketAddress>& targets);
@@ -71,6 +89,7 @@
   void SetListStatuses(wire::GatewayHeartbeat* message) const;
   void OnChangePart(const wire::ChangePart& part);
   void ReplyAsLeader(const SocketAddress& follower);
+  void OnRateLimits(const wire::RateLimitReport& report);
   // Adds what this node knows of prompt parts that crash engines.
   void SetSuspects(wire::GatewayHeartbeat* message) const;
   void OnSuspects(const wire::GatewayHeartbeat& message, bool is_zone_peer);
@@ -92,6 +111,8 @@
   ChangePartCallback on_change_part_;
   ListStatusSource list_status_source_;
   ReportsCallback on_rollout_reports_;
+  RateLimitsCallback on_rate_limits_;
+  NewPeerCallback on_new_peer_;
   uint32_t heartbeat_rounds_ = 0;
   Timestamp last_sent_at_{};
   // Evidence from another zone is to be passed on in this one.
