Keep endpoints within the rate limits that they name

Cause: a bound of the fleet that each gateway would have to check alone; the selection knew of none. Ruled out as a remedy: limits kept by each gateway for itself, whose sum is too large. Change: an endpoint without room in this gateway's share is left out after health is judged. If a service has none left, requests wait by priority and in turns by customer, while the room comes in time, or are refused at once (endpoints-limited) with times to return that follow each other.

--- a/src/libteaselthread/endpoints/endpoint_selector.cc
+++ b/src/libteaselthread/endpoints/endpoint_selector.cc
@@ -197,6 +197,8 @@
       return "all-tried";
     case NoEndpointReason::kAllAtBound:
       return "all-at-bound";
+    case NoEndpointReason::kAllLimited:
+      return "all-limited";
   }
   return "unknown";
 }
@@ -224,12 +226,42 @@
   return endpoints;
 }
 
+// The engines among which a service's load is to be even, and their requests.
+struct SharedLoad {
+  std::vector<EndpointPtr> engines;
+  double requests = 0;
+
+  double mean() const { return requests / static_cast<double>(engines.size()); }
+};
+
+// The load of the engines `in_service`. Those with rate limits are left out
+// unless all have one: they have little load because they take no more, and the
+// mean would keep the others from taking what these do not.
+SharedLoad MeasureSharedLoad(const std::vector<EndpointPtr>& in_service,
+                             const RateLimitTable& limits,
+                             const SelectionContext& context,
+                             Timestamp now) {
+  SharedLoad load{{}, ServiceRequests(in_service, context, now)};
+  double limited_requests = 0;
+  for (const EndpointPtr& engine : in_service) {
+    if (limits.StatusOf(engine->record(), now))
+      limited_requests += engine->EstimatedLoad(now);
+    else
+      load.engines.push_back(engine);
+  }
+  if (load.engines.empty())
+    load.engines = in_service;
+  else
+    load.requests = std::max(0.0, load.requests - limited_requests);
+  return load;
+}
+
 // Chooses one of the `usable` engines, all of which may receive the request.
-// The mean load is taken over all engines `in_service`, as the operators do:
+// The mean load is taken over all engines in service, as the operators do:
 // some receive requests from other nodes only, and those in evacuated zones or
 // in a pause none at all.
 SelectionResult SelectEngine(const std::vector<EndpointPtr>& usable,
-                             const std::vector<EndpointPtr>& in_service,
+                             const SharedLoad& load,
                              const SelectionQuery& query,
                              const SelectionContext& context,
                              Timestamp now) {
@@ -242,25 +274,24 @@
   Selection selection;
   selection.affinity_part = AffinityPart(query.prompt).id;
   selection.shared_tokens = SharedTokens(query.prompt);
-  const double requests = ServiceRequests(in_service, context, now);
-  const double mean = requests / static_cast<double>(in_service.size());
+  const double mean = load.mean();
   selection.load_bound = LoadBound(mean);
   selection.mean_load = mean;
-  selection.engines_counted = static_cast<uint32_t>(in_service.size());
+  selection.engines_counted = static_cast<uint32_t>(load.engines.size());
   selection.engines_usable = static_cast<uint32_t>(usable.size());
   // Whether one more request keeps an engine within the bound. Its load is
   // known late, the local requests at once.
   const auto has_room = [&](const EndpointState& engine, double load_bound) {
     const double usable_share = static_cast<double>(usable.size()) /
-                                static_cast<double>(in_service.size());
+                                static_cast<double>(load.engines.size());
     const size_t nodes = std::max<size_t>(1, context.nodes.size());
     return engine.EstimatedLoad(now) + 1 <= load_bound &&
            engine.local_requests() + 1 <=
                LocalBound(load_bound, usable_share, nodes);
   };
-  const double mean_slowness = MeanSlowness(in_service, now);
+  const double mean_slowness = MeanSlowness(load.engines, now);
   RankFor(selection.affinity_part, candidates.begin(), candidates.end());
-  selection.spread = EngineCountFor(query.affinity_share * requests,
+  selection.spread = EngineCountFor(query.affinity_share * load.requests,
                                     selection.load_bound - mean);
   RerankFirst(selection.spread, query.prompt.back().id, &candidates);
   for (const EndpointPtr& endpoint : candidates) {
@@ -380,14 +411,23 @@
   });
   if (usable.empty())
     return NoEndpointReason::kAllCold;
+  // After health is judged, since a limited endpoint makes no failing one
+  // better.
   usable = HealthyOf(usable, now);
+  const size_t healthy = usable.size();
+  std::erase_if(usable, [&](const EndpointPtr& endpoint) {
+    return !table_->rate_limits().Allows(endpoint->record(), now);
+  });
+  if (usable.empty())
+    return NoEndpointReason::kAllLimited;
   Selection selection;
   if (!query.prompt.empty()) {
     const std::vector<EndpointPtr> running =
         table_->Running(query.service->name);
-    SelectionResult engine =
-        SelectEngine(usable, HealthyOf(NotLeaving(running, *table_), now),
-                     query, context, now);
+    const SharedLoad load =
+        MeasureSharedLoad(HealthyOf(NotLeaving(running, *table_), now),
+                          table_->rate_limits(), context, now);
+    SelectionResult engine = SelectEngine(usable, load, query, context, now);
     if (std::holds_alternative<NoEndpointReason>(engine))
       return engine;
     selection = std::get<Selection>(engine);
@@ -395,6 +435,7 @@
   } else {
     selection = SelectPlain(usable, query, context.zone, now);
   }
+  selection.limited = static_cast<uint32_t>(healthy - usable.size());
   return selection;
 }
 
--- a/src/libteaselthread/endpoints/endpoint_selector.h
+++ b/src/libteaselthread/endpoints/endpoint_selector.h
@@ -64,6 +64,9 @@
   // The multiple of the usual work time after which the response was expected;
   // 0 if no endpoint reports its speed. For plain services.
   double work_multiple = 0;
+  // Number of endpoints that were left out because this node's shares of their
+  // rate limits were used up.
+  uint32_t limited = 0;
   // Number of engines over which requests for that part are spread; 1 unless
   // the part is hot.
   uint32_t spread = 1;
@@ -76,6 +79,7 @@
   kAllCold,        // this node's shares of their cold-start limits are used up
   kAllTried,       // all were tried before for this request
   kAllAtBound,     // all engines are at the load bound of the operators
+  kAllLimited,     // this node's shares of their rate limits are used up
 };
 std::string_view ToString(NoEndpointReason reason);
 
--- a/src/libteaselthread/endpoints/waiting_requests.cc
+++ b/src/libteaselthread/endpoints/waiting_requests.cc
@@ -11,12 +11,48 @@
 
 }  // namespace
 
-WaitingRequests::Place WaitingRequests::Enter(int priority) {
-  const Place place{priority, next_number_++};
+WaitingRequests::Place WaitingRequests::Enter(int priority,
+                                              const std::string& customer) {
+  Turns& turns = turns_[priority];
+  const auto [latest, is_first] =
+      turns.latest.try_emplace(customer, turns.round);
+  if (!is_first)
+    latest->second = std::max(turns.round, latest->second + 1);
+  ++turns.waiting;
+  const Place place{priority, latest->second, next_number_++};
   waiting_.insert(place);
   return place;
 }
 
+void WaitingRequests::Leave(const Place& place, bool found_room) {
+  if (found_room) {
+    const bool overtakes = Oldest().priority > place.priority;
+    overtakes_ = overtakes ? overtakes_ + 1 : 0;
+  }
+  waiting_.erase(place);
+  const auto turns = turns_.find(place.priority);
+  turns->second.round = std::max(turns->second.round, place.round);
+  if (--turns->second.waiting == 0)
+    turns_.erase(turns);
+}
+
+bool WaitingRequests::IsFirst(const Place& place) const {
+  if (waiting_.empty())
+    return false;
+  return place == (overtakes_ < kMaxOvertakes ? *waiting_.begin() : Oldest());
+}
+
+size_t WaitingRequests::AheadOf(const Place& place) const {
+  return static_cast<size_t>(
+      std::distance(waiting_.begin(), waiting_.lower_bound(place)));
+}
+
+const WaitingRequests::Place& WaitingRequests::Oldest() const {
+  return *std::min_element(
+      waiting_.begin(), waiting_.end(),
+      [](const Place& a, const Place& b) { return a.number < b.number; });
+}
+
 bool WaitingRequests::HasAheadOf(int priority) const {
   return !waiting_.empty() && waiting_.begin()->priority <= priority;
 }
--- a/src/libteaselthread/requests/reasons.cc
+++ b/src/libteaselthread/requests/reasons.cc
@@ -59,6 +59,7 @@
     {"endpoints-paused", kServiceUnavailable},
     {"buffers-full", kServiceUnavailable},
     {"excessive-framing", kBadRequest},
+    {"endpoints-limited", kServiceUnavailable},
 }};
 
 constexpr std::array<ReasonRow, kUnknownReasonCount> kUnknowns = {{
--- a/src/libteaselthread/requests/reasons.h
+++ b/src/libteaselthread/requests/reasons.h
@@ -44,8 +44,9 @@
   kEndpointsPaused,   // all endpoints have asked for a pause
   kBuffersFull,       // the node keeps too many bodies already
   kExcessiveFraming,  // a chunked body with far more framing than content
+  kEndpointsLimited,  // this node's shares of all rate limits are used up
 };
-inline constexpr size_t kRefusalReasonCount = 35;
+inline constexpr size_t kRefusalReasonCount = 36;
 
 // Why it is unknown whether a request ran.
 enum class UnknownReason : uint8_t {
--- a/src/teaselthread/gateway/gateway_state.h
+++ b/src/teaselthread/gateway/gateway_state.h
@@ -20,6 +20,7 @@
 #include "libteaselthread/endpoints/waiting_requests.h"
 #include "libteaselthread/peers/peer_set.h"
 #include "libteaselthread/peers/revision_announcement.h"
+#include "libteaselthread/rate_limits/return_schedule.h"
 #include "libteaselthread/requests/leaving_schedule.h"
 #include "libteaselthread/rollouts/rollout_table.h"
 #include "libteaselthread/routes/configuration_freshness.h"
@@ -85,6 +86,9 @@
   WaitingRequests& WaitingFor(const std::string& service) {
     return waiting_[service];
   }
+  ReturnSchedule& ReturnScheduleFor(const std::string& service) {
+    return return_schedules_[service];
+  }
   GatewayMetrics& metrics() { return metrics_; }
   BufferQuota& buffers() { return buffers_; }
   CallerConnections& caller_connections() { return caller_connections_; }
@@ -149,7 +153,8 @@
   FullEngineNotices full_engine_notices_;
   CrashSuspects crash_suspects_;
   RolloutTable rollouts_;
-  std::map<std::string, WaitingRequests> waiting_;  // by service
+  std::map<std::string, WaitingRequests> waiting_;          // by service
+  std::map<std::string, ReturnSchedule> return_schedules_;  // by service
   PeerSet peers_;
   std::map<std::string, RetryAllowance> retries_;
   std::map<std::string, HedgePolicy> hedge_policies_;  // by service
--- a/src/teaselthread/requests/endpoint_placement.cc
+++ b/src/teaselthread/requests/endpoint_placement.cc
@@ -43,38 +43,61 @@
   const bool is_queued =
       waiting.HasAheadOf(priority) && !attempts.may_have_run();
   SelectionResult result =
-      is_queued ? NoEndpointReason::kAllAtBound : Select(request, attempts);
-  const auto is_at_bound = [&result] {
-    const auto* reason = std::get_if<NoEndpointReason>(&result);
-    return reason && *reason == NoEndpointReason::kAllAtBound;
-  };
-  if (!is_at_bound())
+      is_queued
+          ? last_reasons_.try_emplace(service, NoEndpointReason::kAllAtBound)
+                .first->second
+          : Select(request, attempts);
+  if (!LacksRoom(result))
     co_return result;
   const Timestamp entered_at = state_->Now();
   const Timestamp until =
       entered_at + WaitingRequests::MaxWait(
                        request.route->objective, request.deadline - entered_at,
                        state_->endpoints().LeastSlowness(service, entered_at));
-  const WaitingRequests::Place place = waiting.Enter(priority);
+  const WaitingRequests::Place place = waiting.Enter(
+      priority, request.customer ? request.customer->name : std::string());
   asio::steady_timer timer(state_->io());
-  while (is_at_bound() && state_->Now() < until && !guard.is_final()) {
+  while (LacksRoom(result) && state_->Now() < until && !guard.is_final() &&
+         MayGetRoom(result, service, place, until)) {
     timer.expires_after(kRoomCheckInterval);
     co_await timer.async_wait(kAsTuple);
     if (waiting.IsFirst(place))
       result = Select(request, attempts);
   }
-  waiting.Leave(place);
+  waiting.Leave(place, !LacksRoom(result));
   LogLine line("waited-for-room");
   line.Add("id", request.head.id)
       .Add("service", service)
       .Add("priority", priority)
       .Add("waiting", waiting.size())
-      .Add("found_room", !is_at_bound())
+      .Add("found_room", !LacksRoom(result))
       .AddTime("elapsed", state_->Now() - entered_at);
+  if (const auto* reason = std::get_if<NoEndpointReason>(&result))
+    line.Add("reason", ToString(*reason));
   state_->log().Info(line);
   co_return result;
 }
 
+bool EndpointPlacement::LacksRoom(const SelectionResult& result) {
+  const auto* reason = std::get_if<NoEndpointReason>(&result);
+  return reason && (*reason == NoEndpointReason::kAllAtBound ||
+                    *reason == NoEndpointReason::kAllLimited);
+}
+
+bool EndpointPlacement::MayGetRoom(const SelectionResult& result,
+                                   const std::string& service,
+                                   const WaitingRequests::Place& place,
+                                   Timestamp until) {
+  last_reasons_[service] = std::get<NoEndpointReason>(result);
+  if (last_reasons_[service] != NoEndpointReason::kAllLimited)
+    return true;
+  const Timestamp now = state_->Now();
+  const auto wait = ReturnSchedule::ExpectedWait(
+      state_->endpoints().RoomUnderRateLimits(service, now),
+      state_->WaitingFor(service).AheadOf(place));
+  return wait && now + *wait <= until;
+}
+
 ResponseTimeouts EndpointPlacement::TimeoutsFor(
     const ClassifiedRequest& request,
     const EndpointState& endpoint) const {
--- a/src/teaselthread/requests/endpoint_placement.h
+++ b/src/teaselthread/requests/endpoint_placement.h
@@ -1,6 +1,7 @@
 #ifndef TEASELTHREAD_REQUESTS_ENDPOINT_PLACEMENT_H_
 #define TEASELTHREAD_REQUESTS_ENDPOINT_PLACEMENT_H_
 
+#include <map>
 #include <set>
 #include <string>
 
@@ -22,8 +23,8 @@
 
   RolloutGuard& rollout_guard() { return rollout_guard_; }
 
-  // Selects an endpoint. If all are at their load bound, waits until one is not
-  // or the request can no longer be served in time.
+  // Selects an endpoint. If all are at their load bounds or rate limits, waits
+  // until one is not, or as long as the request can still be served in time.
   asio::awaitable<SelectionResult> SelectOrWait(
       const ClassifiedRequest& request,
       const RequestAttempts& attempts,
@@ -38,8 +39,19 @@
   void OnServed(const Selection& selection, Duration elapsed);
 
  private:
+  // Whether there is no room now, but may be soon.
+  static bool LacksRoom(const SelectionResult& result);
+  // Whether this node's shares of rate limits leave room before `until` for a
+  // request with this place, if they are what it waits for.
+  bool MayGetRoom(const SelectionResult& result,
+                  const std::string& service,
+                  const WaitingRequests::Place& place,
+                  Timestamp until);
+
   GatewayState* state_;
   RolloutGuard rollout_guard_;
+  // Why there was no room the last time, by service.
+  std::map<std::string, NoEndpointReason> last_reasons_;
 };
 
 }  // namespace teaselthread
--- a/src/teaselthread/requests/final_responses.cc
+++ b/src/teaselthread/requests/final_responses.cc
@@ -9,6 +9,8 @@
   switch (reason) {
     case NoEndpointReason::kAllPaused:
       return RefusalReason::kEndpointsPaused;
+    case NoEndpointReason::kAllLimited:
+      return RefusalReason::kEndpointsLimited;
     case NoEndpointReason::kAllCold:
       return RefusalReason::kEndpointsCold;
     case NoEndpointReason::kAllTried:
@@ -64,12 +66,7 @@
   std::optional<Duration> time_left = exchange.request.head.time_left;
   if (time_left)
     *time_left -= state_->Now() - exchange.request.received_at;
-  Duration pause{};
-  if (reason == RefusalReason::kEndpointsPaused) {
-    pause = state_->endpoints()
-                .ShortestPause(exchange.request.service->name, state_->Now())
-                .value_or(Duration::zero());
-  }
+  const Duration pause = PauseFor(exchange, reason);
   const Duration retry_after = RetryAfterFor(reason, spread, time_left, pause);
   auto problem = MakeProblem(RefusedNotRun{reason, retry_after});
   if (retry_after > Duration::zero())
@@ -82,6 +79,24 @@
   co_await exchange.writer->WriteResponse(std::move(head), std::move(body));
 }
 
+Duration FinalResponses::PauseFor(const RequestExchange& exchange,
+                                  RefusalReason reason) {
+  if (reason != RefusalReason::kEndpointsPaused &&
+      reason != RefusalReason::kEndpointsLimited) {
+    return Duration::zero();
+  }
+  const std::string& service = exchange.request.service->name;
+  const Timestamp now = state_->Now();
+  if (reason == RefusalReason::kEndpointsPaused) {
+    return state_->endpoints()
+        .ShortestPause(service, now)
+        .value_or(Duration::zero());
+  }
+  return state_->ReturnScheduleFor(service).Next(
+      state_->endpoints().RoomUnderRateLimits(service, now),
+      state_->WaitingFor(service).size(), now);
+}
+
 asio::awaitable<void> FinalResponses::EndWithoutAttempt(
     RequestExchange& exchange,
     RefusalReason reason) {
--- a/src/teaselthread/requests/final_responses.h
+++ b/src/teaselthread/requests/final_responses.h
@@ -28,6 +28,10 @@
                                              UnknownReason reason);
 
  private:
+  // How long the endpoints want no requests, if that is why the request is
+  // refused.
+  Duration PauseFor(const RequestExchange& exchange, RefusalReason reason);
+
   GatewayState* state_;
 };
 
--- a/src/teaselthread/requests/request_log.cc
+++ b/src/teaselthread/requests/request_log.cc
@@ -21,6 +21,8 @@
         .AddTime("rate_limit_age", limit->age)
         .Add("rate_limit_share", limit->share.requests);
   }
+  if (selection.limited > 0)
+    line.Add("endpoints_limited", selection.limited);
   if (endpoint.speed().IsKnown(state_->Now())) {
     line.AddRounded("slowness_percent",
                     100 * endpoint.speed().Slowness(state_->Now()));
--- a/src/teaselthread/requests/tracked_attempt.cc
+++ b/src/teaselthread/requests/tracked_attempt.cc
@@ -27,6 +27,9 @@
   exchange_->attempts.OnStart(endpoint.record().id, role_);
   sent_at_ = state_->Now();
   endpoint.OnSend(sent_at_);
+  state_->endpoints().rate_limits().OnSend(endpoint.record(), sent_at_);
+  if (selection_.limited > 0)
+    state_->metrics().OnLimitedSelection(selection_.limited);
   const std::string& service = exchange_->request.service->name;
   if (!selection_.affinity_part.empty())
     state_->demand().OnStart(service, selection_.affinity_part, state_->Now());
@@ -97,7 +100,9 @@
   const bool was_ejected = health.ejected();
   if (!result.failure) {
     health.OnSuccess();
-  } else if (result.silence_recorded) {
+  } else if (result.silence_recorded ||
+             (result.is_rate_limited &&
+              result.failure == AttemptFailure::kRejected)) {
     health.OnAbandoned();
   } else {
     switch (*result.failure) {
