Deliver the last response before an idle connection is closed

Callers that read slowly lost the end of a response to a gateway that leaves: 1.5 s after the signal it closes the connections that wait for a request, and the caller's next request, sent before it had read the response, made the kernel reset the connection. Change: such a connection is idle only when nothing is unacknowledged on it.

--- a/src/teaselthread/gateway/front_connection.cc
+++ b/src/teaselthread/gateway/front_connection.cc
@@ -44,7 +44,7 @@
   ++state_->connections;
   while (co_await ServeNextRequest()) {
   }
-  if (!is_aborted_ && !is_idle_ && !caller_has_closed_)
+  if (!is_aborted_ && !caller_has_closed_ && MayHaveUnreadResponse())
     co_await AwaitDelivery();
   --state_->connections;
   state_->caller_connections().Remove(id_);
@@ -97,6 +97,11 @@
   state_->caller_connections().SetState(id_, state, state_->Now());
 }
 
+bool FrontConnection::MayHaveUnreadResponse() {
+  // An idle connection has had time to deliver its response.
+  return !is_idle_ || BacklogOf(socket_).unacknowledged > 0;
+}
+
 asio::awaitable<void> FrontConnection::AwaitDelivery() {
   is_ending_ = true;
   SetState(CallerConnections::State::kEnding);
--- a/src/teaselthread/gateway/front_connection.h
+++ b/src/teaselthread/gateway/front_connection.h
@@ -43,6 +43,8 @@
   ResponseWriter::Options WriterOptions(const CallerHttpRequest& message,
                                         const std::string& caller);
   void SetState(CallerConnections::State state);
+  // Whether part of the last response may still be on its way.
+  bool MayHaveUnreadResponse();
   // Waits until the caller has the whole last response, for a limited time.
   asio::awaitable<void> AwaitDelivery();
   // Counts how the connection ends and, if the caller may not have the whole
--- a/tests/shutdown/unread_input_test.cc
+++ b/tests/shutdown/unread_input_test.cc
@@ -22,6 +22,8 @@
 constexpr size_t kReadBytes = 2 * 1024;
 constexpr Duration kReadPause = milliseconds(2);
 constexpr Duration kTimeout = std::chrono::seconds(5);
+// Later than the gateway accepts connections, and well before it exits.
+constexpr Duration kTimeSinceSignal = std::chrono::seconds(3);
 constexpr int kEvents = 20;
 constexpr size_t kEventBytes = 4 * 1024;
 
@@ -60,6 +62,8 @@
               {asio::ip::make_address(to.host), to.port}, kAsTuple);
           co_await asio::async_write(socket, asio::buffer(first), kAsTuple);
           co_await Read(socket, &received);
+          asio::steady_timer pause(harness.io(), second_after);
+          co_await pause.async_wait(kAsTuple);
           co_await asio::async_write(socket, asio::buffer(second), kAsTuple);
           while (co_await Read(socket, &received)) {
           }
@@ -70,6 +74,17 @@
     return received;
   }
 
+  void RunLater(Duration after, std::function<void()> action) {
+    asio::co_spawn(
+        harness.io(),
+        [this, after, action]() -> asio::awaitable<void> {
+          asio::steady_timer timer(harness.io(), after);
+          co_await timer.async_wait(kAsTuple);
+          action();
+        },
+        asio::detached);
+  }
+
   // Returns false once the connection has ended.
   asio::awaitable<bool> Read(tcp::socket& socket, std::string* received) {
     asio::steady_timer pause(harness.io(), kReadPause);
@@ -89,6 +104,8 @@
     BOOST_TEST(end == asio::error::eof);
   }
 
+  // Until `second` is sent after the response to `first` has begun.
+  Duration second_after = Duration::zero();
   boost::system::error_code end;
 };
 
@@ -144,6 +161,15 @@
   CheckWhole(Exchange(MakeRequest("POST", "/chat/", "id-1", "q"), kOrder));
 }
 
+BOOST_AUTO_TEST_CASE(gets_the_whole_response_on_a_connection_closed_as_idle) {
+  RunLater(milliseconds(30), [this] {
+    harness.state().BeginLeaving(harness.state().Now() - kTimeSinceSignal);
+    harness.front().StopAccepting();
+  });
+  second_after = milliseconds(60);
+  CheckWhole(Exchange(MakeRequest("POST", "/order/", "id-1", "q"), kOrder));
+}
+
 BOOST_AUTO_TEST_CASE(does_not_run_what_it_has_sent_after_the_last_response) {
   harness.state().BeginLeaving(harness.state().Now());
   Exchange(MakeRequest("POST", "/chat/", "id-1", "q"), kOrder);
