Tell a broken connection from one that its caller has closed

Change: FinishOutput tells an end of input from an error; connections with an answered request make room last; the id of an earlier request is not logged; the exit waits once more for connections just accepted.

--- a/src/libteaselthread/callers/connection_end.h
+++ b/src/libteaselthread/callers/connection_end.h
@@ -12,7 +12,8 @@
 enum class ConnectionEnd : uint8_t {
   kCallerClosed,    // the caller closed its side first
   kAcknowledged,    // the caller has acknowledged all that was sent
-  kUnacknowledged,  // closed with bytes that the caller has not acknowledged
+  kUnacknowledged,  // closed, or broken by the caller, before it has
+                    // acknowledged all
   kUnreadInput,     // closed with bytes of the caller that were not read, which
                     // resets the connection
   kReset,           // reset on purpose, as the response is incomplete
--- a/src/teaselthread/callers/finish_output.cc
+++ b/src/teaselthread/callers/finish_output.cc
@@ -15,22 +15,25 @@
 constexpr size_t kMaxBytes = size_t{16} << 20;
 constexpr size_t kReadBytes = size_t{8} * 1024;
 
-// Discards input for kStallTime. Returns false once the connection has ended,
-// or after more than kMaxBytes in all.
-asio::awaitable<bool> DiscardInput(tcp::socket& socket, size_t* total) {
+// Discards input for kStallTime, unless there are more than kMaxBytes in all.
+// Returns why it ended sooner; no error if it did not.
+asio::awaitable<boost::system::error_code> DiscardInput(tcp::socket& socket,
+                                                        size_t* total) {
   // All connections share the buffer, since nobody reads it. One for each would
   // be memory that refused callers hold.
   static std::array<char, kReadBytes> sink;
   IoTimeout limit(socket);
   limit.Arm(kStallTime);
-  while (*total < kMaxBytes && !limit.expired()) {
+  while (!limit.expired()) {
     auto [failure, count] =
         co_await socket.async_read_some(asio::buffer(sink), kAsTuple);
     *total += count;
-    if (failure)
-      co_return limit.expired();
+    if (failure && !limit.expired())
+      co_return failure;
+    if (*total > kMaxBytes)
+      co_return asio::error::message_size;
   }
-  co_return limit.expired();
+  co_return boost::system::error_code();
 }
 
 }  // namespace
@@ -41,11 +44,14 @@
   size_t unacknowledged = BacklogOf(socket).unacknowledged;
   size_t discarded = 0;
   for (int period = 0; period < kMaxPeriods; ++period) {
-    const bool is_open = co_await DiscardInput(socket, &discarded);
-    if (!is_open) {
-      co_return discarded < kMaxBytes ? ConnectionEnd::kCallerClosed
-                                      : EndOf(BacklogOf(socket));
-    }
+    const boost::system::error_code end =
+        co_await DiscardInput(socket, &discarded);
+    if (end == asio::error::eof)
+      co_return ConnectionEnd::kCallerClosed;
+    if (end == asio::error::message_size)
+      break;
+    if (end)
+      co_return ConnectionEnd::kUnacknowledged;
     const size_t left = BacklogOf(socket).unacknowledged;
     if (left == 0 || left >= unacknowledged)
       break;
--- a/src/teaselthread/callers/finish_output.h
+++ b/src/teaselthread/callers/finish_output.h
@@ -6,10 +6,11 @@
 
 namespace teaselthread {
 
-// Ends the output to a caller and waits until the caller closes its side, which
-// shows that it has received everything. What the caller still sends is
-// discarded. Closing a connection with unread input, or receiving input after
-// that, resets it, and the caller would lose what is on its way.
+// Ends the output to a caller and waits until the caller closes its side, after
+// which it can send nothing that would reset the connection. What the caller
+// still sends is discarded. Closing a connection with unread input, or
+// receiving input after that, resets it, and the caller would lose what is on
+// its way.
 //
 // The wait is limited, except that a caller which goes on acknowledging what it
 // is sent gets more time. Returns how the connection ends if it is closed now.
--- a/src/teaselthread/gateway/front_connection.cc
+++ b/src/teaselthread/gateway/front_connection.cc
@@ -44,7 +44,7 @@
   ++state_->connections;
   while (co_await ServeNextRequest()) {
   }
-  if (!is_aborted_ && !caller_has_closed_ && MayHaveUnreadResponse())
+  if (!is_aborted_ && !end_ && MayHaveUnreadResponse())
     co_await AwaitDelivery();
   --state_->connections;
   state_->caller_connections().Remove(id_);
@@ -58,8 +58,7 @@
 
 void FrontConnection::Close() {
   if (socket_.is_open()) {
-    RecordEnd(caller_has_closed_ ? ConnectionEnd::kCallerClosed
-                                 : EndOf(BacklogOf(socket_)));
+    RecordEnd(end_ ? *end_ : EndOf(BacklogOf(socket_)));
   }
   boost::system::error_code ignored;
   socket_.shutdown(tcp::socket::shutdown_send, ignored);
@@ -82,7 +81,7 @@
 }
 
 void FrontConnection::CloseIfIdle() {
-  if (!is_idle_ || buffer_.size() > 0)
+  if (!is_idle_ || is_ending_ || buffer_.size() > 0)
     return;
   boost::system::error_code ignored;
   socket_.cancel(ignored);
@@ -104,10 +103,8 @@
 
 asio::awaitable<void> FrontConnection::AwaitDelivery() {
   is_ending_ = true;
-  SetState(CallerConnections::State::kEnding);
   buffer_ = {};
-  const ConnectionEnd end = co_await FinishOutput(socket_);
-  caller_has_closed_ = end == ConnectionEnd::kCallerClosed;
+  end_ = co_await FinishOutput(socket_);
 }
 
 void FrontConnection::RecordEnd(ConnectionEnd end) {
@@ -136,11 +133,12 @@
     co_return false;
   is_idle_ = false;
   SetState(CallerConnections::State::kBusy);
+  last_request_id_.clear();
   std::optional<RequestReader> reader(std::in_place, state_, &socket_, &buffer_,
                                       bounds);
   const auto refusal = co_await reader->Read();
   if (reader->caller_disconnected()) {
-    caller_has_closed_ = true;
+    end_ = ConnectionEnd::kCallerClosed;
     co_return false;
   }
   if (refusal) {
@@ -154,10 +152,8 @@
   last_request_id_ = state_->codec().DecodeCaller(message.base()).id;
   co_await handler_->Serve(message, state_->Now(), &socket_, &writer);
   is_aborted_ = writer.is_aborted();
-  if (!writer.is_usable())
-    co_return false;
   SetState(CallerConnections::State::kIdle);
-  co_return true;
+  co_return writer.is_usable();
 }
 
 asio::awaitable<bool> FrontConnection::AwaitBytes(Duration timeout) {
--- a/src/teaselthread/gateway/front_connection.h
+++ b/src/teaselthread/gateway/front_connection.h
@@ -59,7 +59,8 @@
   bool is_idle_ = true;
   bool is_aborted_ = false;
   bool is_ending_ = false;  // the last response is complete
-  bool caller_has_closed_ = false;
+  // Set once it is known, before the connection is closed.
+  std::optional<ConnectionEnd> end_;
   std::string last_request_id_;  // empty before the first request
 };
 
--- a/src/teaselthread/gateway/gateway.cc
+++ b/src/teaselthread/gateway/gateway.cc
@@ -151,10 +151,11 @@
   pause.expires_at(GatewayState::ToSteady(schedule.accepts_until()));
   co_await pause.async_wait(kAsTuple);
   front_.StopAccepting();
-  while (state_.connections > 0 && state_.Now() < schedule.exits_at()) {
+  // A connection that has just been accepted is counted a moment later.
+  do {
     pause.expires_after(kDrainPoll);
     co_await pause.async_wait(kAsTuple);
-  }
+  } while (state_.connections > 0 && state_.Now() < schedule.exits_at());
   front_.handler().LogCutRequests();
   front_.CloseForExit();
   LogLine left("left");
--- a/tests/shutdown/unread_input_test.cc
+++ b/tests/shutdown/unread_input_test.cc
@@ -19,17 +19,17 @@
 // Smaller than a response, so that its end is still in the gateway's kernel
 // when the gateway has written it.
 constexpr int kReceiveBufferBytes = 4 * 1024;
-constexpr size_t kReadBytes = 2 * 1024;
+constexpr size_t kReadBytes = 2'048;
 constexpr Duration kReadPause = milliseconds(2);
 constexpr Duration kTimeout = std::chrono::seconds(5);
 // Later than the gateway accepts connections, and well before it exits.
 constexpr Duration kTimeSinceSignal = std::chrono::seconds(3);
-constexpr int kEvents = 20;
-constexpr size_t kEventBytes = 4 * 1024;
+constexpr size_t kEvents = 20;
+constexpr size_t kEventBytes = 4'096;
 
 std::string LongEvents() {
   std::string events;
-  for (int i = 1; i <= kEvents; ++i) {
+  for (size_t i = 1; i <= kEvents; ++i) {
     events += Chunk("id: " + std::to_string(i) +
                     "\ndata: " + std::string(kEventBytes, 'x') + "\n\n");
   }
