Serve requests that wait as soon as a rate limit ends

Cause: requests that waited kept the reason for which they had entered, and were refused when the limit had ended; a refused request moved the customers' turns on, so that a flood went before others (found in review, by reading and by a test of the queue). Change: all that wait for a service follow what the first of them last found; room is counted without endpoints that were tried; only requests that are sent move the turns on; without a limit a refused caller returns soon.

--- a/src/libteaselthread/endpoints/endpoint_selector.cc
+++ b/src/libteaselthread/endpoints/endpoint_selector.cc
@@ -257,9 +257,9 @@
 }
 
 // Chooses one of the `usable` engines, all of which may receive the request.
-// The mean load is taken over all engines in service, as the operators do:
-// some receive requests from other nodes only, and those in evacuated zones or
-// in a pause none at all.
+// `load` is that of all engines in service, as the operators count it, but for
+// limited ones: some engines receive requests from other nodes only, and those
+// in evacuated zones or in a pause none at all.
 SelectionResult SelectEngine(const std::vector<EndpointPtr>& usable,
                              const SharedLoad& load,
                              const SelectionQuery& query,
--- a/src/libteaselthread/endpoints/waiting_requests.cc
+++ b/src/libteaselthread/endpoints/waiting_requests.cc
@@ -31,7 +31,8 @@
   }
   waiting_.erase(place);
   const auto turns = turns_.find(place.priority);
-  turns->second.round = std::max(turns->second.round, place.round);
+  if (found_room)
+    turns->second.round = std::max(turns->second.round, place.round);
   if (--turns->second.waiting == 0)
     turns_.erase(turns);
 }
--- a/src/libteaselthread/endpoints/waiting_requests.h
+++ b/src/libteaselthread/endpoints/waiting_requests.h
@@ -54,7 +54,7 @@
  private:
   // The turns of the customers that have requests of one priority.
   struct Turns {
-    uint64_t round = 0;                        // of the latest one that left
+    uint64_t round = 0;  // of the latest one that was sent
     std::map<std::string, uint64_t> latest{};  // by customer
     size_t waiting = 0;
   };
--- a/src/libteaselthread/rate_limits/return_schedule.h
+++ b/src/libteaselthread/rate_limits/return_schedule.h
@@ -22,7 +22,7 @@
                                               size_t ahead);
   // Until a caller that is refused at `now` is to come back, while `waiting`
   // requests wait at this node. A node without a share sends it to another one
-  // soon. At most kMaxReturnTime.
+  // soon. At most kMaxReturnTime; kOtherNodeTime if there is no limit any more.
   Duration Next(const RateLimitRoom& room, size_t waiting, Timestamp now);
 
   static constexpr Duration kMaxReturnTime = std::chrono::seconds(8);
--- a/src/teaselthread/requests/endpoint_placement.cc
+++ b/src/teaselthread/requests/endpoint_placement.cc
@@ -43,12 +43,10 @@
   const bool is_queued =
       waiting.HasAheadOf(priority) && !attempts.may_have_run();
   SelectionResult result =
-      is_queued
-          ? last_reasons_.try_emplace(service, NoEndpointReason::kAllAtBound)
-                .first->second
-          : Select(request, attempts);
+      is_queued ? LastReason(service) : Select(request, attempts);
   if (!LacksRoom(result))
     co_return result;
+  last_reasons_[service] = std::get<NoEndpointReason>(result);
   const Timestamp entered_at = state_->Now();
   const Timestamp until =
       entered_at + WaitingRequests::MaxWait(
@@ -58,11 +56,17 @@
       priority, request.customer ? request.customer->name : std::string());
   asio::steady_timer timer(state_->io());
   while (LacksRoom(result) && state_->Now() < until && !guard.is_final() &&
-         MayGetRoom(result, service, place, until)) {
+         MayGetRoom(service, place, attempts.tried(), until)) {
     timer.expires_after(kRoomCheckInterval);
     co_await timer.async_wait(kAsTuple);
-    if (waiting.IsFirst(place))
-      result = Select(request, attempts);
+    if (!waiting.IsFirst(place)) {
+      result = LastReason(service);
+      continue;
+    }
+    result = Select(request, attempts);
+    last_reasons_[service] = LacksRoom(result)
+                                 ? std::get<NoEndpointReason>(result)
+                                 : NoEndpointReason::kAllAtBound;
   }
   waiting.Leave(place, !LacksRoom(result));
   LogLine line("waited-for-room");
@@ -84,17 +88,25 @@
                     *reason == NoEndpointReason::kAllLimited);
 }
 
-bool EndpointPlacement::MayGetRoom(const SelectionResult& result,
-                                   const std::string& service,
+NoEndpointReason EndpointPlacement::LastReason(const std::string& service) {
+  return last_reasons_.try_emplace(service, NoEndpointReason::kAllAtBound)
+      .first->second;
+}
+
+bool EndpointPlacement::MayGetRoom(const std::string& service,
                                    const WaitingRequests::Place& place,
+                                   const std::set<std::string>& tried,
                                    Timestamp until) {
-  last_reasons_[service] = std::get<NoEndpointReason>(result);
-  if (last_reasons_[service] != NoEndpointReason::kAllLimited)
+  if (LastReason(service) != NoEndpointReason::kAllLimited)
     return true;
   const Timestamp now = state_->Now();
+  const RateLimitRoom room =
+      state_->endpoints().RoomUnderRateLimits(service, tried, now);
+  // The limits have ended since.
+  if (room.mean_rate <= 0)
+    return true;
   const auto wait = ReturnSchedule::ExpectedWait(
-      state_->endpoints().RoomUnderRateLimits(service, now),
-      state_->WaitingFor(service).AheadOf(place));
+      room, state_->WaitingFor(service).AheadOf(place));
   return wait && now + *wait <= until;
 }
 
--- a/src/teaselthread/requests/endpoint_placement.h
+++ b/src/teaselthread/requests/endpoint_placement.h
@@ -41,17 +41,19 @@
  private:
   // Whether there is no room now, but may be soon.
   static bool LacksRoom(const SelectionResult& result);
+  // Why there was no room the last time that a request for the service was
+  // placed.
+  NoEndpointReason LastReason(const std::string& service);
   // Whether this node's shares of rate limits leave room before `until` for a
-  // request with this place, if they are what it waits for.
-  bool MayGetRoom(const SelectionResult& result,
-                  const std::string& service,
+  // request with this place, if they are what the service lacks.
+  bool MayGetRoom(const std::string& service,
                   const WaitingRequests::Place& place,
+                  const std::set<std::string>& tried,
                   Timestamp until);
 
   GatewayState* state_;
   RolloutGuard rollout_guard_;
-  // Why there was no room the last time, by service.
-  std::map<std::string, NoEndpointReason> last_reasons_;
+  std::map<std::string, NoEndpointReason> last_reasons_;  // by service
 };
 
 }  // namespace teaselthread
--- a/src/teaselthread/requests/final_responses.cc
+++ b/src/teaselthread/requests/final_responses.cc
@@ -93,7 +93,7 @@
         .value_or(Duration::zero());
   }
   return state_->ReturnScheduleFor(service).Next(
-      state_->endpoints().RoomUnderRateLimits(service, now),
+      state_->endpoints().RoomUnderRateLimits(service, {}, now),
       state_->WaitingFor(service).size(), now);
 }
 
--- a/tests/rate_limits/limited_endpoints_test.cc
+++ b/tests/rate_limits/limited_endpoints_test.cc
@@ -35,6 +35,33 @@
                     more_fields),
         IsComplete);
   }
+  // Sends requests at the same time. Returns how many responses had status 200.
+  int SendTogether(int count) {
+    int served = 0;
+    int pending = count;
+    for (int i = 0; i < count; ++i) {
+      const std::string id = "id-" + std::to_string(++sent);
+      asio::co_spawn(
+          harness.io(),
+          [this, id, &served, &pending]() -> asio::awaitable<void> {
+            const SocketAddress& to = harness.state().settings().front_listen();
+            tcp::socket socket(harness.io());
+            co_await socket.async_connect(
+                {asio::ip::make_address(to.host), to.port}, kAsTuple);
+            const std::string request = MakeRequest("GET", "/list/", id);
+            co_await asio::async_write(socket, asio::buffer(request), kAsTuple);
+            std::string part(1'024, '\0');
+            auto [failure, bytes] =
+                co_await socket.async_read_some(asio::buffer(part), kAsTuple);
+            served += !failure && HasStatus(part, "200") ? 1 : 0;
+            if (--pending == 0)
+              harness.io().stop();
+          },
+          asio::detached);
+    }
+    harness.RunFor(std::chrono::seconds(3));
+    return served;
+  }
   size_t LimitsInForce() {
     return harness.state().endpoints().rate_limits().size();
   }
@@ -95,6 +122,17 @@
   BOOST_TEST((harness.state().Now() - start >= milliseconds(300)));
 }
 
+BOOST_AUTO_TEST_CASE(serves_those_that_wait_as_the_limit_ends) {
+  limit = "5";
+  StartDesk(1, 0);
+  for (int i = 0; i < 2; ++i)
+    BOOST_TEST(HasStatus(Send(), "200"));
+  limit.clear();
+  BOOST_TEST(SendTogether(3) == 3);
+  BOOST_TEST(LimitsInForce() == 0u);
+  BOOST_TEST(SendTogether(10) == 10);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(a_response_with_an_unreadable_limit, LimitedFixture)
--- a/tests/rate_limits/return_schedule_test.cc
+++ b/tests/rate_limits/return_schedule_test.cc
@@ -8,7 +8,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const RateLimitRoom kRoom{milliseconds(300), 4};
+const RateLimitRoom kRoom{milliseconds(300), 4, 4};
 constexpr Timestamp kNow{seconds(100)};
 
 // Load pattern: all endpoints of a service take four requests a second of this
@@ -35,9 +35,15 @@
       (schedule.Next(kRoom, 0, kNow + seconds(60)) == milliseconds(300)));
 }
 
+BOOST_AUTO_TEST_CASE(return_soon_once_there_is_no_limit) {
+  ReturnSchedule schedule;
+  for (int i = 0; i < 3; ++i)
+    BOOST_TEST((schedule.Next({}, 0, kNow) == schedule.kOtherNodeTime));
+}
+
 BOOST_AUTO_TEST_CASE(go_to_another_node_soon_if_this_one_has_no_share) {
   ReturnSchedule schedule;
-  const RateLimitRoom none{std::nullopt, 4};
+  const RateLimitRoom none{std::nullopt, 0, 4};
   BOOST_TEST((schedule.Next(none, 0, kNow) == schedule.kOtherNodeTime));
 }
 
@@ -47,7 +53,8 @@
 
 BOOST_AUTO_TEST_CASE(waits_for_those_before_it) {
   BOOST_TEST((ReturnSchedule::ExpectedWait(kRoom, 2) == milliseconds(800)));
-  BOOST_TEST(!ReturnSchedule::ExpectedWait({std::nullopt, 4}, 0).has_value());
+  BOOST_TEST(
+      !ReturnSchedule::ExpectedWait({std::nullopt, 0, 4}, 0).has_value());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/waiting/waiting_requests_test.cc
+++ b/tests/waiting/waiting_requests_test.cc
@@ -49,6 +49,19 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(of_a_customer_most_of_whose_requests_are_refused)
+
+BOOST_AUTO_TEST_CASE(do_not_overtake_those_of_others) {
+  WaitingRequests waiting;
+  for (int i = 0; i < 3; ++i)
+    waiting.Enter(1, "crowd");
+  for (int i = 0; i < 10; ++i)
+    waiting.Leave(waiting.Enter(1, "crowd"), false);
+  BOOST_TEST(waiting.AheadOf(waiting.Enter(1, "other")) == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(while_urgent_ones_keep_coming)
 
 BOOST_AUTO_TEST_CASE(get_room_in_the_end) {
