Bound what the other clients buffer of a head or chunk header

A node, and whatever calls the platform's store, kept all bytes of a server that sent the line of a chunk header or a trailer without end, until the call timed out: the read buffers had no limit, and the parser limits a head only. Gateways' attempts had a limit and are not affected. Change: at most 64 KB of a head, chunk header or trailer are buffered, after which the call ends as a lost connection.

--- a/src/teaselthread/endpoint_call.cc
+++ b/src/teaselthread/endpoint_call.cc
@@ -104,7 +104,7 @@
       co_await http::async_write(socket, request, kAsTuple);
   if (write_failure)
     co_return failed();
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(kMaxFramingBytes);
   http::response_parser<http::buffer_body> parser;
   parser.body_limit(kMaxResponseBytes);
   auto [head_failure, head_read] =
--- a/src/teaselthread/http_client.cc
+++ b/src/teaselthread/http_client.cc
@@ -51,7 +51,7 @@
       co_await http::async_write(socket, request, kAsTuple);
   if (write_failure)
     co_return fail(write_failure);
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(kMaxFramingBytes);
   http::response_parser<http::string_body> parser;
   parser.body_limit(kMaxReplyBytes);
   auto [read_failure, read] =
--- a/src/teaselthread/http_client.h
+++ b/src/teaselthread/http_client.h
@@ -9,6 +9,10 @@
 
 namespace teaselthread {
 
+// Limit on what a client buffers of a head, chunk header or trailer that is not
+// complete.
+inline constexpr size_t kMaxFramingBytes = size_t{64} * 1024;
+
 // Whether `status` is a 2xx status code.
 constexpr bool IsSuccess(int status) {
   return status >= 200 && status < 300;
--- a/tests/gateway/gateway_harness.cc
+++ b/tests/gateway/gateway_harness.cc
@@ -1,5 +1,6 @@
 #include "gateway/gateway_harness.h"
 
+#include <algorithm>
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <sstream>
@@ -137,6 +138,7 @@
 asio::awaitable<void> ScriptedEndpoint::Repeat(tcp::socket& socket,
                                                const Reply& reply) {
   asio::steady_timer pause(acceptor_.get_executor());
+  size_t total = 0;
   for (;;) {
     if (reply.pause > Duration::zero()) {
       pause.expires_after(reply.pause);
@@ -144,6 +146,8 @@
     }
     auto [failure, count] = co_await asio::async_write(
         socket, asio::buffer(reply.repeated), kAsTuple);
+    total += count;
+    most_repeated_bytes_ = std::max(most_repeated_bytes_, total);
     if (failure)
       break;
   }
--- a/tests/gateway/gateway_harness.h
+++ b/tests/gateway/gateway_harness.h
@@ -44,6 +44,9 @@
   int connections() const { return connections_; }
   // Number of connections that the gateway closed while a response was pending.
   int abandoned() const { return abandoned_; }
+  // Most bytes of `repeated` that one connection has taken, up to what the
+  // kernel holds for it.
+  size_t most_repeated_bytes() const { return most_repeated_bytes_; }
 
  private:
   asio::awaitable<void> Accept();
@@ -58,6 +61,7 @@
   std::set<tcp::socket*> sockets_;  // open ones
   int connections_ = 0;
   int abandoned_ = 0;
+  size_t most_repeated_bytes_ = 0;
 };
 
 // A gateway that runs in the test process. It listens for callers only, and the
