--- a/tests/clients/single_gateway.py
+++ b/tests/clients/single_gateway.py
@@ -28,9 +28,9 @@
 
 
 class FloodEndpoint(Endpoint):
-    """Streams large events as fast as they are read."""
+    """Streams large events as fast as they are read, or with pauses."""
 
-    EVENTS, EVENT_BYTES = 400, 64 * 1024
+    EVENTS, EVENT_BYTES, EVENT_PAUSE_S = 400, 64 * 1024, 0
 
     async def _stream(self, head, order, events, writer):
         fields = self._fields(head.fields[wire.REQUEST_ID])
@@ -39,6 +39,7 @@
         lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
         writer.write(f"HTTP/1.1 200 S\r\n{lines}\r\n".encode())
         for number in range(1, self.EVENTS + 1):
+            await asyncio.sleep(self.EVENT_PAUSE_S)
             event = f"id: {number}\ndata: {'x' * self.EVENT_BYTES}\n\n"
             writer.write(http_wire.chunk(event.encode()))
             await writer.drain()
@@ -47,9 +48,11 @@
 
 
 class SingleGateway:
-    """One gateway with an endpoint for orders and one for streams."""
+    """One gateway with an endpoint for orders and one for streams, of the given
+    types."""
 
-    def __init__(self, binary, folder, base_port, descriptors):
+    def __init__(self, binary, folder, base_port, descriptors,
+                 endpoint_types=(Endpoint, FloodEndpoint)):
         self._binary = binary
         self._folder = folder
         self._descriptors = descriptors
@@ -60,8 +63,8 @@
         self._store = Store(address(4))
         ledger = ledgers.Ledger()
         self._endpoints = [
-            Endpoint("desk-1", "desk", "a", address(5), address(5), ledger),
-            FloodEndpoint("pool-1", "pool", "a", address(6), address(6), ledger)]
+            endpoint_types[0]("desk-1", "desk", "a", address(5), address(5), ledger),
+            endpoint_types[1]("pool-1", "pool", "a", address(6), address(6), ledger)]
         self.directory = address(1)
         self.process = None
 
