Soak: callers that read slowly and send the next request early

New promise broken-off: a response that the endpoint has sent whole does not end early where nothing is disturbed. Result: 3 new tests of the ledger; without the condition on the endpoint's end of the response, one of them fails.

--- a/tests/soak/caller.py
+++ b/tests/soak/caller.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import json
+import socket
 import time
 import zlib
 
@@ -19,6 +20,12 @@
 ABANDON_PROBABILITY = 0.03
 UNKNOWN_KEY_STATUS = 401
 DEADLINES_MS = {"safe": 1500, "unsafe": 1500, "stream": 12000}
+# Slow callers read more slowly than events are made, except in the last seconds
+# before the deadline.
+RECEIVE_BUFFER_BYTES = 4096
+READ_PAUSE_S = 0.06
+READ_MARGIN_S = 3.0
+SEND_AHEAD_PROBABILITY = 0.1  # after an event
 EVENTS, EVENTS_OF_LONG_STREAMS = (2, 40), (80, 200)
 
 
@@ -27,13 +34,17 @@
 
     `fleet` provides `directories()`, the addresses for lookups, and
     `front(address)`: the gateway's name, the name of the link to it and the
-    address to connect to.
+    address to connect to. A slow caller reads slowly into a small buffer,
+    directly from the gateway, and may send its next request before it has the
+    whole response.
     """
 
     def __init__(self, name, zone, random, fleet, ledger,
-                 sends_long_streams=False):
+                 sends_long_streams=False, is_slow=False):
         self.name = name
         self.sends_long_streams = sends_long_streams
+        self._is_slow = is_slow
+        self._ahead = None  # the request sent already on the kept connection
         self.zone = zone
         self._random = random
         self._fleet = fleet
@@ -52,14 +63,21 @@
 
     async def run(self):
         while not self._is_stopped:
-            await asyncio.sleep(self._random.expovariate(1 / MEAN_PAUSE_S))
+            if not self._ahead:
+                await asyncio.sleep(self._random.expovariate(1 / MEAN_PAUSE_S))
             await self._send_order()
 
-    async def _send_order(self):
+    def _next_order(self):
         self._orders += 1
         order = f"{self.name}-{self._orders}"
         kind = "stream" if self.sends_long_streams else \
             self._random.choice(("safe", "unsafe", "stream"))
+        return order, kind
+
+    async def _send_order(self):
+        order, kind = (self._ahead.order, self._ahead.kind) if self._ahead \
+            else self._next_order()
+        # A request that was sent ahead is read after the response before it.
         ends_at = time.monotonic() + DEADLINES_MS[kind] / 1000
         for attempt in range(MAX_TRIES):
             sent = await self._attempt(order, kind, f"{order}-{attempt}",
@@ -81,25 +99,28 @@
 
     async def _attempt(self, order, kind, request_id, ends_at):
         self._retry_after_s = 0.1
-        await self._refresh_addresses()
+        ahead, self._ahead = self._ahead, None
+        if not ahead:
+            await self._refresh_addresses()
         connection = await self._connect()
         if not connection:
             return None
         address, reader, writer = connection
         gateway, front, _ = self._fleet.front(address)
         now = time.monotonic()
-        key = self._fleet.key()
-        sent = ledgers.SentRequest(request_id, order, kind, key, gateway, now,
-                                   ends_at, self._event_count())
-        self._ledger.sent[request_id] = sent
+        sent = ahead or self._record(order, kind, request_id, gateway, ends_at)
+        sent.deadline_at, sent.gave_up = ends_at, False
         self._connection = None
         is_abandoned = self._random.random() < ABANDON_PROBABILITY
         timeout_s = self._random.uniform(0.01, 0.5) if is_abandoned else \
             ends_at - now + 3
         try:
-            writer.write(self._message(sent))
-            keep = await asyncio.wait_for(self._read(reader, sent), timeout_s)
-            if keep and self._random.random() < KEEP_CONNECTION_PROBABILITY:
+            if not ahead:
+                writer.write(self._message(sent))
+            keep = await asyncio.wait_for(self._read(reader, writer, sent),
+                                          timeout_s)
+            if keep and (self._ahead or self._random.random() <
+                         KEEP_CONNECTION_PROBABILITY):
                 self._connection = connection
         except asyncio.TimeoutError:
             sent.gave_up = is_abandoned
@@ -107,10 +128,26 @@
             sent.error = repr(error)
         sent.ended_at = time.monotonic()
         if not self._connection:
+            self._ahead = None
             writer.close()
         self._ledger.on_end(sent, front)
         return sent
 
+    def _record(self, order, kind, request_id, gateway, ends_at):
+        sent = ledgers.SentRequest(
+            request_id, order, kind, self._fleet.key(), gateway,
+            time.monotonic(), ends_at, self._event_count())
+        self._ledger.sent[request_id] = sent
+        return sent
+
+    def _send_ahead(self, writer, gateway):
+        order, kind = self._next_order()
+        self._ahead = self._record(
+            order, kind, f"{order}-ahead", gateway,
+            time.monotonic() + DEADLINES_MS[kind] / 1000)
+        self._ahead.gave_up = True  # unless the connection is kept
+        writer.write(self._message(self._ahead))
+
     def _event_count(self):
         return self._random.randint(*(
             EVENTS_OF_LONG_STREAMS if self.sends_long_streams else EVENTS))
@@ -135,7 +172,7 @@
         return http_wire.message("POST /chat/new HTTP/1.1", fields,
                                  f"order={sent.order} events={sent.events}".encode())
 
-    async def _read(self, reader, sent):
+    async def _read(self, reader, writer, sent):
         head = await http_wire.read_head(reader)
         if not head:
             raise http_wire.HttpError("connection closed before a response")
@@ -143,7 +180,7 @@
         if "retry-after" in head.fields:
             self._retry_after_s = float(head.fields["retry-after"])
         if status == 200 and sent.kind == "stream":
-            await self._read_events(reader, head, sent)
+            await self._read_events(reader, writer, head, sent)
         else:
             body = await http_wire.read_body(reader, head)
             if status == 200 and \
@@ -157,10 +194,17 @@
         sent.status = status
         return head.keeps_connection()
 
-    async def _read_events(self, reader, head, sent):
+    async def _read_events(self, reader, writer, head, sent):
         text = ""
         async for piece in http_wire.read_chunks(reader, head):
             text += piece.decode()
+            if not self._is_slow:
+                continue
+            if not self._ahead and \
+                    self._random.random() < SEND_AHEAD_PROBABILITY:
+                self._send_ahead(writer, sent.gateway)
+            if time.monotonic() < sent.deadline_at - READ_MARGIN_S:
+                await asyncio.sleep(READ_PAUSE_S)
         expected = "".join(
             f"id: {number}\ndata: {endpoints.event_text(sent.order, number)}"
             "\n\n" for number in range(1, sent.events + 1))
@@ -206,11 +250,23 @@
         if not self._addresses:
             return None
         address = self._random.choice(self._addresses)
-        host, port = self._fleet.front(address)[2].split(":")
         try:
             reader, writer = await asyncio.wait_for(
-                asyncio.open_connection(host, int(port)),
-                CONNECT_TIMEOUT_S)
+                self._open(address), CONNECT_TIMEOUT_S)
         except (asyncio.TimeoutError, OSError):
             return None
         return address, reader, writer
+
+    async def _open(self, address):
+        host, port = self._fleet.front(address)[2].split(":")
+        if not self._is_slow:
+            return await asyncio.open_connection(host, int(port))
+        connection = socket.socket()
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF,
+                              RECEIVE_BUFFER_BYTES)
+        connection.setblocking(False)
+        host, port = address.split(":")
+        await asyncio.get_running_loop().sock_connect(connection,
+                                                      (host, int(port)))
+        return await asyncio.open_connection(sock=connection,
+                                             limit=RECEIVE_BUFFER_BYTES)
--- a/tests/soak/endpoint.py
+++ b/tests/soak/endpoint.py
@@ -16,6 +16,8 @@
 IDLE_TIMEOUT_S = 3
 PAUSE_S = 0.3
 SLOTS = 24
+# Orders whose names begin so have events of 4 KB.
+LARGE_ORDERS, LARGE_FACTOR = "s", 100
 
 
 def response_text(order):
@@ -23,7 +25,8 @@
 
 
 def event_text(order, number):
-    return hashlib.sha1(f"{order}:{number}".encode()).hexdigest()
+    text = hashlib.sha1(f"{order}:{number}".encode()).hexdigest()
+    return text * (LARGE_FACTOR if order.startswith(LARGE_ORDERS) else 1)
 
 
 class Endpoint:
@@ -93,9 +96,10 @@
         if self.mode == "full":
             return await self._refuse(503, request_id, writer)
         order = re.search(r"order=(\S+)", body or head.start[1])[1]
-        self._ledger.on_run(ledgers.Run(
+        run = ledgers.Run(
             request_id, order, self.name, self.zone,
-            head.fields.get(wire.CUSTOMER, ""), time.monotonic()))
+            head.fields.get(wire.CUSTOMER, ""), time.monotonic())
+        self._ledger.on_run(run)
         if self.mode == "silent":
             await asyncio.sleep(SILENCE_S)
             raise http_wire.HttpError("no response in mode silent")
@@ -103,10 +107,12 @@
             return await self._send(500, request_id, b"failed", writer)
         events = re.search(r"events=(\d+)", body)
         if events:
-            return await self._stream(head, order, int(events[1]), writer)
-        await asyncio.sleep(self._delay(RESPONSE_DELAY_S))
-        await self._send(200, request_id, response_text(order).encode(),
-                         writer)
+            await self._stream(head, order, int(events[1]), writer)
+        else:
+            await asyncio.sleep(self._delay(RESPONSE_DELAY_S))
+            await self._send(200, request_id, response_text(order).encode(),
+                             writer)
+        run.is_complete = True
 
     def _delay(self, base):
         return base * (SLOW_FACTOR if self.mode == "slow" else 1)
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -47,6 +47,7 @@
     zone: str
     customer: str
     at: float
+    is_complete: bool = False  # the endpoint has sent the whole response
 
 
 class Ledger:
@@ -134,6 +135,7 @@
         if late > lag and not was_faulty:
             self.report_violation("deadline", f"{late:.2f} s late: {sent}")
         self._check_shutdown(sent, front)
+        self._check_broken_off(sent, front)
         revoked = self.revoked_at.get(sent.key)
         if revoked is not None and 200 <= sent.status < 300 and \
                 sent.sent_at > revoked + REVOKE_S:
@@ -160,6 +162,20 @@
                 "shutdown", f"{sent.ended_at - stopped_at:.2f} s after "
                             f"SIGTERM: {sent}, {runs}")
 
+    def _check_broken_off(self, sent, front):
+        """Outside of shutdowns, which have a check of their own."""
+        runs = self.runs.get(sent.id, [])
+        is_stopping = any(at <= sent.ended_at <= at + GRACE_S + 1
+                          for at in self.terminated_at[sent.gateway])
+        if not sent.error or sent.ended_at >= sent.deadline_at or \
+                is_stopping or not any(run.is_complete for run in runs):
+            return
+        components = [sent.gateway, front] + [run.endpoint for run in runs]
+        if not any(self.had_fault(component, sent.sent_at, sent.ended_at,
+                                  RECOVERY_MARGIN_S)
+                   for component in components):
+            self.report_violation("broken-off", f"{sent}, {runs}")
+
     def on_probe(self, gateway, version, written_at, status):
         """`status` of a request to `gateway` on a route that `version` has
         added, sent later than the configuration has to be applied."""
--- a/tests/soak/ledger_test.py
+++ b/tests/soak/ledger_test.py
@@ -121,6 +121,25 @@
         self.run_at(customer="customer-of-k2")
         self.assertEqual(self.violated_promises(), {"customer"})
 
+    def break_off(self, is_complete=True):
+        sent = self.send("stream", error="connection reset")
+        self.run_at()
+        self.ledger.runs["r1"][0].is_complete = is_complete
+        self.end(sent, 0)
+
+    def test_a_whole_response_that_is_broken_off(self):
+        self.break_off()
+        self.assertEqual(self.violated_promises(), {"broken-off"})
+
+    def test_a_response_that_the_endpoint_did_not_finish_is_allowed(self):
+        self.break_off(is_complete=False)
+        self.assertEqual(self.violated_promises(), set())
+
+    def test_a_response_broken_off_by_a_paused_gateway_is_allowed(self):
+        with self.ledger.fault_interval("g1"):
+            self.break_off()
+        self.assertEqual(self.violated_promises(), set())
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -20,6 +20,7 @@
 import faults
 import ledger as ledgers
 from caller import Caller
+from endpoint import LARGE_ORDERS
 from fleet import ROOT, ZONES, Fleet
 
 FAULTS_PER_S = 0.9
@@ -28,6 +29,7 @@
 # A long stream may take two thirds of the time until recovery.
 REQUIRED_LONG_STREAMS = 1
 CALLERS_PER_LONG_STREAM_CALLER = 6
+CALLERS_PER_SLOW_CALLER = 6
 LAG_INTERVAL_S = 0.02
 
 
@@ -76,6 +78,7 @@
 
 async def run(options, folder):
     rng = random.Random(options.seed)
+    more = random.Random(f"slow callers, {options.seed}")
     ledger = ledgers.Ledger()
     fleet = Fleet(options.binary, folder, ledger, options.gateways,
                   options.endpoints)
@@ -89,6 +92,10 @@
                        random.Random(rng.random()), fleet, ledger, True)
                 for index in range(
                     options.callers // CALLERS_PER_LONG_STREAM_CALLER)]
+    callers += [Caller(f"{LARGE_ORDERS}{index}", ZONES[index % len(ZONES)],
+                       random.Random(more.random()), fleet, ledger,
+                       is_slow=True)
+                for index in range(options.callers // CALLERS_PER_SLOW_CALLER)]
     tasks = [asyncio.create_task(caller.run()) for caller in callers]
     await asyncio.sleep(1)
     played = await play_faults(fleet, rng, options.seconds)
