Soak: endpoints that name rate limits

Cause: nothing checked, through faults, that the gateways together keep the limit that an endpoint names. Change: again and again some endpoints of a service name a limit for 5 to 8 s, some change it once, drawn from a generator of their own. The ledger counts what each gets in any 4 s from gateways that have passed on such a response and had no fault.

--- a/tests/soak/caller.py
+++ b/tests/soak/caller.py
@@ -177,6 +177,9 @@
         if not head:
             raise http_wire.HttpError("connection closed before a response")
         status = head.status
+        self._ledger.on_response(
+            sent, head.fields.get(wire.SEAL, "").removeprefix("seal."),
+            wire.RATE_LIMIT in head.fields)
         if "retry-after" in head.fields:
             self._retry_after_s = float(head.fields["retry-after"])
         if status == 200 and sent.kind == "stream":
--- a/tests/soak/endpoint.py
+++ b/tests/soak/endpoint.py
@@ -8,6 +8,7 @@
 import http_wire
 import ledger as ledgers
 import platform_wire as wire
+from rate_limits import LimitPeriod
 
 EVENT_INTERVAL_S = 0.04
 RESPONSE_DELAY_S = 0.01
@@ -48,6 +49,8 @@
         self.version = version
         self.mode = "pass"
         self.is_draining = False
+        self.rate_limit = None  # requests per second that responses name
+        self._limit_period = None
         self._ledger = ledger
         self._started_ms = int(time.time() * 1000)
         self._writers = set()
@@ -62,6 +65,13 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def name_limit(self, rate):
+        """From now on, or until the next call with None."""
+        if not self.rate_limit:
+            self._limit_period = LimitPeriod(self.name)
+            self._ledger.limit_periods.append(self._limit_period)
+        self.rate_limit = rate
+
     def record(self):
         return wire.endpoint_record(self.service, self.public_address,
                                     self.zone, SLOTS, self.is_draining,
@@ -91,6 +101,9 @@
         expected = head.fields.get(wire.EXPECTED_ENDPOINT)
         if not request_id:
             return await self._refuse(400, request_id, writer)
+        sent = self._ledger.sent.get(request_id)
+        if self.rate_limit and sent:
+            self._limit_period.arrivals.append((time.monotonic(), sent.gateway))
         if expected != self.name:
             return await self._refuse(421, request_id, writer)
         if self.mode == "full":
@@ -124,6 +137,9 @@
                   "Keep-Alive": f"timeout={IDLE_TIMEOUT_S}"}
         if self.is_draining:
             fields[wire.LEAVING] = "1"
+        if self.rate_limit:
+            fields[wire.RATE_LIMIT] = f"{self.rate_limit:.2f}"
+            self._limit_period.rates.append((time.monotonic(), self.rate_limit))
         return fields
 
     async def _refuse(self, status, request_id, writer):
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -15,6 +15,10 @@
 
 MIN_DURATION_S, MAX_DURATION_S = 0.3, 3.0
 MAX_REREGISTRATION_DELAY_S = 1.8
+MIN_LIMIT_S, MAX_LIMIT_S = 5.0, 8.0
+MIN_RATE, MAX_RATE = 0.5, 5.0  # requests per second
+LIMIT_CHANGE_PROBABILITY = 0.4
+MAX_TIME_BETWEEN_LIMITS_S = 4.0
 
 
 def random_duration(random):
@@ -93,7 +97,9 @@
 
 async def disturb_endpoint_link(fleet, random):
     slot = random.choice(fleet.slots)
-    with fleet.ledger.fault_interval(slot.endpoint.name):
+    name = slot.endpoint.name
+    with fleet.ledger.fault_interval(name), \
+            fleet.ledger.fault_interval("link-" + name):
         slot.link.set_mode(random.choice(Proxy.MODES))
         await asyncio.sleep(random_duration(random))
         slot.link.set_mode("pass")
@@ -194,6 +200,31 @@
     fleet.store.remove(wire.EVACUATIONS, zone)
 
 
+async def limit_endpoints(fleet, random):
+    """Endpoints of a service name rate limits; some change theirs once."""
+    service, share = random.choice(fleet.slots).service, random.uniform(0.3, 1)
+    duration_s = random.uniform(MIN_LIMIT_S, MAX_LIMIT_S)
+    change_after_s = random.uniform(0, duration_s / 2)
+    limited = [slot.endpoint for slot in fleet.slots
+               if slot.service == service and random.random() < share]
+    for endpoint in limited:
+        endpoint.name_limit(random.uniform(MIN_RATE, MAX_RATE))
+    await asyncio.sleep(change_after_s)
+    for endpoint in limited:
+        if random.random() < LIMIT_CHANGE_PROBABILITY:
+            endpoint.name_limit(random.uniform(MIN_RATE, MAX_RATE))
+    await asyncio.sleep(duration_s - change_after_s)
+    for endpoint in limited:
+        endpoint.name_limit(None)
+
+
+async def limit_endpoints_repeatedly(fleet, random, seconds):
+    ends_at = time.monotonic() + seconds
+    while time.monotonic() < ends_at:
+        await limit_endpoints(fleet, random)
+        await asyncio.sleep(random.uniform(0, MAX_TIME_BETWEEN_LIMITS_S))
+
+
 FAULTS = (pause_gateway, kill_gateway, terminate_gateway, reload_gateways,
           disturb_store_link, cut_leaders_off, disturb_front_link, disturb_endpoint_link,
           disturb_endpoint, disturb_store, lapse_endpoints, forget_history,
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -65,6 +65,7 @@
         # By component: [from, until, whether it is planned work].
         self.fault_intervals = collections.defaultdict(list)
         self.loop_lags = []  # (at, lag)
+        self.limit_periods = []
 
     def report_violation(self, promise, detail):
         self.violations.append({"promise": promise, "detail": detail})
@@ -176,6 +177,17 @@
                    for component in components):
             self.report_violation("broken-off", f"{sent}, {runs}")
 
+    def lag(self, begins, ends):
+        """The longest delay of this process in a span of time."""
+        return max((lag for at, lag in self.loop_lags
+                    if begins <= at <= ends), default=0)
+
+    def on_response(self, sent, endpoint, is_limited):
+        """A gateway passed on the head of the endpoint's response."""
+        for period in self.limit_periods:
+            if is_limited and period.endpoint == endpoint:
+                period.passed_on.setdefault(sent.gateway, time.monotonic())
+
     def on_probe(self, gateway, version, written_at, status):
         """`status` of a request to `gateway` on a route that `version` has
         added, sent later than the configuration has to be applied."""
@@ -191,6 +203,9 @@
             if sent.status in NOT_RUN_STATUSES and self.runs.get(sent.id):
                 self.report_violation("not-run",
                                       f"{sent} ran: {self.runs[sent.id]}")
+        for period in self.limit_periods:
+            if excess := period.excess(self):
+                self.report_violation("rate-limit", excess)
 
     def summary(self):
         statuses = collections.Counter(
--- a/tests/soak/ledger_test.py
+++ b/tests/soak/ledger_test.py
@@ -5,6 +5,7 @@
 import unittest
 
 from ledger import Ledger, Run, SentRequest
+from rate_limits import LimitPeriod
 
 
 class LedgerTest(unittest.TestCase):
@@ -140,6 +141,52 @@
             self.break_off()
         self.assertEqual(self.violated_promises(), set())
 
+    def limit(self, requests=12, begins=3.1, interval=0.3, lowered_to=None):
+        """Requests of g1 and g2 by turns to an endpoint that names 1 a second,
+        of which g1 alone has passed on a response, 12 are too many."""
+        period = LimitPeriod("e1", [(self.now, 1.0)])
+        if lowered_to:
+            period.rates.append((self.now + 1, lowered_to))
+        self.ledger.limit_periods.append(period)
+        self.ledger.on_response(self.send(), "e1", True)
+        for number in range(requests):
+            at = self.now + begins + number * interval
+            period.arrivals += [(at, "g1"), (at, "g2")]
+
+    def test_too_many_requests_for_a_limited_endpoint(self):
+        self.limit()
+        self.assertEqual(self.violated_promises(), {"rate-limit"})
+
+    def test_as_many_requests_as_a_limited_endpoint_takes(self):
+        self.limit(requests=11)
+        self.assertEqual(self.violated_promises(), set())
+
+    def test_requests_spread_over_more_than_the_window(self):
+        self.limit(interval=0.4)
+        self.assertEqual(self.violated_promises(), set())
+
+    def test_requests_before_the_limit_has_to_be_known(self):
+        self.limit(begins=2.9)
+        self.assertEqual(self.violated_promises(), set())
+
+    def test_a_limit_that_is_lowered(self):
+        self.limit(requests=9, begins=4.1, lowered_to=0.5)
+        self.assertEqual(self.violated_promises(), {"rate-limit"})
+
+    def test_a_lowered_limit_has_to_be_known_as_late_as_a_new_one(self):
+        self.limit(requests=9, begins=3.9, lowered_to=0.5)
+        self.assertEqual(self.violated_promises(), set())
+
+    def test_too_many_requests_of_a_paused_gateway_are_allowed(self):
+        with self.ledger.fault_interval("g1"):
+            self.limit()
+            self.assertEqual(self.violated_promises(), set())
+
+    def test_too_many_requests_over_a_disturbed_link_are_allowed(self):
+        with self.ledger.fault_interval("link-e1"):
+            self.limit()
+            self.assertEqual(self.violated_promises(), set())
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -43,10 +43,12 @@
         ledger.loop_lags.append((now, now - began - LAG_INTERVAL_S))
 
 
-async def play_faults(fleet, rng, seconds):
-    """Injects faults; returns their names after all have been undone."""
+async def play_faults(fleet, rng, more, seconds):
+    """Injects faults, with rate limits drawn from `more` beside them; returns
+    their names after all have been undone."""
     ends_at = time.monotonic() + seconds
-    played, running = [], []
+    played, running = [], [asyncio.create_task(
+        faults.limit_endpoints_repeatedly(fleet, more, seconds))]
     while time.monotonic() < ends_at:
         fault = rng.choice(faults.FAULTS)
         played.append(fault.__name__)
@@ -78,7 +80,7 @@
 
 async def run(options, folder):
     rng = random.Random(options.seed)
-    more = random.Random(f"slow callers, {options.seed}")
+    more = random.Random(f"limits and slow callers, {options.seed}")
     ledger = ledgers.Ledger()
     fleet = Fleet(options.binary, folder, ledger, options.gateways,
                   options.endpoints)
@@ -98,7 +100,7 @@
                 for index in range(options.callers // CALLERS_PER_SLOW_CALLER)]
     tasks = [asyncio.create_task(caller.run()) for caller in callers]
     await asyncio.sleep(1)
-    played = await play_faults(fleet, rng, options.seconds)
+    played = await play_faults(fleet, rng, more, options.seconds)
     await check_recovery(callers, ledger)
     for gateway in fleet.gateways:
         gateway.check_memory()
