--- a/review/harness-2/deployment.cc
+++ b/review/harness-2/deployment.cc
@@ -1,6 +1,7 @@
 #include "deployment.h"
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -48,6 +49,8 @@
   pid_ = fork();
   if (pid_ != 0)
     return;
+  // Should this process be killed, its children end too.
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
   const int output = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   dup2(output, STDOUT_FILENO);
   dup2(output, STDERR_FILENO);
