Count requests that were read and how much of each response was written

Change: requests_read_total, responses_total by reason (complete, incomplete, missing), and the field response of request-ended.

--- a/src/teaselthread/gateway/gateway_metrics.cc
+++ b/src/teaselthread/gateway/gateway_metrics.cc
@@ -91,6 +91,11 @@
 
 }  // namespace
 
+std::string_view ToString(ResponseEnd end) {
+  constexpr std::string_view kNames[] = {"complete", "incomplete", "missing"};
+  return kNames[static_cast<size_t>(end)];
+}
+
 void LatencyHistogram::Add(Duration latency) {
   const double seconds = std::chrono::duration<double>(latency).count();
   ++count_;
@@ -145,6 +150,8 @@
 
 std::string GatewayMetrics::Render(const GatewayGauges& gauges) const {
   std::ostringstream out;
+  Scalar(out, "requests_read_total", "counter", requests_read_);
+  ByReason<ResponseEnd>(out, "responses_total", response_ends_);
   ByReason<RefusalReason>(out, "refusals_total", refusals_);
   ByReason<AttemptFailure>(out, "attempt_failures_total", failures_);
   ByReason<AttemptFailure>(out, "retries_total", retries_);
--- a/src/teaselthread/gateway/gateway_metrics.h
+++ b/src/teaselthread/gateway/gateway_metrics.h
@@ -39,6 +39,15 @@
   double sum_seconds_ = 0;
 };
 
+// How much of the response to a request was written.
+enum class ResponseEnd : uint8_t {
+  kComplete,
+  kIncomplete,  // it was ended early
+  kMissing,     // none of it was written
+};
+inline constexpr size_t kResponseEndCount = 3;
+std::string_view ToString(ResponseEnd end);
+
 // Values that are sampled when the metrics are rendered.
 struct GatewayGauges {
   uint64_t configuration_version = 0;
@@ -61,6 +70,12 @@
 // The gateway's counters and latency histograms, rendered as Prometheus text.
 class GatewayMetrics {
  public:
+  // A whole request was read. Each one is followed by one call of
+  // OnResponseEnded.
+  void OnRequestRead() { ++requests_read_; }
+  void OnResponseEnded(ResponseEnd end) {
+    ++response_ends_[static_cast<size_t>(end)];
+  }
   void OnRefusal(RefusalReason reason);
   // Called when an attempt has failed. `retried`: another attempt follows.
   void OnAttemptFailure(AttemptFailure failure, bool retried);
@@ -108,6 +123,8 @@
  private:
   static constexpr size_t kKinds = 3;
 
+  uint64_t requests_read_ = 0;
+  std::array<uint64_t, kResponseEndCount> response_ends_{};
   std::array<uint64_t, kRefusalReasonCount> refusals_{};
   std::array<uint64_t, kAttemptFailureCount> failures_{};
   std::array<uint64_t, kAttemptFailureCount> retries_{};
--- a/src/teaselthread/gateway/response_writer.cc
+++ b/src/teaselthread/gateway/response_writer.cc
@@ -21,6 +21,12 @@
     stream_->Detach();
 }
 
+ResponseEnd ResponseWriter::end() const {
+  if (!begun_)
+    return ResponseEnd::kMissing;
+  return usable_ ? ResponseEnd::kComplete : ResponseEnd::kIncomplete;
+}
+
 asio::awaitable<bool> ResponseWriter::WriteResponse(ResponseHead head,
                                                     std::string body) {
   http::response<http::string_body> response(
--- a/src/teaselthread/gateway/response_writer.h
+++ b/src/teaselthread/gateway/response_writer.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "teaselthread/asio.h"
+#include "teaselthread/gateway/gateway_metrics.h"
 #include "teaselthread/gateway/stream_output.h"
 
 namespace teaselthread {
@@ -43,6 +44,9 @@
   // Whether the connection can be used for another request.
   bool is_usable() const { return usable_ && options_.keep_alive; }
 
+  // How much of the response was written.
+  ResponseEnd end() const;
+
   // Each returns false once writing to the caller has failed. Events may still
   // wait to be sent when WriteEvents returns, see StreamOutput; EndStream waits
   // until all are sent.
--- a/src/teaselthread/requests/request_handler.cc
+++ b/src/teaselthread/requests/request_handler.cc
@@ -17,6 +17,7 @@
                                             Timestamp received_at,
                                             tcp::socket* socket,
                                             ResponseWriter* writer) {
+  state_->metrics().OnRequestRead();
   ClassifiedRequest request;
   request.head = state_->codec().DecodeCaller(message.base());
   request.host = std::string(message[http::field::host]);
--- a/src/teaselthread/requests/request_log.cc
+++ b/src/teaselthread/requests/request_log.cc
@@ -64,11 +64,14 @@
 
 void RequestLog::OnEnd(const RequestExchange& exchange) {
   const ClassifiedRequest& request = exchange.request;
+  const ResponseEnd end = exchange.writer->end();
+  state_->metrics().OnResponseEnded(end);
   LogLine line("request-ended");
   line.Add("id", request.head.id)
       .Add("route", request.route ? request.route->name : "none")
       .Add("outcome", exchange.outcome)
-      .Add("status", exchange.status);
+      .Add("status", exchange.status)
+      .Add("response", ToString(end));
   if (!exchange.reason.empty())
     line.Add("reason", exchange.reason);
   if (!exchange.endpoint.empty())
