Silence: give an attempt up only if another one can follow

Cause: the guard of a request cancelled an attempt when its endpoint had been silent for the limit, and only then was it decided whether another one may follow. If max_attempts, the retry allowance, the choice of endpoints, a stream without event ids or an unconfirmed configuration ruled it out, nothing did. The class: an act that cannot be undone before the check that it needs.

Change: the guard asks before it cancels. SilentAttempts allows it only if another attempt runs or may follow now, and takes the retry from the allowance in the same step; otherwise it is asked again after the limit. Attempts no longer end by silence alone then, so connections to endpoints have keep-alive probes, by which a VM that is gone ends them after 3 to 4 s. Event attempt-silent and silent_attempts_total say what was decided and why.

--- a/src/libteaselthread/attempts/request_attempts.cc
+++ b/src/libteaselthread/attempts/request_attempts.cc
@@ -70,18 +70,34 @@
   }
 }
 
+bool RequestAttempts::MayRetryAfter(AttemptFailure failure,
+                                    bool bytes_relayed,
+                                    bool can_resume,
+                                    AttemptRole role) const {
+  if (failure == AttemptFailure::kTimedOut ||
+      failure == AttemptFailure::kCallerGone) {
+    return false;
+  }
+  const bool maybe_ran = MayHaveRun(failure, role);
+  const bool sent = has_sent(role);
+  const uint32_t runs = runs_ + (maybe_ran ? 1 : 0);
+  const uint32_t rejected_sends =
+      rejected_sends_ + (sent && !maybe_ran ? 1 : 0);
+  const uint32_t unsent = unsent_ + (sent ? 0 : 1);
+  return (!maybe_ran || is_repeatable_) && (!bytes_relayed || can_resume) &&
+         runs < max_attempts_ && rejected_sends <= kMaxRejectedSends &&
+         unsent <= kMaxUnsentAttempts;
+}
+
 NextStep RequestAttempts::Decide(AttemptFailure failure,
                                  bool bytes_relayed,
                                  bool can_resume,
                                  AttemptRole role) {
-  const bool maybe_ran = MayHaveRun(failure, role);
+  const bool may_retry =
+      MayRetryAfter(failure, bytes_relayed, can_resume, role);
   OnParallelFailure(failure, role);
   if (failure == AttemptFailure::kCallerGone)
     return NextStep::kDrop;
-  const bool may_retry =
-      failure != AttemptFailure::kTimedOut && (!maybe_ran || is_repeatable_) &&
-      (!bytes_relayed || can_resume) && runs_ < max_attempts_ &&
-      rejected_sends_ <= kMaxRejectedSends && unsent_ <= kMaxUnsentAttempts;
   return may_retry ? NextStep::kRetry : FinalStep(failure, bytes_relayed);
 }
 
--- a/src/libteaselthread/attempts/request_attempts.h
+++ b/src/libteaselthread/attempts/request_attempts.h
@@ -74,6 +74,12 @@
   void OnSendStarted(AttemptRole role = AttemptRole::kFirst);
   // Whether a hedge may be sent while the first attempt runs.
   bool MayHedge() const { return is_repeatable_ && runs_ + 2 <= max_attempts_; }
+  // Whether another attempt may follow if the current one ends with `failure`.
+  // The retry limit is not considered. For the other arguments see OnFailure.
+  bool MayRetryAfter(AttemptFailure failure,
+                     bool bytes_relayed,
+                     bool can_resume,
+                     AttemptRole role = AttemptRole::kFirst) const;
   // One of two parallel attempts has failed while the other one continues.
   void OnParallelFailure(AttemptFailure failure, AttemptRole role);
   // The attempt has failed, and no other one runs.
--- a/src/teaselthread/gateway/gateway_metrics.h
+++ b/src/teaselthread/gateway/gateway_metrics.h
@@ -8,6 +8,7 @@
 
 #include "libteaselthread/attempts/hedge_policy.h"
 #include "libteaselthread/attempts/request_attempts.h"
+#include "libteaselthread/attempts/silence_decision.h"
 #include "libteaselthread/callers/closing_reason.h"
 #include "libteaselthread/callers/connection_end.h"
 #include "libteaselthread/endpoints/crash_evidence_queue.h"
@@ -101,6 +102,10 @@
   void OnLimitedSelection(uint32_t endpoints) {
     endpoints_left_out_ += endpoints;
   }
+  // An endpoint was silent for the limit of its attempt.
+  void OnSilence(SilenceDecision decision) {
+    ++silences_[static_cast<size_t>(decision)];
+  }
   // What became of the evidence of a connection that an engine broke.
   void OnCrashEvidence(CrashVerdict verdict);
   void OnHedgeSent() { ++hedges_sent_; }
@@ -140,6 +145,7 @@
   uint64_t unreadable_rate_limits_ = 0;
   uint64_t endpoints_left_out_ = 0;
   std::array<uint64_t, kCrashVerdictCount> crash_evidence_{};
+  std::array<uint64_t, kSilenceDecisionCount> silences_{};
   uint64_t hedges_sent_ = 0;
   uint64_t hedges_won_ = 0;
   uint64_t attempts_cancelled_ = 0;
--- a/src/teaselthread/gateway/gateway_state.cc
+++ b/src/teaselthread/gateway/gateway_state.cc
@@ -86,6 +86,11 @@
       .first->second;
 }
 
+bool GatewayState::TryTakeRetry(const std::string& service) {
+  return RetryAllowanceFor(service).TryTake(
+      peers_.NodesSharingLimits(Now()).size(), Now());
+}
+
 HedgePolicy& GatewayState::HedgePolicyFor(const std::string& service) {
   HedgePolicy& policy =
       hedge_policies_.try_emplace(service, settings_.limits().retries.window)
--- a/src/teaselthread/gateway/gateway_state.h
+++ b/src/teaselthread/gateway/gateway_state.h
@@ -68,6 +68,9 @@
   const EndpointSelector& selector() const { return selector_; }
   PeerSet& peers() { return peers_; }
   RetryAllowance& RetryAllowanceFor(const std::string& service);
+  // Takes one retry from the service's allowance; returns false if none is
+  // left.
+  bool TryTakeRetry(const std::string& service);
   // The policy has the share of hedges that the settings allow now.
   HedgePolicy& HedgePolicyFor(const std::string& service);
   OverdueAttempts& overdue_attempts() { return overdue_attempts_; }
--- a/src/teaselthread/keep_alive.cc
+++ b/src/teaselthread/keep_alive.cc
@@ -8,24 +8,21 @@
 // The idle time and one unanswered probe add up to kKeepAliveTimeout.
 constexpr int kIdleSeconds = 1;
 constexpr int kIntervalSeconds = 1;
-constexpr int kProbes = 1;
-// Time-out for unacknowledged data. Below kKeepAliveTimeout, since the kernel
-// also applies it to the keep-alive probes.
-constexpr int kUserTimeoutMs = 1'500;
 
 template <int kName>
 using TcpOption = asio::detail::socket_option::integer<IPPROTO_TCP, kName>;
 
 }  // namespace
 
-void EnableKeepAlive(tcp::socket& socket) {
+void EnableKeepAlive(tcp::socket& socket, const KeepAliveProbes& probes) {
   // Failures are ignored: the timeout of each call applies in any case.
   boost::system::error_code ignored;
   socket.set_option(asio::socket_base::keep_alive(true), ignored);
   socket.set_option(TcpOption<TCP_KEEPIDLE>(kIdleSeconds), ignored);
   socket.set_option(TcpOption<TCP_KEEPINTVL>(kIntervalSeconds), ignored);
-  socket.set_option(TcpOption<TCP_KEEPCNT>(kProbes), ignored);
-  socket.set_option(TcpOption<TCP_USER_TIMEOUT>(kUserTimeoutMs), ignored);
+  socket.set_option(TcpOption<TCP_KEEPCNT>(probes.count), ignored);
+  const auto limit = static_cast<int>(probes.unacknowledged_limit.count());
+  socket.set_option(TcpOption<TCP_USER_TIMEOUT>(limit), ignored);
 }
 
 }  // namespace teaselthread
--- a/src/teaselthread/requests/crash_guard.cc
+++ b/src/teaselthread/requests/crash_guard.cc
@@ -62,6 +62,12 @@
   return !is_trial;
 }
 
+bool CrashGuard::IsSuspect(const ClassifiedRequest& request) const {
+  return state_->crash_suspects()
+      .FindBlocked(SharedParts(request), state_->Now())
+      .has_value();
+}
+
 void CrashGuard::OnAnswerBegun(const ClassifiedRequest& request) {
   const std::vector<std::string> parts = SharedParts(request);
   queue_.OnAnswerBegun(parts);
--- a/src/teaselthread/requests/crash_guard.h
+++ b/src/teaselthread/requests/crash_guard.h
@@ -17,6 +17,8 @@
 
   // Whether the request must not be sent, as it would probably crash an engine.
   bool Blocks(const ClassifiedRequest& request);
+  // Whether Blocks would have to decide on a trial or refuse the request.
+  bool IsSuspect(const ClassifiedRequest& request) const;
   // An engine has sent the first event of its answer to the request.
   void OnAnswerBegun(const ClassifiedRequest& request);
   // The connection to the engine broke before that. The request was sent to it
--- a/src/teaselthread/requests/endpoint_attempt.cc
+++ b/src/teaselthread/requests/endpoint_attempt.cc
@@ -3,6 +3,7 @@
 #include <charconv>
 
 #include "teaselthread/http_client.h"
+#include "teaselthread/keep_alive.h"
 
 namespace teaselthread {
 namespace {
@@ -24,6 +25,9 @@
 // A connection is not reused shortly before its keep-alive timeout, when the
 // endpoint may close it at any moment.
 constexpr milliseconds kKeepAliveMargin(1'000);
+// An attempt that is not abandoned for silence ends by this if the endpoint's
+// VM no longer responds. Lost packets alone must not end it.
+constexpr KeepAliveProbes kConnectionKeepAlive{3, milliseconds(3'500)};
 constexpr int kMisdirectedRequest = 421;
 constexpr int kServiceUnavailable = 503;
 
@@ -110,7 +114,7 @@
     std::string request_id,
     ResponseTimeouts limits,
     StreamRelay* relay,
-    std::function<void()> on_silence) {
+    SilenceHandlers on_silence) {
   request_id_ = std::move(request_id);
   limits_ = limits;
   connection_ = connections_->Take(endpoint_->record().id);
@@ -130,11 +134,12 @@
   }
   const bool is_head = request->method() == http::verb::head;
   const bool on_reused_connection = connection_->is_reused;
-  guard_->Attach(&connection_->socket, limits_.first);
+  guard_->Attach(&connection_->socket, limits_.first,
+                 std::move(on_silence.may_abandon));
   bool silence_recorded = false;
   guard_->WatchFirstByte(limits_.health_timeout, [&] {
     silence_recorded = true;
-    on_silence();
+    on_silence.on_health_timeout();
   });
   attempts_->OnSendStarted(role_);
   sent_at_ = state_->Now();
@@ -173,6 +178,7 @@
     co_return false;
   }
   connection_->socket.set_option(tcp::no_delay(true), ignored);
+  EnableKeepAlive(connection_->socket, kConnectionKeepAlive);
   co_return true;
 }
 
--- a/src/teaselthread/requests/endpoint_attempt.h
+++ b/src/teaselthread/requests/endpoint_attempt.h
@@ -43,15 +43,22 @@
                   RequestAttempts* attempts,
                   AttemptRole role = AttemptRole::kFirst);
 
-  // Streams successful responses to `relay` unless it is null. Calls
-  // `on_silence` if the endpoint's silence is to be recorded in its health
-  // while the attempt continues.
+  // What to do while the endpoint sends nothing.
+  struct SilenceHandlers {
+    // Called once if the silence is to be recorded in the endpoint's health
+    // while the attempt continues.
+    std::function<void()> on_health_timeout;
+    // Whether the attempt is to end after one of the limits.
+    std::function<bool()> may_abandon;
+  };
+
+  // Streams successful responses to `relay` unless it is null.
   asio::awaitable<AttemptResult> Run(
       std::shared_ptr<const EndpointHttpRequest> request,
       std::string request_id,
       ResponseTimeouts limits,
       StreamRelay* relay,
-      std::function<void()> on_silence);
+      SilenceHandlers on_silence);
 
  private:
   using Parser = http::response_parser<http::buffer_body>;
--- a/src/teaselthread/requests/endpoint_placement.cc
+++ b/src/teaselthread/requests/endpoint_placement.cc
@@ -9,10 +9,8 @@
 
 }  // namespace
 
-SelectionResult EndpointPlacement::Select(
-    const ClassifiedRequest& request,
-    const RequestAttempts& attempts,
-    const std::set<std::string>& excluded) {
+SelectionQuery EndpointPlacement::MakeQuery(const ClassifiedRequest& request,
+                                            const RequestAttempts& attempts) {
   SelectionQuery query;
   query.service = request.service;
   const std::string& service = query.service->name;
@@ -27,12 +25,28 @@
     query.seed = state_->random()();
   }
   query.excluded = attempts.tried();
-  query.excluded.insert(excluded.begin(), excluded.end());
   // A stream that was broken off is not kept waiting.
   query.ignores_load_bound = attempts.may_have_run();
+  return query;
+}
+
+SelectionResult EndpointPlacement::Select(
+    const ClassifiedRequest& request,
+    const RequestAttempts& attempts,
+    const std::set<std::string>& excluded) {
+  SelectionQuery query = MakeQuery(request, attempts);
+  query.excluded.insert(excluded.begin(), excluded.end());
   return rollout_guard_.Select(request, query);
 }
 
+bool EndpointPlacement::CanContinueElsewhere(const ClassifiedRequest& request,
+                                             const RequestAttempts& attempts) {
+  SelectionQuery query = MakeQuery(request, attempts);
+  query.ignores_load_bound = true;
+  return std::holds_alternative<Selection>(
+      rollout_guard_.Select(request, query));
+}
+
 asio::awaitable<SelectionResult> EndpointPlacement::SelectOrWait(
     const ClassifiedRequest& request,
     const RequestAttempts& attempts,
--- a/src/teaselthread/requests/endpoint_placement.h
+++ b/src/teaselthread/requests/endpoint_placement.h
@@ -33,12 +33,18 @@
   SelectionResult Select(const ClassifiedRequest& request,
                          const RequestAttempts& attempts,
                          const std::set<std::string>& excluded = {});
+  // Whether another endpoint can take the request if the current attempt, which
+  // may have run it, ends.
+  bool CanContinueElsewhere(const ClassifiedRequest& request,
+                            const RequestAttempts& attempts);
   ResponseTimeouts TimeoutsFor(const ClassifiedRequest& request,
                                const EndpointState& endpoint) const;
   // The endpoint has served the request `elapsed` after it was sent.
   void OnServed(const Selection& selection, Duration elapsed);
 
  private:
+  SelectionQuery MakeQuery(const ClassifiedRequest& request,
+                           const RequestAttempts& attempts);
   // Whether there is no room now, but may be soon.
   static bool LacksRoom(const SelectionResult& result);
   // Why there was no room the last time that a request for the service was
--- a/src/teaselthread/requests/hedged_attempt.cc
+++ b/src/teaselthread/requests/hedged_attempt.cc
@@ -147,6 +147,7 @@
 
 void HedgedAttempt::StartHedge(Selection selection) {
   exchange_->hedge = HedgeOutcome::kFailed;
+  exchange_->runs_in_parallel = true;
   hedge_guard_ = std::make_shared<RequestGuard>(
       state_->io().get_executor(),
       GatewayState::ToSteady(exchange_->request.deadline));
@@ -179,6 +180,7 @@
   if (side.failure_recorded)
     return;
   side.failure_recorded = true;
+  exchange_->runs_in_parallel = false;
   const AttemptFailure failure = *side.result.failure;
   exchange_->attempts.OnParallelFailure(failure, side.attempt->role());
   if (failure == AttemptFailure::kRejected)
@@ -191,6 +193,7 @@
 
 asio::awaitable<HedgedAttempt::Outcome> HedgedAttempt::Finish() {
   exchange_->guard->set_on_final(nullptr);
+  exchange_->runs_in_parallel = false;
   const bool has_response = first_.succeeded() || hedge_.succeeded();
   // Of two failures, the one that has not been recorded decides what follows.
   const bool hedge_decides =
--- a/src/teaselthread/requests/request_guard.cc
+++ b/src/teaselthread/requests/request_guard.cc
@@ -43,10 +43,12 @@
 }
 
 void RequestGuard::Attach(tcp::socket* upstream,
-                          Clock::duration silence_limit) {
+                          Clock::duration silence_limit,
+                          std::function<bool()> may_abandon) {
   if (interruption_ == AttemptFailure::kSilent)
     interruption_.reset();
   upstream_ = upstream;
+  may_abandon_ = std::move(may_abandon);
   OnProgress(silence_limit);
   Schedule();
 }
@@ -67,6 +69,7 @@
 
 void RequestGuard::Detach() {
   upstream_ = nullptr;
+  may_abandon_ = nullptr;
   on_silence_ = nullptr;
   silence_limit_ = Clock::duration::max();
   suspended_at_.reset();
@@ -155,9 +158,18 @@
   if (now >= deadline_) {
     Interrupt(AttemptFailure::kTimedOut);
   } else if (HasSilenceLimit() && now - last_progress_ >= silence_limit_) {
+    OnSilence();
+    return;
+  }
+  Schedule();
+}
+
+void RequestGuard::OnSilence() {
+  if (!may_abandon_ || may_abandon_()) {
     Interrupt(AttemptFailure::kSilent);
     return;
   }
+  last_progress_ = Clock::now();
   Schedule();
 }
 
--- a/src/teaselthread/requests/request_guard.h
+++ b/src/teaselthread/requests/request_guard.h
@@ -39,8 +39,12 @@
   // guard watches, continues.
   void ClearSilence();
 
-  // Called when an attempt starts to use the connection `upstream`.
-  void Attach(tcp::socket* upstream, Clock::duration silence_limit);
+  // Called when an attempt starts to use the connection `upstream`. Each time
+  // that the endpoint has been silent for the limit, `may_abandon` is asked
+  // whether the attempt is to be cancelled; without it, it is.
+  void Attach(tcp::socket* upstream,
+              Clock::duration silence_limit,
+              std::function<bool()> may_abandon = nullptr);
   void Detach();
   // Calls `on_silence` once if the endpoint sends nothing within `limit`.
   void WatchFirstByte(Clock::duration limit, std::function<void()> on_silence);
@@ -70,6 +74,9 @@
   void Schedule();
   void ScheduleIfEarlier();
   void OnTimer();
+  // Cancels the attempt or, if it may not be abandoned, starts the silence
+  // limit anew.
+  void OnSilence();
   void Interrupt(AttemptFailure reason);
   // Cancels the operations on the caller's socket.
   void CancelCaller();
@@ -78,10 +85,11 @@
   tcp::socket* upstream_ = nullptr;
   asio::steady_timer timer_;
   Clock::time_point deadline_;
-  Clock::time_point last_progress_;
+  Clock::time_point last_progress_;  // or when the limit was last reached
   Clock::duration silence_limit_ = Clock::duration::max();
   std::optional<Clock::time_point> suspended_at_;
   Clock::time_point silence_report_at_;
+  std::function<bool()> may_abandon_;
   std::function<void()> on_silence_;
   std::function<void(AttemptFailure)> on_final_;
   std::optional<AttemptFailure> interruption_;
--- a/src/teaselthread/requests/request_handler.cc
+++ b/src/teaselthread/requests/request_handler.cc
@@ -1,5 +1,7 @@
 #include "teaselthread/requests/request_handler.h"
 
+#include <utility>
+
 #include "teaselthread/requests/hedged_attempt.h"
 
 namespace teaselthread {
@@ -40,6 +42,10 @@
   } else {
     exchange.relay.set_on_first_event(
         [this, &exchange] { crash_guard_.OnAnswerBegun(exchange.request); });
+    exchange.may_abandon = [this, &exchange](const Selection& selection,
+                                             AttemptRole role) {
+      return silent_attempts_.MayAbandon(exchange, selection, role);
+    };
     exchange.guard->Start();
     co_await RunAttempts(exchange);
     exchange.guard->Finish();
@@ -116,20 +122,14 @@
                                                     AttemptRole role,
                                                     bool* is_final) {
   const AttemptFailure failure = *result.failure;
-  const Route& route = *exchange.request.route;
-  const bool relayed = exchange.relay.begun();
-  const bool can_resume =
-      route.is_resumable && exchange.relay.events().last_id().has_value();
-  const std::string& service = exchange.request.service->name;
   if (failure == AttemptFailure::kRejected)
     OnRejection(exchange);
   const auto take_retry = [&] {
-    return state_->RetryAllowanceFor(service).TryTake(
-        state_->peers().NodesSharingLimits(state_->Now()).size(),
-        state_->Now());
+    return std::exchange(exchange.has_reserved_retry, false) ||
+           state_->TryTakeRetry(exchange.request.service->name);
   };
   const NextStep step = exchange.attempts.OnFailure(
-      failure, relayed, can_resume, take_retry, role);
+      failure, exchange.relay.begun(), exchange.CanResume(), take_retry, role);
   *is_final = step != NextStep::kRetry;
   state_->metrics().OnAttemptFailure(failure, !*is_final);
   log_.OnAttemptFailed(exchange, selection, result, !*is_final);
--- a/src/teaselthread/requests/request_handler.h
+++ b/src/teaselthread/requests/request_handler.h
@@ -11,6 +11,7 @@
 #include "teaselthread/requests/request_checks.h"
 #include "teaselthread/requests/request_exchange.h"
 #include "teaselthread/requests/request_log.h"
+#include "teaselthread/requests/silent_attempts.h"
 
 namespace teaselthread {
 
@@ -24,6 +25,7 @@
         checks_(state),
         crash_guard_(state, &connections_),
         placement_(state),
+        silent_attempts_(state, &checks_, &crash_guard_, &placement_),
         final_responses_(state),
         log_(state) {}
 
@@ -59,6 +61,7 @@
   RequestChecks checks_;
   CrashGuard crash_guard_;
   EndpointPlacement placement_;
+  SilentAttempts silent_attempts_;
   FinalResponses final_responses_;
   RequestLog log_;
   EndpointConnections connections_;
--- a/src/teaselthread/requests/tracked_attempt.cc
+++ b/src/teaselthread/requests/tracked_attempt.cc
@@ -41,11 +41,15 @@
   const auto message = MakeEndpointRequest();
   timeouts_ = placement_->TimeoutsFor(exchange_->request, endpoint);
   StreamRelay* relay = is_stream ? &exchange_->relay : nullptr;
-  std::function<void()> on_silence = [this, &endpoint] {
+  EndpointAttempt::SilenceHandlers on_silence;
+  on_silence.on_health_timeout = [this, &endpoint] {
     AttemptResult silent;
     silent.failure = AttemptFailure::kSilent;
     UpdateEndpointHealth(endpoint, silent);
   };
+  on_silence.may_abandon = [this] {
+    return exchange_->may_abandon(selection_, role_);
+  };
   const uint32_t events_before = exchange_->relay.events().event_count();
   AttemptResult result =
       co_await attempt.Run(message, exchange_->request.head.id, timeouts_,
--- a/tests/gateway/stream_end_test.cc
+++ b/tests/gateway/stream_end_test.cc
@@ -69,8 +69,10 @@
     EndpointAttempt attempt(&harness.state(), &connections, engine, guard.get(),
                             &attempts);
     const ResponseTimeouts limits{seconds(5), seconds(5), seconds(5)};
+    EndpointAttempt::SilenceHandlers on_silence;
+    on_silence.on_health_timeout = [] {};
     attempts.OnStart(kEngine);
-    co_await attempt.Run(request, "id-1", limits, &relay, [] {});
+    co_await attempt.Run(request, "id-1", limits, &relay, on_silence);
     ended = true;
   }
 
