Streams: one that ends with its connection before an event is broken

Cause: a response with neither a length nor chunks ends with its connection, and the kernel closes the connections of a process that has ended in an orderly way. Stream() took that for the end of the stream unless a part of an event was left, and OnEnd() began and ended an empty response. TrackedAttempt saw a success, so the crash was no evidence against the prompt either.

Change: an unframed stream that ends without an event that the caller did not have is a broken attempt: it is retried or resumed if that is allowed, and otherwise the caller gets 502 or, in a stream that has begun, a reset. That holds also for one with comments only and for the rest of a resumed stream, which cannot be told from a crash. An end that the engine states stays complete: a last chunk, Content-Length: 0, 204, and any response to HEAD.

--- a/src/teaselthread/gateway/stream_relay.h
+++ b/src/teaselthread/gateway/stream_relay.h
@@ -32,6 +32,10 @@
 
   bool begun() const { return writer_->begun(); }
   const EventSplitter& events() const { return events_; }
+  // Whether the newest attempt has sent an event that the caller did not have.
+  bool has_event_from_attempt() const {
+    return events_.event_count() > events_before_attempt_;
+  }
   // When the first event was relayed.
   const std::optional<std::chrono::steady_clock::time_point>& first_event_at()
       const {
--- a/src/teaselthread/requests/endpoint_attempt.cc
+++ b/src/teaselthread/requests/endpoint_attempt.cc
@@ -376,16 +376,27 @@
       co_return result;
     }
   }
-  if (relay.events().has_partial_event()) {
-    result.failure = AttemptFailure::kMalformed;
+  result.failure = CheckStreamEnd(parser, relay);
+  if (result.failure)
     co_return result;
-  }
   ReleaseConnection(parser);
   if (!co_await relay.OnEnd())
     result.failure = AttemptFailure::kCallerGone;
   co_return result;
 }
 
+std::optional<AttemptFailure> EndpointAttempt::CheckStreamEnd(
+    const Parser& parser,
+    const StreamRelay& relay) {
+  if (relay.events().has_partial_event())
+    return AttemptFailure::kMalformed;
+  // The kernel closes the connections of a process that has ended, so their end
+  // says nothing about the stream's unless an event has come.
+  if (parser.need_eof() && !relay.has_event_from_attempt())
+    return AttemptFailure::kBroken;
+  return std::nullopt;
+}
+
 asio::awaitable<bool> EndpointAttempt::ReadBodyData(Parser& parser,
                                                     std::string_view* bytes) {
   if (guard_->interruption())
--- a/src/teaselthread/requests/endpoint_attempt.h
+++ b/src/teaselthread/requests/endpoint_attempt.h
@@ -73,6 +73,9 @@
   // Reads a response that belongs to no request and discards its body.
   asio::awaitable<bool> SkipBody(Parser& parser);
   asio::awaitable<AttemptResult> Stream(Parser& parser, StreamRelay& relay);
+  // Why a stream that has ended is not complete; empty if it is.
+  static std::optional<AttemptFailure> CheckStreamEnd(const Parser& parser,
+                                                      const StreamRelay& relay);
   // Reads the next part of the body. Returns false on an error.
   asio::awaitable<bool> ReadBodyData(Parser& parser, std::string_view* bytes);
   bool BelongsToRequest(const EndpointHead& head) const;
--- a/tests/gateway/gateway_harness.cc
+++ b/tests/gateway/gateway_harness.cc
@@ -64,11 +64,12 @@
   }
 }
 
-void ScriptedEndpoint::Crash() {
+void ScriptedEndpoint::Stop(bool resets) {
   boost::system::error_code ignored;
   acceptor_.close(ignored);
   for (tcp::socket* socket : sockets_) {
-    socket->set_option(asio::socket_base::linger(true, 0), ignored);
+    if (resets)
+      socket->set_option(asio::socket_base::linger(true, 0), ignored);
     socket->close(ignored);
   }
   sockets_.clear();
@@ -102,10 +103,14 @@
     if (reply.reads_body)
       buffer.erase(0, body_size);
     if (reply.crashes) {
-      Crash();
+      Stop(true);
       co_return;
     }
     co_await asio::async_write(socket, asio::buffer(reply.bytes), kAsTuple);
+    if (reply.exits) {
+      Stop(false);
+      co_return;
+    }
     if (!reply.rest.empty()) {
       asio::steady_timer pause(acceptor_.get_executor(), reply.pause);
       co_await pause.async_wait(kAsTuple);
--- a/tests/gateway/gateway_harness.h
+++ b/tests/gateway/gateway_harness.h
@@ -32,6 +32,9 @@
     std::string rest = {};
     // The endpoint ends: it resets all its connections and refuses new ones.
     bool crashes = false;
+    // The endpoint's process ends after the bytes: the kernel closes all its
+    // connections in an orderly way, and new ones are refused.
+    bool exits = false;
   };
   // Called with the request's header, its id and its number, starting at 0.
   using Script = std::function<
@@ -53,7 +56,8 @@
   asio::awaitable<void> Serve(tcp::socket socket);
   asio::awaitable<void> ServeRequests(tcp::socket& socket);
   asio::awaitable<void> Repeat(tcp::socket& socket, const Reply& reply);
-  void Crash();
+  // Closes all connections and refuses new ones.
+  void Stop(bool resets);
 
   tcp::acceptor acceptor_;
   Script script_;
