Streams: an unframed one that ends inside an event is broken

A prompt that crashes engines inside the first event of an unframed stream was sent on after six crashes: none of them was evidence against it.

Cause: the end of an unframed stream inside an event was classified as malformed, which says that a faulty engine has sent bytes that are no response. Only a broken attempt without an event is evidence of a crash.

Change: such an end is a broken attempt; the users' rule is "A stream that ends inside an event has been broken off". A stream whose last chunk comes inside an event is malformed, as before. What is retried and resumed does not change.

Evidence: is_refused_as_not_run_after_crashes_inside_an_event failed before, with two more crashes after six, and passes now.

--- a/src/teaselthread/requests/endpoint_attempt.cc
+++ b/src/teaselthread/requests/endpoint_attempt.cc
@@ -388,12 +388,15 @@
 std::optional<AttemptFailure> EndpointAttempt::CheckStreamEnd(
     const Parser& parser,
     const StreamRelay& relay) {
-  if (relay.events().has_partial_event())
-    return AttemptFailure::kMalformed;
+  const bool has_partial_event = relay.events().has_partial_event();
   // The kernel closes the connections of a process that has ended, so their end
-  // says nothing about the stream's unless an event has come.
-  if (parser.need_eof() && !relay.has_event_from_attempt())
+  // says nothing about the stream's inside an event or before the first one.
+  if (parser.need_eof() &&
+      (has_partial_event || !relay.has_event_from_attempt())) {
     return AttemptFailure::kBroken;
+  }
+  if (has_partial_event)
+    return AttemptFailure::kMalformed;
   return std::nullopt;
 }
 
--- a/tests/endpoint_faults/empty_streams_test.cc
+++ b/tests/endpoint_faults/empty_streams_test.cc
@@ -262,6 +262,14 @@
   CheckIsRefused();
 }
 
+// Guards against a crash that is not recorded, since a part of an event was
+// taken for the bytes of a faulty engine.
+BOOST_AUTO_TEST_CASE(is_refused_as_not_run_after_crashes_inside_an_event) {
+  StartEngines("id: 1\ndata: pi");
+  CrashEngines();
+  CheckIsRefused();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
