Reading requests: one without a body keeps its connection as buffers fill up

When the memory for bodies was used up, the gateway stopped watching the connections of requests without a body that it was serving: a caller that left was not seen, and its engine went on with the work. The same act cancels what is being written on the connection; that a response is cut by it was not measured.

Cause: a request's reservation of memory, which holds the size of its head, was pinned only after a body. Without one it stayed reclaimable for as long as the request was served, counted as a slow sender after a second, and was among the first to be taken, which cancels all operations on the socket.

Change: it is pinned as soon as the request has been read.

Evidence: full_buffers_test failed before (the engine is not told that the caller has left, and the request stays in progress) and passes now.

--- a/src/teaselthread/gateway/request_reader.cc
+++ b/src/teaselthread/gateway/request_reader.cc
@@ -92,8 +92,10 @@
   }
   if (!IsWellFormed(parser_.get()))
     co_return RefusalReason::kMalformed;
-  if (parser_.is_done())
+  if (parser_.is_done()) {
+    memory_.Pin();
     co_return std::nullopt;
+  }
   IdentifyCaller();
   co_return co_await ReadBody(limit);
 }
