Attempts: an exception ends the attempt, not the connection's coroutine

A request whose attempt throws got no response, and its connection stayed open: requests_in_progress and the load of the endpoint kept counting it, there was no line request-ended, and no other endpoint was tried. No path is known on which callers cause an exception; the test uses an address that is no IP address, which the store's decoder refuses.

Cause: the coroutine of a connection is detached, so that an exception ends it without any of its remaining steps. Only a hedged attempt had a limit for it, and that one left the load of the endpoint wrong.

Change: TrackedAttempt takes an exception for a broken attempt, with the line attempt-threw (id, endpoint, error). It is no evidence of a crashed engine. If nothing was sent, the request may go on at another endpoint, or is refused with 503 as not run.

--- a/src/teaselthread/requests/tracked_attempt.cc
+++ b/src/teaselthread/requests/tracked_attempt.cc
@@ -1,6 +1,7 @@
 #include "teaselthread/requests/tracked_attempt.h"
 
 #include <algorithm>
+#include <exception>
 
 namespace teaselthread {
 
@@ -33,14 +34,51 @@
   const std::string& service = exchange_->request.service->name;
   if (!selection_.affinity_part.empty())
     state_->demand().OnStart(service, selection_.affinity_part, state_->Now());
+  log_.OnSend(*exchange_, selection_, role_, &placement_->rollout_guard());
+  const uint32_t events_before = exchange_->relay.events().event_count();
+  AttemptResult result = co_await SendSafely();
+  endpoint.OnEnd(state_->Now());
+  placement_->rollout_guard().OnEnd(exchange_->request, selection_, result,
+                                    sent_at_,
+                                    exchange_->relay.FirstEventAfter(sent_at_));
+  if (!selection_.affinity_part.empty())
+    state_->demand().OnEnd(service, selection_.affinity_part, state_->Now());
+  UpdateEndpointHealth(endpoint, result);
+  if (!result.failure)
+    placement_->OnServed(selection_, state_->Now() - sent_at_);
+  if (result.failure == AttemptFailure::kBroken && !has_thrown_ &&
+      exchange_->relay.events().event_count() == events_before &&
+      !state_->endpoints().IsLeaving(endpoint))
+    crash_guard_->OnBreak(exchange_->request, selection_.endpoint, sent_at_);
+  co_return result;
+}
+
+asio::awaitable<AttemptResult> TrackedAttempt::SendSafely() {
+  AttemptResult result;
+  try {
+    result = co_await Send();
+  } catch (const std::exception& error) {
+    guard_->Detach();
+    has_thrown_ = true;
+    result.failure = AttemptFailure::kBroken;
+    LogLine line("attempt-threw");
+    line.Add("id", exchange_->request.head.id)
+        .Add("endpoint", selection_.endpoint->record().id)
+        .Add("error", error.what());
+    state_->log().Info(line);
+  }
+  co_return result;
+}
+
+asio::awaitable<AttemptResult> TrackedAttempt::Send() {
+  EndpointState& endpoint = *selection_.endpoint;
   const bool is_stream =
       exchange_->request.route->kind == RequestKind::kStreaming;
+  StreamRelay* relay = is_stream ? &exchange_->relay : nullptr;
   EndpointAttempt attempt(state_, connections_, selection_.endpoint,
                           guard_.get(), &exchange_->attempts, role_);
-  log_.OnSend(*exchange_, selection_, role_, &placement_->rollout_guard());
   const auto message = MakeEndpointRequest();
   timeouts_ = placement_->TimeoutsFor(exchange_->request, endpoint);
-  StreamRelay* relay = is_stream ? &exchange_->relay : nullptr;
   EndpointAttempt::SilenceHandlers on_silence;
   on_silence.on_health_timeout = [this, &endpoint] {
     AttemptResult silent;
@@ -50,23 +88,9 @@
   on_silence.may_abandon = [this] {
     return exchange_->may_abandon(selection_, role_);
   };
-  const uint32_t events_before = exchange_->relay.events().event_count();
   AttemptResult result =
       co_await attempt.Run(message, exchange_->request.head.id, timeouts_,
                            relay, std::move(on_silence));
-  endpoint.OnEnd(state_->Now());
-  placement_->rollout_guard().OnEnd(exchange_->request, selection_, result,
-                                    sent_at_,
-                                    exchange_->relay.FirstEventAfter(sent_at_));
-  if (!selection_.affinity_part.empty())
-    state_->demand().OnEnd(service, selection_.affinity_part, state_->Now());
-  UpdateEndpointHealth(endpoint, result);
-  if (!result.failure)
-    placement_->OnServed(selection_, state_->Now() - sent_at_);
-  if (result.failure == AttemptFailure::kBroken &&
-      exchange_->relay.events().event_count() == events_before &&
-      !state_->endpoints().IsLeaving(endpoint))
-    crash_guard_->OnBreak(exchange_->request, selection_.endpoint, sent_at_);
   co_return result;
 }
 
--- a/src/teaselthread/requests/tracked_attempt.h
+++ b/src/teaselthread/requests/tracked_attempt.h
@@ -33,6 +33,10 @@
   RequestGuard& guard() { return *guard_; }
 
  private:
+  asio::awaitable<AttemptResult> Send();
+  // An exception ends the attempt and not the coroutine of the caller's
+  // connection, which would leave the request without a response.
+  asio::awaitable<AttemptResult> SendSafely();
   std::shared_ptr<EndpointHttpRequest> MakeEndpointRequest() const;
   void UpdateEndpointHealth(EndpointState& endpoint,
                             const AttemptResult& result);
@@ -48,6 +52,7 @@
   std::shared_ptr<RequestGuard> guard_;
   Timestamp sent_at_{};
   ResponseTimeouts timeouts_;
+  bool has_thrown_ = false;
 };
 
 }  // namespace teaselthread
