Store: pause before a list that is repeated

Cause: a list that is older than what is known is refused, and read again at once, until the store's revision has passed the known one. The class: a repetition whose end depends on others, without a pause.

Change: from the second list in a row on, without a watch that has succeeded in between, the watcher pauses as it does after failed calls.

--- a/src/teaselthread/store/store_watcher.cc
+++ b/src/teaselthread/store/store_watcher.cc
@@ -58,6 +58,8 @@
       co_await Backoff();
     else if (result != CallResult::kRetry)
       is_listed = result == CallResult::kDone;
+    if (result == CallResult::kRelist && relists_++ > 0)
+      co_await PauseBeforeList();
   }
 }
 
@@ -116,6 +118,7 @@
   LogUnidentified(*page);
   confirmed_at_ = requested_at;
   view_.OnConfirmed(called_at_);
+  relists_ = 0;
   const bool has_changes = !page->objects.empty();
   StoreUpdate update{{}, from, page->revision, requested_at};
   if (view_.OnChanges(from, page->revision, has_changes))
@@ -197,14 +200,18 @@
   suspended_since_.reset();
 }
 
-asio::awaitable<void> StoreWatcher::Backoff() {
-  const PollTiming timing = poll_timing_();
-  const uint32_t doublings = std::min(failures_ - 1, kMaxDoublings);
-  const Duration longest = std::min(timing.backoff.shortest * (1 << doublings),
-                                    timing.backoff.longest);
+Duration StoreWatcher::BackoffTime(uint32_t attempts) {
+  const BackoffLimits limits = poll_timing_().backoff;
+  const uint32_t doublings = std::min(attempts - 1, kMaxDoublings);
+  const Duration longest =
+      std::min(limits.shortest * (1 << doublings), limits.longest);
   std::uniform_real_distribution<double> jitter(0.5, 1.0);
-  const auto time = Duration(
+  return Duration(
       static_cast<Duration::rep>(longest.count() * jitter(state_->random())));
+}
+
+asio::awaitable<void> StoreWatcher::Backoff() {
+  const Duration time = BackoffTime(failures_);
   if (suspends_after_failure_)
     pause_.expires_at(asio::steady_timer::time_point::max());
   else
@@ -212,4 +219,9 @@
   co_await pause_.async_wait(kAsTuple);
 }
 
+asio::awaitable<void> StoreWatcher::PauseBeforeList() {
+  pause_.expires_after(BackoffTime(relists_ - 1));
+  co_await pause_.async_wait(kAsTuple);
+}
+
 }  // namespace teaselthread
--- a/src/teaselthread/store/store_watcher.h
+++ b/src/teaselthread/store/store_watcher.h
@@ -110,7 +110,10 @@
   asio::awaitable<CallResult> List();
   asio::awaitable<CallResult> Watch();
   asio::awaitable<Result<HttpReply>> Get(std::string target, Duration timeout);
+  // The pause after `attempts` calls in a row, with jitter.
+  Duration BackoffTime(uint32_t attempts);
   asio::awaitable<void> Backoff();
+  asio::awaitable<void> PauseBeforeList();
   asio::awaitable<void> WaitForResume();
   // Classifies a call that ended without a usable response.
   CallResult OnCallError(const Error& reason);
@@ -127,6 +130,7 @@
   uint64_t newest_object_revision_ = 0;
   asio::steady_timer pause_;
   uint32_t failures_ = 0;  // consecutive
+  uint32_t relists_ = 0;   // since the latest watch that succeeded
   Timestamp called_at_{};
   Duration call_wait_{};
   Timestamp last_failed_call_at_{};
--- /dev/null
+++ b/tests/store_epochs/restored_store_test.cc
@@ -0,0 +1,102 @@
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <functional>
+
+#include "gateway/gateway_fixtures.h"
+#include "store_epochs/restorable_store.h"
+#include "teaselthread/store/store_controller.h"
+
+namespace teaselthread {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kTick = milliseconds(20);
+constexpr Duration kReactionTime = milliseconds(1'000);
+
+constexpr char kEndpointSpec[] =
+    R"({"service":"pool","address":"192.0.2.9:8080","zone":"a","slots":64,
+        "state":"ready","cold_left_ms":0,"born":5})";
+
+std::string ConfigurationSpec(int version) {
+  return R"({"version":)" + std::to_string(version) +
+         R"(,"routes":[],"services":[],"tenants":[],"limits":{)"
+         R"("max_header_bytes":16384,"max_body_bytes":4194304,)"
+         R"("header_timeout_ms":3000,"idle_timeout_ms":15000}})";
+}
+
+// A gateway without peers. Its store has a configuration and an endpoint, of
+// which a copy was taken.
+struct RestoredFixture {
+  RestoredFixture()
+      : store(&io),
+        state(&io, test::MakeSettings(store.address().port), &codec),
+        controller(&state) {
+    WriteConfiguration(10);
+    WriteEndpoint("e-1");
+    store.Copy();
+  }
+
+  void WriteConfiguration(int version) {
+    store.Write(StoreKind::kConfiguration, "main", ConfigurationSpec(version));
+  }
+  void WriteEndpoint(const std::string& id) {
+    store.Write(StoreKind::kEndpoints, id, kEndpointSpec);
+  }
+  // Changes of another kind, so that the revisions rise.
+  void WriteOthers(int count) {
+    for (int i = 0; i < count; ++i)
+      store.Write(StoreKind::kNodes, "n-" + std::to_string(i), "{}");
+  }
+  void Start() {
+    controller.Start();
+    RunFor(milliseconds(300));
+  }
+
+  void RunFor(Duration time) {
+    const Timestamp end = state.Now() + time;
+    RunUntil([&] { return state.Now() >= end; });
+  }
+  void RunUntil(const std::function<bool()>& done) {
+    for (int tick = 0; tick < 400 && !done(); ++tick) {
+      state.timers().Advance(state.Now());
+      io.run_for(kTick);
+    }
+  }
+  Duration ConfigurationAge() {
+    return *state.configuration_freshness().Age(GatewayState::BootNow());
+  }
+  bool HasEndpoint(const std::string& id) {
+    const auto endpoints = state.endpoints().Running("pool");
+    return std::any_of(
+        endpoints.begin(), endpoints.end(),
+        [&](const auto& item) { return item->record().id == id; });
+  }
+
+  asio::io_context io;
+  platform::PlatformCodec codec;
+  test::RestorableStore store;
+  GatewayState state;
+  StoreController controller;
+};
+
+BOOST_FIXTURE_TEST_SUITE(a_store_restored_from_an_older_copy, RestoredFixture)
+
+// Guards against a list that is repeated without a pause while the store's
+// revision is lower than the known one.
+BOOST_AUTO_TEST_CASE(is_not_called_without_a_pause) {
+  WriteOthers(100);
+  Start();
+  store.Restore();
+  const int reads_before = store.reads(StoreKind::kEvacuations);
+  RunFor(kReactionTime);
+  const int reads = store.reads(StoreKind::kEvacuations) - reads_before;
+  BOOST_TEST(reads < 60);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace teaselthread
