Store epochs: read lists again when the store was restored

Seen by callers: requests with keys refused as stale, requests to endpoints that have left and none to new ones, from a restore of the store until its revision has passed the former one.

Cause: a revision was taken for a position in one history that never goes back. Lists with a lower one were refused, so that nothing confirmed the configuration; and if the store had given out the known revision again by the next watch, the watch went on in another history, without 410.

Change: Store-Era is decoded at the boundary as the store's epoch. When it rises, the known revision counts no more: the list is read again and accepted. Event store-restored, metric store_restorations_total. Responses without the header are handled as before. The configuration in use never goes back.

Evidence: confirms_the_configuration, delivers_changes_with_lower_revisions and is_listed_again_if_revisions_are_given_out_again failed before; does_not_bring_an_older_configuration_back passed before and does now.

--- a/src/libteaselthread/peers/relayed_list_view.cc
+++ b/src/libteaselthread/peers/relayed_list_view.cc
@@ -9,9 +9,14 @@
   informed_until_ = std::max(informed_until_, called_at + max_age_);
 }
 
-bool RelayedListView::OnList(uint64_t revision) {
-  if (revision < revision_)
+bool RelayedListView::OnList(uint64_t revision, StoreEpoch epoch) {
+  if (IsOlderEpoch(epoch, epoch_))
     return false;
+  const bool is_new_epoch = epoch && epoch != epoch_;
+  if (revision < revision_ && !is_new_epoch)
+    return false;
+  if (is_new_epoch)
+    epoch_ = epoch;
   revision_ = revision;
   changed_at_ = revision;
   return true;
--- a/src/libteaselthread/peers/relayed_list_view.h
+++ b/src/libteaselthread/peers/relayed_list_view.h
@@ -20,9 +20,11 @@
 
   // Zero until the list has been read.
   uint64_t revision() const { return revision_; }
+  // Of `revision`; empty until the store has named it.
+  StoreEpoch epoch() const { return epoch_; }
   // The whole list was read as of `revision`. Returns false, and changes
-  // nothing, if a later state is known.
-  bool OnList(uint64_t revision);
+  // nothing, if a later state is known. In a newer epoch, that is none.
+  bool OnList(uint64_t revision, StoreEpoch epoch = {});
   // The store has responded to a call that this node made at `called_at`. This
   // informs the node like a status of the leader, which may take some time to
   // find this node after its start.
@@ -52,6 +54,7 @@
  private:
   Duration max_age_;
   uint64_t revision_ = 0;
+  StoreEpoch epoch_;
   uint64_t changed_at_ = 0;
   Timestamp informed_until_{};
   ChangeAssembler assembler_;
--- a/src/libteaselthread/peers/store_changes.h
+++ b/src/libteaselthread/peers/store_changes.h
@@ -16,6 +16,16 @@
 enum class RelayedList : uint8_t { kEndpoints, kEvacuations, kRollouts };
 inline constexpr size_t kRelayedListCount = 3;
 
+// Which history of the store a revision belongs to. The store's epoch rises
+// when it is restored from an older copy, after which it gives out revisions
+// again. Empty if the store or the sender does not name it.
+using StoreEpoch = std::optional<uint64_t>;
+
+// Whether both epochs are known and `epoch` is the older one.
+inline bool IsOlderEpoch(StoreEpoch epoch, StoreEpoch than) {
+  return epoch && than && *epoch < *than;
+}
+
 // One object of a list that was created, changed or removed.
 struct StoreChange {
   std::string name;  // the endpoint's id, the availability zone or the order
--- a/src/teaselthread/gateway/gateway_metrics.cc
+++ b/src/teaselthread/gateway/gateway_metrics.cc
@@ -180,6 +180,7 @@
   ByReason<HedgeDenial>(out, "hedges_denied_total", hedges_denied_);
   Scalar(out, "store_calls_total", "counter", store_calls_);
   Scalar(out, "store_failures_total", "counter", store_failures_);
+  Scalar(out, "store_restorations_total", "counter", store_restorations_);
   Scalar(out, "unreadable_entries_total", "counter", unreadable_entries_);
   Scalar(out, "heartbeats_sent_total", "counter", heartbeats_sent_);
   Scalar(out, "heartbeat_bytes_total", "counter", heartbeat_bytes_);
--- a/src/teaselthread/gateway/gateway_metrics.h
+++ b/src/teaselthread/gateway/gateway_metrics.h
@@ -116,6 +116,8 @@
     ++hedges_denied_[static_cast<size_t>(denial)];
   }
   void OnStoreCall(bool succeeded);
+  // A list was read again, as the store had been restored from an older copy.
+  void OnStoreRestored() { ++store_restorations_; }
   void OnUnreadableEntry() { ++unreadable_entries_; }
   void OnHeartbeatSent(size_t bytes);
   // An order has entered a stage at this gateway.
@@ -151,6 +153,7 @@
   uint64_t attempts_cancelled_ = 0;
   std::array<uint64_t, kHedgeDenialCount> hedges_denied_{};
   uint64_t store_calls_ = 0;
+  uint64_t store_restorations_ = 0;
   uint64_t store_failures_ = 0;
   uint64_t unreadable_entries_ = 0;
   uint64_t heartbeats_sent_ = 0;
--- a/src/teaselthread/gateway/wire_codec.h
+++ b/src/teaselthread/gateway/wire_codec.h
@@ -113,6 +113,9 @@
   virtual std::string ObjectTarget(StoreKind kind,
                                    const std::string& name) const = 0;
   virtual std::string EncodeObject(const StoreObject& object) const = 0;
+  // The store's epoch, which rises when the store is restored from an older
+  // copy. Empty if the response does not name one.
+  virtual StoreEpoch DecodeStoreEpoch(const http::fields& fields) const = 0;
   virtual Result<StorePage> DecodeList(const std::string& body) const = 0;
   virtual Result<StorePage> DecodeWatch(const std::string& body) const = 0;
 
--- a/src/teaselthread/http_client.cc
+++ b/src/teaselthread/http_client.cc
@@ -60,8 +60,9 @@
     co_return fail(read_failure);
   HttpExchange exchange;
   exchange.reply.status = static_cast<int>(parser.get().result_int());
-  exchange.reply.body = std::move(parser.get().body());
   exchange.keep_alive = parser.get().keep_alive();
+  exchange.reply.body = std::move(parser.get().body());
+  exchange.reply.fields = std::move(parser.get().base());
   co_return exchange;
 }
 
--- a/src/teaselthread/http_client.h
+++ b/src/teaselthread/http_client.h
@@ -21,6 +21,7 @@
 struct HttpReply {
   int status = 0;
   std::string body;
+  http::fields fields = {};  // of the header
 };
 
 // Connects to an IP address and port.
--- a/src/teaselthread/store/store_watcher.cc
+++ b/src/teaselthread/store/store_watcher.cc
@@ -67,6 +67,7 @@
   std::vector<StoreObject> objects;
   const Timestamp requested_at = GatewayState::BootNow();
   std::optional<uint64_t> first_revision;
+  StoreEpoch epoch;
   for (std::string after;;) {
     std::string target = state_->codec().ListTarget(kind_, after, false);
     Result<HttpReply> reply = co_await Get(std::move(target), kCallTimeout);
@@ -75,10 +76,16 @@
     Result<StorePage> page = state_->codec().DecodeList(reply->body);
     if (!page)
       co_return OnFailure(Describe(page.last_reason()));
+    const StoreEpoch page_epoch =
+        state_->codec().DecodeStoreEpoch(reply->fields);
     // The watch starts from the revision of the first page, so it also delivers
     // the changes made while the later pages are read.
-    if (!first_revision)
+    if (!first_revision) {
       first_revision = page->revision;
+      epoch = page_epoch;
+    }
+    if (IsOlderEpoch(epoch, page_epoch))
+      co_return CallResult::kRelist;
     LogUnidentified(*page);
     for (const StoreObject& object : page->objects)
       objects.push_back(object);
@@ -86,15 +93,41 @@
       break;
     after = page->objects.back().name;
   }
-  OnSuccess(objects);
+  StoreUpdate update{std::move(objects), *first_revision, *first_revision,
+                     requested_at};
+  co_return ApplyList(std::move(update), epoch);
+}
+
+StoreWatcher::CallResult StoreWatcher::ApplyList(StoreUpdate update,
+                                                 StoreEpoch epoch) {
+  const uint64_t known = view_.revision();
+  const bool is_restored = IsOlderEpoch(view_.epoch(), epoch);
+  if (is_restored)
+    newest_object_revision_ = 0;
+  OnSuccess(update.objects);
   // Relayed changes may have overtaken the list.
-  if (!view_.OnList(*first_revision))
-    co_return CallResult::kRelist;
-  confirmed_at_ = requested_at;
+  if (!view_.OnList(update.to, epoch))
+    return CallResult::kRelist;
+  confirmed_at_ = update.requested_at;
   view_.OnConfirmed(called_at_);
-  callbacks_.on_list(
-      {std::move(objects), *first_revision, *first_revision, requested_at});
-  co_return CallResult::kDone;
+  if (is_restored)
+    OnRestored(epoch, known, update.to);
+  callbacks_.on_list(update);
+  return CallResult::kDone;
+}
+
+void StoreWatcher::OnRestored(StoreEpoch epoch,
+                              uint64_t known,
+                              uint64_t listed) {
+  state_->metrics().OnStoreRestored();
+  LogLine line("store-restored");
+  line.Add("kind", ToString(kind_))
+      .Add("epoch", *epoch)
+      .Add("known", known)
+      .Add("listed", listed);
+  state_->log().Warn(line);
+  if (callbacks_.on_restored)
+    callbacks_.on_restored(epoch);
 }
 
 asio::awaitable<StoreWatcher::CallResult> StoreWatcher::Watch() {
@@ -114,6 +147,10 @@
   Result<StorePage> page = state_->codec().DecodeWatch(reply->body);
   if (!page)
     co_return OnFailure(Describe(page.last_reason()));
+  // The changes are those of another history.
+  const StoreEpoch epoch = state_->codec().DecodeStoreEpoch(reply->fields);
+  if (epoch && epoch != view_.epoch())
+    co_return CallResult::kRelist;
   OnSuccess(page->objects);
   LogUnidentified(*page);
   confirmed_at_ = requested_at;
--- a/src/teaselthread/store/store_watcher.h
+++ b/src/teaselthread/store/store_watcher.h
@@ -24,7 +24,8 @@
 
 // Tracks the objects of one kind in the platform's store: lists them, then
 // watches for changes by long polling, and lists them again if the store no
-// longer holds the history from the last known revision on.
+// longer holds the history from the last known revision on, or has been
+// restored from an older copy and names a newer epoch.
 class StoreWatcher {
  public:
   using UpdateCallback = std::function<void(const StoreUpdate&)>;
@@ -33,6 +34,8 @@
     UpdateCallback on_changes;  // also called if nothing has changed
     // Called when the calls begin to fail, and when they succeed again.
     std::function<void(bool reachable)> on_reachability_changed;
+    // Called before `on_list` if the list is the first one of a newer epoch.
+    std::function<void(StoreEpoch)> on_restored = {};
   };
 
   // Pauses after failed calls.
@@ -86,9 +89,10 @@
   bool is_unreachable() const { return failures_ > 0; }
   // The revision of the store up to which all changes are known.
   uint64_t revision() const { return view_.revision(); }
+  StoreEpoch epoch() const { return view_.epoch(); }
   RelayedListView& view() { return view_; }
   const RelayedListView& view() const { return view_; }
-  // The highest revision of an object that was received.
+  // The highest revision of an object that was received in this epoch.
   uint64_t newest_object_revision() const { return newest_object_revision_; }
   // When the call in progress was made, or when the watch was suspended; empty
   // between calls.
@@ -109,6 +113,8 @@
   asio::awaitable<void> Run();
   asio::awaitable<CallResult> List();
   asio::awaitable<CallResult> Watch();
+  CallResult ApplyList(StoreUpdate update, StoreEpoch epoch);
+  void OnRestored(StoreEpoch epoch, uint64_t known, uint64_t listed);
   asio::awaitable<Result<HttpReply>> Get(std::string target, Duration timeout);
   // The pause after `attempts` calls in a row, with jitter.
   Duration BackoffTime(uint32_t attempts);
--- a/tests/store_epochs/restorable_store.cc
+++ b/tests/store_epochs/restorable_store.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "platform/wire_names.h"
+
 namespace teaselthread::test {
 namespace {
 
@@ -93,7 +95,7 @@
 std::string RestorableStore::Response(const std::string& status,
                                       const std::string& body) const {
   return MakeResponse("", body, status,
-                      Field("Store-Era", std::to_string(epoch_)));
+                      Field(platform::kStoreEra, std::to_string(epoch_)));
 }
 
 std::string RestorableStore::ListBody(StoreKind kind) const {
--- a/tests/store_epochs/restored_store_test.cc
+++ b/tests/store_epochs/restored_store_test.cc
@@ -96,6 +96,49 @@
   BOOST_TEST(reads < 60);
 }
 
+// Guards against a configuration that nothing confirms until the store's
+// revision has passed the former one.
+BOOST_AUTO_TEST_CASE(confirms_the_configuration) {
+  WriteOthers(100);
+  Start();
+  store.Restore();
+  RunFor(kReactionTime);
+  BOOST_TEST((ConfigurationAge() < milliseconds(700)));
+}
+
+// Guards against changes after a restore that are not read, since their
+// revisions are lower than the known one.
+BOOST_AUTO_TEST_CASE(delivers_changes_with_lower_revisions) {
+  WriteOthers(100);
+  Start();
+  store.Restore();
+  WriteEndpoint("e-3");
+  WriteConfiguration(11);
+  RunFor(kReactionTime);
+  BOOST_TEST(HasEndpoint("e-3"));
+  BOOST_TEST(state.routes()->version() == 11u);
+}
+
+// Guards against a watch that goes on in another history, without 410, since
+// the store has given out the known revision again.
+BOOST_AUTO_TEST_CASE(is_listed_again_if_revisions_are_given_out_again) {
+  WriteOthers(5);
+  Start();
+  store.Restore();
+  WriteEndpoint("e-3");
+  WriteOthers(50);
+  RunFor(kReactionTime);
+  BOOST_TEST(HasEndpoint("e-3"));
+}
+
+BOOST_AUTO_TEST_CASE(does_not_bring_an_older_configuration_back) {
+  WriteConfiguration(12);
+  Start();
+  store.Restore();
+  RunFor(kReactionTime);
+  BOOST_TEST(state.routes()->version() == 12u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
