Store epochs: keep what the copy lacks until it is written again

Seen by callers: with lists of a restored store accepted, endpoints that had registered after the copy was made would get no requests until they register again, and zones whose evacuation the copy lacks would get some.

Cause: what a list does not have was taken for removed. Removals were deferred only after calls that had failed, and ends of evacuations never.

Change: the first list of a new epoch starts the grace period of removals, up to 2.3 s. Evacuations that the list does not have stay in force until its end.

--- a/src/libteaselthread/endpoints/removal_grace_period.cc
+++ b/src/libteaselthread/endpoints/removal_grace_period.cc
@@ -35,4 +35,8 @@
                   last_failed_call_at + contact_bound_ - kSweepMargin);
 }
 
+Timestamp RemovalGracePeriod::OnRestored(Timestamp now) const {
+  return now + std::min(kReregistrationTime, contact_bound_ - kSweepMargin);
+}
+
 }  // namespace teaselthread
--- a/src/teaselthread/store/list_controller.cc
+++ b/src/teaselthread/store/list_controller.cc
@@ -32,7 +32,7 @@
                [this] { return ChoosePollTiming(); },
                {[this](const StoreUpdate& update) { OnList(update); },
                 [this](const StoreUpdate& update) { OnChanges(update); },
-                handlers_.on_reachability_changed}) {}
+                handlers_.on_reachability_changed, handlers_.on_restored}) {}
 
 StoreWatcher::PollTiming ListController::ChoosePollTiming() const {
   if (IsLeader())
--- a/src/teaselthread/store/store_controller.cc
+++ b/src/teaselthread/store/store_controller.cc
@@ -45,7 +45,8 @@
           [this] { return ConfigurationPollTiming(); },
           {[this](const StoreUpdate& update) { OnConfigurationUpdate(update); },
            [this](const StoreUpdate& update) { OnConfigurationUpdate(update); },
-           ReachabilityHandler(StoreKind::kConfiguration)}),
+           ReachabilityHandler(StoreKind::kConfiguration),
+           RestorationHandler()}),
       endpoints_(state,
                  RelayedList::kEndpoints,
                  StoreKind::kEndpoints,
@@ -80,11 +81,15 @@
       [this, kind](bool reachable) { OnReachabilityChanged(kind, reachable); };
 }
 
+std::function<void(StoreEpoch)> StoreController::RestorationHandler() {
+  return [this](StoreEpoch epoch) { OnStoreRestored(epoch); };
+}
+
 ListController::Handlers StoreController::EndpointHandlers() {
   return {[this](const StoreObject& object) { return DecodeEndpoint(object); },
           [this](const Changes& endpoints) { ReplaceEndpoints(endpoints); },
           [this](const Changes& changes) { ApplyEndpointChanges(changes); },
-          ReachabilityHandler(StoreKind::kEndpoints)};
+          ReachabilityHandler(StoreKind::kEndpoints), RestorationHandler()};
 }
 
 ListController::Handlers StoreController::EvacuationHandlers() {
@@ -93,14 +98,14 @@
           },
           [this](const Changes& zones) { ReplaceEvacuations(zones); },
           [this](const Changes& changes) { ApplyEvacuationChanges(changes); },
-          ReachabilityHandler(StoreKind::kEvacuations)};
+          ReachabilityHandler(StoreKind::kEvacuations), RestorationHandler()};
 }
 
 ListController::Handlers StoreController::RolloutHandlers() {
   return {[this](const StoreObject& object) { return DecodeRollout(object); },
           [this](const Changes& orders) { ReplaceRollouts(orders); },
           [this](const Changes& changes) { ApplyRolloutChanges(changes); },
-          ReachabilityHandler(StoreKind::kRollouts)};
+          ReachabilityHandler(StoreKind::kRollouts), RestorationHandler()};
 }
 
 ListController::Timing StoreController::ListTiming() const {
@@ -125,6 +130,7 @@
   state_->timers().Subscribe(kCheckInterval, state_->Now(),
                              [this](Timestamp now) {
                                state_->endpoints().Sweep(now);
+                               EndForgottenEvacuations(now);
                                CheckConfiguration();
                                if (configuration_.is_unreachable())
                                  return;
@@ -252,6 +258,14 @@
     recovery_unannounced_ = true;
 }
 
+void StoreController::OnStoreRestored(StoreEpoch epoch) {
+  if (epoch <= restored_epoch_)
+    return;
+  restored_epoch_ = epoch;
+  restoration_grace_until_ = removal_grace_period_.OnRestored(state_->Now());
+  state_->endpoints().DeferRemovals(restoration_grace_until_);
+}
+
 void StoreController::OnConfigurationUpdate(const StoreUpdate& update) {
   for (const StoreObject& object : update.objects) {
     if (!object.removed)
@@ -353,12 +367,30 @@
   std::set<std::string> zones;
   for (const StoreChange& change : evacuations)
     zones.insert(change.name);
+  forgotten_evacuations_.clear();
+  if (state_->Now() < restoration_grace_until_) {
+    for (const std::string& zone : state_->endpoints().evacuated_zones()) {
+      if (zones.insert(zone).second)
+        forgotten_evacuations_.insert(zone);
+    }
+  }
+  SetEvacuated(std::move(zones));
+}
+
+void StoreController::EndForgottenEvacuations(Timestamp now) {
+  if (forgotten_evacuations_.empty() || now < restoration_grace_until_)
+    return;
+  std::set<std::string> zones = state_->endpoints().evacuated_zones();
+  for (const std::string& zone : forgotten_evacuations_)
+    zones.erase(zone);
+  forgotten_evacuations_.clear();
   SetEvacuated(std::move(zones));
 }
 
 void StoreController::ApplyEvacuationChanges(const Changes& changes) {
   std::set<std::string> zones = state_->endpoints().evacuated_zones();
   for (const StoreChange& change : changes) {
+    forgotten_evacuations_.erase(change.name);
     if (change.removed)
       zones.erase(change.name);
     else
--- a/src/teaselthread/store/store_controller.h
+++ b/src/teaselthread/store/store_controller.h
@@ -61,6 +61,10 @@
 
   void OnConfigurationUpdate(const StoreUpdate& update);
   void OnReachabilityChanged(StoreKind kind, bool reachable);
+  std::function<void(StoreEpoch)> RestorationHandler();
+  // Starts the period in which endpoints and operators write again what the
+  // copy does not have. The first list of an epoch starts it.
+  void OnStoreRestored(StoreEpoch epoch);
   // Reconnects the watch of the configuration if neither the store nor a peer
   // has confirmed the configuration for MaxUnconfirmedAge, or if it has not
   // delivered a version that a peer has announced.
@@ -74,6 +78,8 @@
   void ReplaceEvacuations(const Changes& evacuations);
   void ApplyEvacuationChanges(const Changes& changes);
   void SetEvacuated(std::set<std::string> zones);
+  // Ends the evacuations that were not written again after a restoration.
+  void EndForgottenEvacuations(Timestamp now);
   StoreChange DecodeRollout(const StoreObject& object);
   void ReplaceRollouts(const Changes& orders);
   void ApplyRolloutChanges(const Changes& changes);
@@ -85,6 +91,10 @@
   GatewayState* state_;
   std::function<void()> on_store_recovered_;
   RemovalGracePeriod removal_grace_period_;
+  StoreEpoch restored_epoch_;
+  Timestamp restoration_grace_until_{};
+  // Evacuated zones that the restored store does not have.
+  std::set<std::string> forgotten_evacuations_;
   // When the store was last found unreachable, or when a peer's heartbeat last
   // showed that it is back. On the clock that counts suspension.
   Timestamp last_unreachable_at_{};
--- a/tests/store_epochs/restored_store_test.cc
+++ b/tests/store_epochs/restored_store_test.cc
@@ -131,6 +131,40 @@
   BOOST_TEST(HasEndpoint("e-3"));
 }
 
+// Guards against endpoints that are removed before they have written
+// themselves again.
+BOOST_AUTO_TEST_CASE(leaves_endpoints_time_to_register_again) {
+  WriteEndpoint("e-2");
+  WriteEndpoint("e-4");
+  Start();
+  BOOST_REQUIRE(HasEndpoint("e-2"));
+  store.Restore();
+  RunFor(kReactionTime);
+  BOOST_TEST(HasEndpoint("e-2"));
+  WriteEndpoint("e-2");
+  RunFor(milliseconds(2'500));
+  BOOST_TEST(HasEndpoint("e-2"));
+  BOOST_TEST(!HasEndpoint("e-4"));
+}
+
+// Guards against requests to a zone whose evacuation the copy does not have.
+BOOST_AUTO_TEST_CASE(leaves_operators_time_to_evacuate_again) {
+  store.Write(StoreKind::kEvacuations, "zone-b", "{}");
+  store.Write(StoreKind::kEvacuations, "zone-c", "{}");
+  Start();
+  const auto evacuated = [this](const std::string& zone) {
+    return state.endpoints().evacuated_zones().contains(zone);
+  };
+  BOOST_REQUIRE(evacuated("zone-b"));
+  store.Restore();
+  RunFor(kReactionTime);
+  BOOST_TEST(evacuated("zone-b"));
+  store.Write(StoreKind::kEvacuations, "zone-b", "{}");
+  RunFor(milliseconds(2'500));
+  BOOST_TEST(evacuated("zone-b"));
+  BOOST_TEST(!evacuated("zone-c"));
+}
+
 BOOST_AUTO_TEST_CASE(does_not_bring_an_older_configuration_back) {
   WriteConfiguration(12);
   Start();
