Store epochs: tell them to other gateways

Seen by callers: requests to endpoints that have left, or none to new ones, at gateways that follow a zone leader into another history of the store, and calls for changes that the store no longer has.

Cause: batches, the leader's status and announced revisions were compared by revision only. Those of the history before a restore passed for later ones.

Change: heartbeats name the epoch with each of them, in new optional fields. Those of an older epoch are ignored; one of a newer epoch counts as a missed change, so that the receiver asks the store. Messages without an epoch, as older gateways send them, are taken as before.

--- a/src/libteaselthread/peers/change_assembler.cc
+++ b/src/libteaselthread/peers/change_assembler.cc
@@ -20,6 +20,7 @@
   for (size_t i = 0; i < count; ++i) {
     parts[i].batch.from = batch.from;
     parts[i].batch.to = batch.to;
+    parts[i].batch.epoch = batch.epoch;
     parts[i].index = static_cast<uint32_t>(i);
     parts[i].count = static_cast<uint32_t>(count);
   }
@@ -31,12 +32,13 @@
 std::optional<ChangeBatch> ChangeAssembler::Add(ChangeBatchPart part) {
   if (part.count == 0 || part.count > kMaxParts || part.index >= part.count)
     return std::nullopt;
-  const bool is_other_batch = part.batch.from != from_ ||
-                              part.batch.to != to_ ||
-                              part.count != parts_.size();
+  const bool is_other_batch =
+      part.batch.from != from_ || part.batch.to != to_ ||
+      part.batch.epoch != epoch_ || part.count != parts_.size();
   if (is_other_batch) {
     from_ = part.batch.from;
     to_ = part.batch.to;
+    epoch_ = part.batch.epoch;
     parts_.assign(part.count, std::nullopt);
   }
   const uint32_t index = part.index;
@@ -46,7 +48,7 @@
                   [](const auto& kept) { return kept.has_value(); });
   if (!is_complete)
     return std::nullopt;
-  ChangeBatch batch{from_, to_, {}};
+  ChangeBatch batch{from_, to_, {}, epoch_};
   for (auto& kept : parts_) {
     for (StoreChange& change : kept->batch.changes)
       batch.changes.push_back(std::move(change));
--- a/src/libteaselthread/peers/change_assembler.h
+++ b/src/libteaselthread/peers/change_assembler.h
@@ -25,6 +25,7 @@
  private:
   uint64_t from_ = 0;
   uint64_t to_ = 0;
+  StoreEpoch epoch_;
   std::vector<std::optional<ChangeBatchPart>> parts_;
 };
 
--- a/src/libteaselthread/peers/missed_change_detector.h
+++ b/src/libteaselthread/peers/missed_change_detector.h
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <optional>
 
-#include "libteaselthread/timestamp.h"
+#include "libteaselthread/peers/store_changes.h"
 
 namespace teaselthread {
 
@@ -26,19 +26,24 @@
 
   explicit MissedChangeDetector(Timeouts timeouts) : timeouts_(timeouts) {}
 
-  // Another node has announced the change with revision `revision`.
-  void OnPeerRevision(uint64_t revision, Timestamp now);
+  // Another node has announced the change with revision `revision`. Revisions
+  // of a newer epoch replace those of older ones.
+  void OnPeerRevision(uint64_t revision, Timestamp now, StoreEpoch epoch = {});
   uint64_t newest_peer_revision() const { return newest_peer_revision_; }
   // `known_revision`: this node's own watch has delivered all changes up to
   // this revision. `waiting_since`: when its current call was made; empty
-  // between two calls, since the next call will deliver the change.
+  // between two calls, since the next call will deliver the change. A revision
+  // of an older epoch than `known_epoch` says nothing; one of a newer epoch is
+  // missed, whatever its number.
   bool IsMissed(uint64_t known_revision,
                 std::optional<Timestamp> waiting_since,
-                Timestamp now) const;
+                Timestamp now,
+                StoreEpoch known_epoch = {}) const;
 
  private:
   Timeouts timeouts_;
   uint64_t newest_peer_revision_ = 0;
+  StoreEpoch epoch_;
   Timestamp announced_at_{};
 };
 
--- a/src/libteaselthread/peers/peer_set.h
+++ b/src/libteaselthread/peers/peer_set.h
@@ -38,6 +38,8 @@
   // The store revisions of the newest changes that the sender knows.
   uint64_t endpoints_revision = 0;
   uint64_t evacuations_revision = 0;
+  StoreEpoch endpoints_epoch;
+  StoreEpoch evacuations_epoch;
   // How long ago the sender's configuration was confirmed to be the newest.
   std::optional<Duration> configuration_age;
   Timestamp sent_at{};
--- a/src/libteaselthread/peers/relayed_list_view.cc
+++ b/src/libteaselthread/peers/relayed_list_view.cc
@@ -33,6 +33,8 @@
 
 std::optional<ChangeBatch> RelayedListView::OnRelayedPart(
     ChangeBatchPart part) {
+  if (IsOtherEpoch(part.batch.epoch))
+    return std::nullopt;
   std::optional<ChangeBatch> batch = assembler_.Add(std::move(part));
   if (!batch || !OnChanges(batch->from, batch->to, true))
     return std::nullopt;
@@ -40,6 +42,8 @@
 }
 
 void RelayedListView::OnLeaderStatus(const ListStatus& status, Timestamp now) {
+  if (IsOtherEpoch(status.epoch))
+    return;
   informed_until_ = std::max(informed_until_, now + max_age_ - status.age);
   const bool lacks_nothing = revision_ > 0 && revision_ >= status.changed_at;
   if (lacks_nothing)
--- a/src/libteaselthread/peers/relayed_list_view.h
+++ b/src/libteaselthread/peers/relayed_list_view.h
@@ -36,14 +36,15 @@
   // since. The changes must be applied if it returns true.
   bool OnChanges(uint64_t from, uint64_t to, bool has_changes);
   // Adds a part of a batch that another node relays. Returns the batch if it is
-  // complete and must be applied.
+  // complete and must be applied. Batches and statuses of other epochs than
+  // this node's are ignored; those that name none are taken to be of its own.
   std::optional<ChangeBatch> OnRelayedPart(ChangeBatchPart part);
   // The status of a node of this availability zone that watches the list.
   void OnLeaderStatus(const ListStatus& status, Timestamp now);
 
   // What this node states as the zone leader, `age` after the store's response.
   ListStatus StatusAt(Duration age) const {
-    return {changed_at_, revision_, age};
+    return {changed_at_, revision_, age, epoch_};
   }
   // Whether the leader informs this node of changes. Revisions that this node
   // has missed are not considered.
@@ -52,6 +53,10 @@
   }
 
  private:
+  bool IsOtherEpoch(StoreEpoch epoch) const {
+    return epoch && epoch_ && epoch != epoch_;
+  }
+
   Duration max_age_;
   uint64_t revision_ = 0;
   StoreEpoch epoch_;
--- a/src/libteaselthread/peers/revision_announcement.cc
+++ b/src/libteaselthread/peers/revision_announcement.cc
@@ -8,9 +8,13 @@
 
 }  // namespace
 
-void RevisionAnnouncement::OnRevision(uint64_t revision, Timestamp now) {
-  if (revision <= revision_)
+void RevisionAnnouncement::OnRevision(uint64_t revision,
+                                      Timestamp now,
+                                      StoreEpoch epoch) {
+  if (revision <= revision_ && !IsOlderEpoch(epoch_, epoch))
     return;
+  if (epoch)
+    epoch_ = epoch;
   revision_ = revision;
   revision_known_since_ = now;
 }
--- a/src/libteaselthread/peers/revision_announcement.h
+++ b/src/libteaselthread/peers/revision_announcement.h
@@ -3,7 +3,7 @@
 
 #include <cstdint>
 
-#include "libteaselthread/timestamp.h"
+#include "libteaselthread/peers/store_changes.h"
 
 namespace teaselthread {
 
@@ -13,13 +13,16 @@
 class RevisionAnnouncement {
  public:
   // `revision`: a revision of the store. Values that are not higher than the
-  // newest one so far are ignored.
-  void OnRevision(uint64_t revision, Timestamp now);
+  // newest one so far of the same epoch are ignored.
+  void OnRevision(uint64_t revision, Timestamp now, StoreEpoch epoch = {});
   // The revision to announce, or 0 if there is none.
   uint64_t RevisionToAnnounce(Timestamp now) const;
+  // Of that revision.
+  StoreEpoch epoch() const { return epoch_; }
 
  private:
   uint64_t revision_ = 0;
+  StoreEpoch epoch_;
   Timestamp revision_known_since_{};
 };
 
--- a/src/libteaselthread/peers/store_changes.h
+++ b/src/libteaselthread/peers/store_changes.h
@@ -44,6 +44,7 @@
   uint64_t from = 0;
   uint64_t to = 0;
   std::vector<StoreChange> changes;
+  StoreEpoch epoch = {};
 
   friend auto operator<=>(const ChangeBatch&, const ChangeBatch&) = default;
 };
@@ -63,6 +64,7 @@
   uint64_t changed_at = 0;   // the list has not changed after this revision
   uint64_t complete_to = 0;  // ... up to this one
   Duration age{};            // time since the store confirmed that
+  StoreEpoch epoch = {};     // of the revisions
 
   friend auto operator<=>(const ListStatus&, const ListStatus&) = default;
 };
--- a/src/teaselthread/gateway/heartbeat_conversion.cc
+++ b/src/teaselthread/gateway/heartbeat_conversion.cc
@@ -96,9 +96,18 @@
   return static_cast<uint32_t>(std::chrono::ceil<milliseconds>(time).count());
 }
 
+void EncodeListStatus(const ListStatus& status, wire::ListStatus* message) {
+  message->set_changed_at(status.changed_at);
+  message->set_complete_to(status.complete_to);
+  message->set_age_ms(ToMilliseconds(status.age));
+  if (status.epoch)
+    message->set_epoch(*status.epoch);
+}
+
 ListStatus DecodeListStatus(const wire::ListStatus& message) {
   return {message.changed_at(), message.complete_to(),
-          milliseconds(message.age_ms())};
+          milliseconds(message.age_ms()),
+          message.has_epoch() ? StoreEpoch(message.epoch()) : std::nullopt};
 }
 
 void EncodeChange(const StoreChange& change,
@@ -145,6 +154,25 @@
   return change;
 }
 
+std::optional<ChangeBatchPart> DecodeChangePart(
+    RelayedList list,
+    const wire::ChangePart& message) {
+  ChangeBatchPart part;
+  part.batch.from = message.from();
+  part.batch.to = message.to();
+  if (message.has_epoch())
+    part.batch.epoch = message.epoch();
+  part.index = message.index();
+  part.count = message.count();
+  for (const wire::StoreChange& item : message.changes()) {
+    const std::optional<StoreChange> change = DecodeChange(list, item);
+    if (!change)
+      return std::nullopt;
+    part.batch.changes.push_back(*change);
+  }
+  return part;
+}
+
 void EncodeReport(const RolloutReport& report, wire::RolloutReport* message) {
   message->set_order(report.order);
   message->set_order_revision(report.order_revision);
--- a/src/teaselthread/gateway/heartbeat_conversion.h
+++ b/src/teaselthread/gateway/heartbeat_conversion.h
@@ -12,6 +12,7 @@
 namespace teaselthread {
 
 namespace wire {
+class ChangePart;
 class GatewayHeartbeat;
 class ListStatus;
 class RateLimitReport;
@@ -22,6 +23,7 @@
 // Rounds up.
 uint32_t ToMilliseconds(Duration time);
 
+void EncodeListStatus(const ListStatus& status, wire::ListStatus* message);
 ListStatus DecodeListStatus(const wire::ListStatus& message);
 
 // `with_version`: includes the versions of endpoints.
@@ -32,6 +34,11 @@
 std::optional<StoreChange> DecodeChange(RelayedList list,
                                         const wire::StoreChange& message);
 
+// Empty if a change is not valid.
+std::optional<ChangeBatchPart> DecodeChangePart(
+    RelayedList list,
+    const wire::ChangePart& message);
+
 void EncodeReport(const RolloutReport& report, wire::RolloutReport* message);
 // The valid reports of a heartbeat.
 std::vector<RolloutReport> DecodeReports(const wire::GatewayHeartbeat& message);
--- a/src/teaselthread/gateway/peer_heartbeat.cc
+++ b/src/teaselthread/gateway/peer_heartbeat.cc
@@ -168,6 +168,8 @@
   changes->set_list(static_cast<uint32_t>(list));
   changes->set_from(batch.from);
   changes->set_to(batch.to);
+  if (batch.epoch)
+    changes->set_epoch(*batch.epoch);
   for (const ChangeBatchPart& part : SplitIntoParts(batch)) {
     changes->set_index(part.index);
     changes->set_count(part.count);
@@ -210,10 +212,7 @@
     const std::optional<ListStatus> status = list_status_source_(list);
     if (!status)
       return;
-    wire::ListStatus* field = (message->*add)();
-    field->set_changed_at(status->changed_at);
-    field->set_complete_to(status->complete_to);
-    field->set_age_ms(ToMilliseconds(status->age));
+    EncodeListStatus(*status, (message->*add)());
   };
   set(RelayedList::kEndpoints, &wire::GatewayHeartbeat::mutable_endpoints);
   set(RelayedList::kEvacuations, &wire::GatewayHeartbeat::mutable_evacuations);
@@ -226,21 +225,11 @@
     return;
   }
   const auto list = static_cast<RelayedList>(message.list());
-  ChangeBatchPart part;
-  part.batch.from = message.from();
-  part.batch.to = message.to();
-  part.index = message.index();
-  part.count = message.count();
-  for (const wire::StoreChange& item : message.changes()) {
-    const std::optional<StoreChange> change = DecodeChange(list, item);
-    if (!change) {
-      state_->metrics().OnUnreadableEntry();
-      return;
-    }
-    part.batch.changes.push_back(*change);
-  }
-  if (on_change_part_)
-    on_change_part_(list, std::move(part));
+  std::optional<ChangeBatchPart> part = DecodeChangePart(list, message);
+  if (!part)
+    state_->metrics().OnUnreadableEntry();
+  else if (on_change_part_)
+    on_change_part_(list, std::move(*part));
 }
 
 ServiceRequests PeerHeartbeat::LocalRequests() const {
@@ -291,6 +280,10 @@
       state_->endpoint_changes().RevisionToAnnounce(state_->Now()));
   message.set_evacuations_revision(
       state_->evacuation_changes().RevisionToAnnounce(state_->Now()));
+  if (const StoreEpoch epoch = state_->endpoint_changes().epoch())
+    message.set_endpoints_epoch(*epoch);
+  if (const StoreEpoch epoch = state_->evacuation_changes().epoch())
+    message.set_evacuations_epoch(*epoch);
   return message;
 }
 
@@ -351,6 +344,10 @@
   status.configuration_version = message.configuration_version();
   status.endpoints_revision = message.endpoints_revision();
   status.evacuations_revision = message.evacuations_revision();
+  if (message.has_endpoints_epoch())
+    status.endpoints_epoch = message.endpoints_epoch();
+  if (message.has_evacuations_epoch())
+    status.evacuations_epoch = message.evacuations_epoch();
   if (message.has_proof_age_ms())
     status.configuration_age =
         std::chrono::milliseconds(message.proof_age_ms());
--- a/src/teaselthread/store/list_controller.cc
+++ b/src/teaselthread/store/list_controller.cc
@@ -46,15 +46,16 @@
           StoreWatcher::kFollowerBackoff, is_informed};
 }
 
-void ListController::OnPeerRevision(uint64_t revision) {
-  missed_by_watch_.OnPeerRevision(revision, state_->Now());
-  missed_by_leader_.OnPeerRevision(revision, state_->Now());
+void ListController::OnPeerRevision(uint64_t revision, StoreEpoch epoch) {
+  missed_by_watch_.OnPeerRevision(revision, state_->Now(), epoch);
+  missed_by_leader_.OnPeerRevision(revision, state_->Now(), epoch);
 }
 
 void ListController::OnLeaderStatus(const ListStatus& status) {
-  missed_by_watch_.OnPeerRevision(status.changed_at, state_->Now());
-  missed_relay_.OnPeerRevision(status.changed_at, state_->Now());
-  watcher_.view().OnLeaderStatus(status, state_->Now());
+  const Timestamp now = state_->Now();
+  missed_by_watch_.OnPeerRevision(status.changed_at, now, status.epoch);
+  missed_relay_.OnPeerRevision(status.changed_at, now, status.epoch);
+  watcher_.view().OnLeaderStatus(status, now);
 }
 
 void ListController::OnRelayedPart(ChangeBatchPart part) {
@@ -92,13 +93,13 @@
 }
 
 bool ListController::HasMissedChange() const {
-  const uint64_t known = watcher_.revision();
-  const auto waiting_since = watcher_.waiting_since();
-  const Timestamp now = state_->Now();
+  const auto is_missed_by = [&](const MissedChangeDetector& detector) {
+    return detector.IsMissed(watcher_.revision(), watcher_.waiting_since(),
+                             state_->Now(), watcher_.epoch());
+  };
   if (!watcher_.is_suspended())
-    return missed_by_watch_.IsMissed(known, waiting_since, now);
-  return missed_by_leader_.IsMissed(known, waiting_since, now) ||
-         missed_relay_.IsMissed(known, waiting_since, now);
+    return is_missed_by(missed_by_watch_);
+  return is_missed_by(missed_by_leader_) || is_missed_by(missed_relay_);
 }
 
 std::optional<ListStatus> ListController::StatusToShare() const {
@@ -116,7 +117,8 @@
   probe_pending_ = false;
   if (update.objects.empty())
     return;
-  ChangeBatch batch{update.from, update.to, Decode(update.objects)};
+  ChangeBatch batch{update.from, update.to, Decode(update.objects),
+                    watcher_.epoch()};
   handlers_.apply(batch.changes);
   if (IsLeader() && on_batch_)
     on_batch_(list_, batch);
--- a/src/teaselthread/store/list_controller.h
+++ b/src/teaselthread/store/list_controller.h
@@ -42,7 +42,7 @@
   // Sets the function that relays a batch to the gateways of the zone.
   void set_on_batch(BatchCallback on_batch) { on_batch_ = std::move(on_batch); }
   // A peer has announced a revision of the list, or 0.
-  void OnPeerRevision(uint64_t revision);
+  void OnPeerRevision(uint64_t revision, StoreEpoch epoch);
   // The status of a gateway of this zone that watches the list.
   void OnLeaderStatus(const ListStatus& status);
   void OnRelayedPart(ChangeBatchPart part);
--- a/src/teaselthread/store/store_controller.cc
+++ b/src/teaselthread/store/store_controller.cc
@@ -210,8 +210,9 @@
                                        state_->Now());
   if (status.configuration_version > own_version)
     configuration_.Resume();
-  endpoints_.OnPeerRevision(status.endpoints_revision);
-  evacuations_.OnPeerRevision(status.evacuations_revision);
+  endpoints_.OnPeerRevision(status.endpoints_revision, status.endpoints_epoch);
+  evacuations_.OnPeerRevision(status.evacuations_revision,
+                              status.evacuations_epoch);
   const bool is_confirmation = status.configuration_version == own_version &&
                                status.configuration_age && status.echoed_at;
   if (!is_confirmation)
@@ -264,6 +265,10 @@
   restored_epoch_ = epoch;
   restoration_grace_until_ = removal_grace_period_.OnRestored(state_->Now());
   state_->endpoints().DeferRemovals(restoration_grace_until_);
+  for (ListController* list : {&endpoints_, &evacuations_, rollouts_.get()}) {
+    if (list)
+      list->OnPeerRevision(0, epoch);
+  }
 }
 
 void StoreController::OnConfigurationUpdate(const StoreUpdate& update) {
@@ -320,7 +325,8 @@
   state_->endpoints().ReplaceAll(records, state_->Now());
   state_->set_endpoints_known();
   state_->endpoint_changes().OnRevision(
-      endpoints_.watcher().newest_object_revision(), state_->Now());
+      endpoints_.watcher().newest_object_revision(), state_->Now(),
+      endpoints_.watcher().epoch());
   LogLine line("endpoints-listed");
   line.Add("entries", endpoints.size()).Add("readable", records.size());
   state_->log().Info(line);
@@ -328,7 +334,8 @@
 
 void StoreController::ApplyEndpointChanges(const Changes& changes) {
   state_->endpoint_changes().OnRevision(
-      endpoints_.watcher().newest_object_revision(), state_->Now());
+      endpoints_.watcher().newest_object_revision(), state_->Now(),
+      endpoints_.watcher().epoch());
   for (const StoreChange& change : changes) {
     if (change.endpoint)
       state_->endpoints().Put(*change.endpoint, state_->Now());
@@ -401,7 +408,8 @@
 
 void StoreController::SetEvacuated(std::set<std::string> zones) {
   state_->evacuation_changes().OnRevision(
-      evacuations_.watcher().newest_object_revision(), state_->Now());
+      evacuations_.watcher().newest_object_revision(), state_->Now(),
+      evacuations_.watcher().epoch());
   if (zones == state_->endpoints().evacuated_zones())
     return;
   LogLine line("zones-evacuated");
--- a/tests/store_epochs/restored_store_test.cc
+++ b/tests/store_epochs/restored_store_test.cc
@@ -65,6 +65,25 @@
       io.run_for(kTick);
     }
   }
+  // The leader of the zone states that it has read the lists in `epoch`.
+  void RunWithLeader(StoreEpoch epoch, int ticks) {
+    const Peer leader{
+        "a-leader", "a", {"192.0.2.9", 9}, {"192.0.2.9", 8}, true};
+    for (int tick = 0; tick < ticks; ++tick) {
+      PeerStatus status;
+      status.serving = true;
+      status.configuration_version = 10;
+      status.configuration_age = Duration::zero();
+      status.echoed_at = GatewayState::BootNow();
+      const uint64_t revision = store.revision();
+      status.lists[0] = ListStatus{revision, revision, {}, epoch};
+      status.lists[1] = status.lists[0];
+      state.peers().OnIdentity(leader, state.Now());
+      state.peers().OnHeartbeat(leader.peer_address, status, state.Now());
+      controller.OnPeerStatus(status);
+      RunFor(kTick);
+    }
+  }
   Duration ConfigurationAge() {
     return *state.configuration_freshness().Age(GatewayState::BootNow());
   }
@@ -165,6 +184,21 @@
   BOOST_TEST(!evacuated("zone-c"));
 }
 
+// Guards against gateways that follow a zone leader into another history.
+BOOST_AUTO_TEST_CASE(is_asked_if_the_zone_leader_names_a_newer_epoch) {
+  WriteOthers(100);
+  RunWithLeader(1, 1);
+  Start();
+  RunWithLeader(1, 20);
+  const int reads_before = store.reads(StoreKind::kEndpoints);
+  RunWithLeader(1, 20);
+  BOOST_TEST(store.reads(StoreKind::kEndpoints) == reads_before);
+  store.Restore();
+  WriteEndpoint("e-3");
+  RunWithLeader(2, 50);
+  BOOST_TEST(HasEndpoint("e-3"));
+}
+
 BOOST_AUTO_TEST_CASE(does_not_bring_an_older_configuration_back) {
   WriteConfiguration(12);
   Start();
