Store epochs: confirm no configuration that is older than a peer's

Seen by callers: a key that a version revokes would still be accepted at gateways that had not read it when the store was restored from a copy without that version.

Cause: each response of the store confirmed the version in use as the newest. After a restore the store may not have the newest one.

Change: a response does not confirm the version in use while a peer has announced a newer one. Otherwise it does, also if the copy has an older version, so that gateways go on serving until the operator has written again.

--- a/src/teaselthread/store/store_controller.cc
+++ b/src/teaselthread/store/store_controller.cc
@@ -279,6 +279,11 @@
   age_check_pending_ = false;
   if (is_configuration_unreadable_ || !state_->routes())
     return;
+  // A version that a peer has may revoke keys, even if the store was restored
+  // from a copy without it.
+  if (missed_configuration_.newest_peer_revision() >
+      state_->routes()->version())
+    return;
   state_->configuration_freshness().OnConfirmed(update.requested_at);
   if (recovery_unannounced_ && on_store_recovered_)
     on_store_recovered_();
--- a/tests/store_epochs/restored_store_test.cc
+++ b/tests/store_epochs/restored_store_test.cc
@@ -207,6 +207,23 @@
   BOOST_TEST(state.routes()->version() == 12u);
 }
 
+// Guards against revoked keys: a version that a peer has is not in the copy,
+// and the gateway took its own one, as in the copy, for the newest.
+BOOST_AUTO_TEST_CASE(confirms_no_version_that_is_older_than_a_peers) {
+  Start();
+  PeerStatus status;
+  status.configuration_version = 11;
+  WriteOthers(3);
+  store.Restore();
+  RunFor(milliseconds(200));
+  controller.OnPeerStatus(status);
+  RunFor(kReactionTime);
+  BOOST_TEST((ConfigurationAge() > milliseconds(900)));
+  WriteConfiguration(11);
+  RunFor(kReactionTime);
+  BOOST_TEST((ConfigurationAge() < milliseconds(700)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
