Store epochs: write this gateway's record again if it is gone

Seen by callers: gateways that start after a restore of the store do not learn of one whose record the copy lacks until that one finds them.

Cause: the record was written at the start of the process only.

Change: if a read of all records lacks this gateway's own, or has another one, it is written again. Event record-missing.

Evidence: gets_a_gateways_record_again failed before (1 write instead of 2).

--- a/src/teaselthread/store/node_registrar.cc
+++ b/src/teaselthread/store/node_registrar.cc
@@ -43,7 +43,12 @@
   timer.expires_after(kFirstReadDelay);
   co_await timer.async_wait(kAsTuple);
   for (bool may_be_stale = false; !state_->leaving(); may_be_stale = true) {
-    co_await ReadRecords(may_be_stale);
+    const bool is_missing = co_await ReadRecords(may_be_stale);
+    if (is_missing && !state_->leaving()) {
+      LogLine line("record-missing");
+      line.Add("written", co_await Register());
+      state_->log().Warn(line);
+    }
     timer.expires_after(kReadInterval);
     co_await timer.async_wait(kAsTuple);
   }
@@ -72,7 +77,8 @@
   co_return IsSuccess(replaced);
 }
 
-asio::awaitable<void> NodeRegistrar::ReadRecords(bool may_be_stale) {
+asio::awaitable<bool> NodeRegistrar::ReadRecords(bool may_be_stale) {
+  has_own_record_ = false;
   std::string after;
   for (;;) {
     std::string target =
@@ -82,17 +88,17 @@
     state_->OnStoreCall(StoreKind::kNodes, target, reply ? reply->status : 0,
                         called_at);
     if (!reply || reply->status != kOk)
-      co_return;
+      co_return false;
     const Result<StorePage> page = state_->codec().DecodeList(reply->body);
     if (!page) {
       state_->metrics().OnUnreadableEntry();
-      co_return;
+      co_return false;
     }
     for (const StoreObject& object : page->objects)
       OnRecord(object);
     if (!page->has_more || page->objects.empty()) {
       state_->peers().OnRecordsRead(state_->Now());
-      co_return;
+      co_return !has_own_record_;
     }
     after = page->objects.back().name;
   }
@@ -112,9 +118,12 @@
     state_->metrics().OnUnreadableEntry();
     return;
   }
-  state_->peers().OnRecord({object.name, StringField(*fields, "zone"),
-                            *peer_address, *front_address, false},
-                           state_->Now());
+  Peer peer{object.name, StringField(*fields, "zone"), *peer_address,
+            *front_address, state_->peers().self().serving};
+  if (peer == state_->peers().self())
+    has_own_record_ = true;
+  peer.serving = false;
+  state_->peers().OnRecord(peer, state_->Now());
 }
 
 asio::awaitable<int> NodeRegistrar::Call(http::verb method,
--- a/src/teaselthread/store/node_registrar.h
+++ b/src/teaselthread/store/node_registrar.h
@@ -7,7 +7,9 @@
 namespace teaselthread {
 
 // Registers this node in the platform's store and reads the records of the
-// other nodes. Nodes discover each other through these records.
+// other nodes. Nodes discover each other through these records. A record that
+// is gone or differs, since the store was restored from an older copy, is
+// written again.
 class NodeRegistrar {
  public:
   explicit NodeRegistrar(GatewayState* state);
@@ -20,7 +22,8 @@
  private:
   asio::awaitable<void> Run();
   asio::awaitable<bool> Register();
-  asio::awaitable<void> ReadRecords(bool may_be_stale);
+  // Returns whether this node's record must be written again.
+  asio::awaitable<bool> ReadRecords(bool may_be_stale);
   asio::awaitable<int> Call(http::verb method,
                             std::string target,
                             std::string body);
@@ -28,6 +31,7 @@
 
   GatewayState* state_;
   HttpConnection connection_;
+  bool has_own_record_ = false;  // among the records that are being read
 };
 
 }  // namespace teaselthread
--- a/tests/store_epochs/restored_store_test.cc
+++ b/tests/store_epochs/restored_store_test.cc
@@ -5,6 +5,7 @@
 
 #include "gateway/gateway_fixtures.h"
 #include "store_epochs/restorable_store.h"
+#include "teaselthread/store/node_registrar.h"
 #include "teaselthread/store/store_controller.h"
 
 namespace teaselthread {
@@ -224,6 +225,17 @@
   BOOST_TEST((ConfigurationAge() < milliseconds(700)));
 }
 
+// Guards against a gateway that others no longer find: its record is written
+// only at its start.
+BOOST_AUTO_TEST_CASE(gets_a_gateways_record_again) {
+  NodeRegistrar registrar(&state);
+  registrar.Start();
+  RunFor(milliseconds(300));
+  BOOST_TEST(store.writes(StoreKind::kNodes) == 1);
+  RunFor(milliseconds(1'000));
+  BOOST_TEST(store.writes(StoreKind::kNodes) == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
