Store epochs: take orders of rollouts with lower revisions

Seen by callers: an operator's order that is written again after a restore of the store would have no effect until the store's revision has passed the former one, and one that was reverted would be tried again if the copy lacks its state.

Cause: the table kept the highest revision of each order, and compared revisions of reports, without regard to the history that they belong to.

Change: with the first list of a new epoch the table forgets the revisions; the next read of an order sets the revision that reports name. An order without a state keeps the one that this gateway knows.

--- a/src/libteaselthread/rollouts/rollout.cc
+++ b/src/libteaselthread/rollouts/rollout.cc
@@ -88,6 +88,10 @@
 
 void Rollout::Update(RolloutOrder order) {
   order_ = std::move(order);
+  if (!std::exchange(is_restored_, false))
+    return;
+  not_before_ = 0;
+  first_revision_ = order_.revision;
 }
 
 bool Rollout::OnReport(const RolloutReport& report, Timestamp now) {
--- a/src/libteaselthread/rollouts/rollout.h
+++ b/src/libteaselthread/rollouts/rollout.h
@@ -75,6 +75,9 @@
   void set_completing() { is_completing_ = true; }
   double ElapsedShare(Timestamp now) const;
 
+  // Revisions before the next Update belong to another history of the store.
+  void OnStoreRestored() { is_restored_ = true; }
+  bool is_restored() const { return is_restored_; }
   // A later revision of the same order was read. Takes effect with Advance.
   void Update(RolloutOrder order);
   // Returns whether the verdict of another node was new.
@@ -105,6 +108,7 @@
   CanaryShare canary_share_;
   RolloutEvidence evidence_;
   std::optional<BadVerdict> bad_verdict_;
+  bool is_restored_ = false;
   bool reported_bad_ = false;
   bool is_good_ = false;
   bool is_completing_ = false;  // this node has decided to write that state
--- a/src/libteaselthread/rollouts/rollout_table.cc
+++ b/src/libteaselthread/rollouts/rollout_table.cc
@@ -36,6 +36,12 @@
       start_(start),
       endpoints_(endpoints) {}
 
+void RolloutTable::OnStoreRestored() {
+  revisions_.clear();
+  for (auto& [name, rollout] : rollouts_)
+    rollout.OnStoreRestored();
+}
+
 bool RolloutTable::Put(const RolloutOrder& order, Timestamp now) {
   uint64_t& revision = revisions_[order.name];
   if (order.revision <= revision)
@@ -43,8 +49,12 @@
   const uint64_t not_before = std::exchange(revision, order.revision);
   const auto found = rollouts_.find(order.name);
   if (found != rollouts_.end()) {
-    if (IsSameOrder(found->second.order(), order)) {
-      found->second.Update(order);
+    RolloutOrder read = order;
+    // The copy may lack the state that was written since.
+    if (found->second.is_restored() && !read.status)
+      read.status = found->second.order().status;
+    if (IsSameOrder(found->second.order(), read)) {
+      found->second.Update(std::move(read));
       return false;
     }
     Close(found->second);
--- a/src/libteaselthread/rollouts/rollout_table.h
+++ b/src/libteaselthread/rollouts/rollout_table.h
@@ -56,6 +56,8 @@
 
   bool enabled() const { return limits_.enabled(); }
 
+  // The store was restored from an older copy: its revisions have gone back.
+  void OnStoreRestored();
   // An order as read from the store. A revision that is not newer than the
   // known one of the same object is ignored. Returns whether it is a new order.
   bool Put(const RolloutOrder& order, Timestamp now);
--- a/src/teaselthread/store/store_controller.cc
+++ b/src/teaselthread/store/store_controller.cc
@@ -105,7 +105,11 @@
   return {[this](const StoreObject& object) { return DecodeRollout(object); },
           [this](const Changes& orders) { ReplaceRollouts(orders); },
           [this](const Changes& changes) { ApplyRolloutChanges(changes); },
-          ReachabilityHandler(StoreKind::kRollouts), RestorationHandler()};
+          ReachabilityHandler(StoreKind::kRollouts),
+          [this](StoreEpoch epoch) {
+            state_->rollouts().OnStoreRestored();
+            OnStoreRestored(epoch);
+          }};
 }
 
 ListController::Timing StoreController::ListTiming() const {
