--- a/tests/store_epochs/restored_store_test.cc
+++ b/tests/store_epochs/restored_store_test.cc
@@ -236,6 +236,18 @@
   BOOST_TEST(store.writes(StoreKind::kNodes) == 2);
 }
 
+BOOST_AUTO_TEST_CASE(does_not_get_a_gateways_record_again_if_it_has_it) {
+  const std::string address = store.address().ToString();
+  store.Write(StoreKind::kNodes, state.settings().name(),
+              R"({"zone":"a","peer_address":")" + address +
+                  R"(","front_address":")" + address + R"("})");
+  NodeRegistrar registrar(&state);
+  registrar.Start();
+  RunFor(milliseconds(1'300));
+  BOOST_TEST(store.reads(StoreKind::kNodes) == 1);
+  BOOST_TEST(store.writes(StoreKind::kNodes) == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
