--- a/tests/unanswered/full_buffers_test.cc
+++ b/tests/unanswered/full_buffers_test.cc
@@ -7,8 +7,6 @@
 
 using std::chrono::milliseconds;
 using test::EventChunk;
-using test::HasStatus;
-using test::IsComplete;
 using test::MakeRequest;
 using test::StreamHead;
 using Reply = test::ScriptedEndpoint::Reply;
