Library: origins of streams, and which versions have served

Gateways need to know which version began a stream beyond the request that began it, and which versions have served lately. Nothing uses them yet.

--- a/src/teaselthread/gateway/gateway_state.cc
+++ b/src/teaselthread/gateway/gateway_state.cc
@@ -15,6 +15,10 @@
 // a caller sends its request before it is checked here.
 constexpr Duration kRevocationMargin = std::chrono::milliseconds(50);
 
+// Callers may wait longer in all than a route's timeout allows one request.
+constexpr int kTimeoutMultiple = 2;
+constexpr Duration kMinStreamLifetime = std::chrono::seconds(20);
+
 Peer MakeSelf(const GatewaySettings& settings) {
   return {settings.name(), settings.zone(), settings.peer_listen(),
           settings.front_listen(), false};
@@ -113,6 +117,22 @@
   return context;
 }
 
+Duration GatewayState::StreamLifetime(const std::string& service) const {
+  Duration longest = kMinStreamLifetime;
+  if (!routes_)
+    return longest;
+  for (const Route& route : routes_->parts().routes) {
+    const bool leads_to_service =
+        std::any_of(route.services.begin(), route.services.end(),
+                    [&](const WeightedService& target) {
+                      return target.service == service;
+                    });
+    if (route.kind == RequestKind::kStreaming && leads_to_service)
+      longest = std::max(longest, kTimeoutMultiple * route.timeout);
+  }
+  return longest;
+}
+
 uint32_t GatewayState::FleetRequests(const std::string& service) const {
   return peers_.FleetRequests(ShortHash(service),
                               endpoints_.LocalRequests(service), Now());
--- a/src/teaselthread/gateway/gateway_state.h
+++ b/src/teaselthread/gateway/gateway_state.h
@@ -25,6 +25,8 @@
 #include "libteaselthread/rollouts/rollout_table.h"
 #include "libteaselthread/routes/configuration_freshness.h"
 #include "libteaselthread/routes/route_table.h"
+#include "libteaselthread/streams/stream_origins.h"
+#include "libteaselthread/streams/version_history.h"
 #include "libteaselthread/timer_service.h"
 #include "teaselthread/asio.h"
 #include "teaselthread/gateway/buffer_quota.h"
@@ -84,6 +86,10 @@
   FullEngineNotices& full_engine_notices() { return full_engine_notices_; }
   CrashSuspects& crash_suspects() { return crash_suspects_; }
   RolloutTable& rollouts() { return rollouts_; }
+  StreamOrigins& stream_origins() { return stream_origins_; }
+  VersionHistory& version_history() { return version_history_; }
+  // How long a stream of the service may last, with all attempts of its caller.
+  Duration StreamLifetime(const std::string& service) const;
   // The live gateways whose evidence on rollouts is needed.
   RolloutFleet MakeRolloutFleet() const;
   WaitingRequests& WaitingFor(const std::string& service) {
@@ -156,6 +162,8 @@
   FullEngineNotices full_engine_notices_;
   CrashSuspects crash_suspects_;
   RolloutTable rollouts_;
+  StreamOrigins stream_origins_;
+  VersionHistory version_history_;
   std::map<std::string, WaitingRequests> waiting_;          // by service
   std::map<std::string, ReturnSchedule> return_schedules_;  // by service
   PeerSet peers_;
