Relay the versions of endpoints to all gateways of a zone

A zone leader relayed the version of an endpoint only where rollouts are on, to save bytes; a gateway that had learned of an endpoint in that way took its version for empty. Change: the version is always relayed.

--- a/src/teaselthread/gateway/heartbeat_conversion.cc
+++ b/src/teaselthread/gateway/heartbeat_conversion.cc
@@ -110,9 +110,7 @@
           message.has_epoch() ? StoreEpoch(message.epoch()) : std::nullopt};
 }
 
-void EncodeChange(const StoreChange& change,
-                  bool with_version,
-                  wire::StoreChange* message) {
+void EncodeChange(const StoreChange& change, wire::StoreChange* message) {
   message->set_name(change.name);
   message->set_removed(change.removed);
   if (change.rollout)
@@ -127,8 +125,7 @@
   message->set_slots(record.slots);
   message->set_draining(record.draining);
   message->set_cold_left_ms(ToMilliseconds(record.cold_left));
-  if (with_version)
-    message->set_version(record.version);
+  message->set_version(record.version);
 }
 
 std::optional<StoreChange> DecodeChange(RelayedList list,
--- a/src/teaselthread/gateway/heartbeat_conversion.h
+++ b/src/teaselthread/gateway/heartbeat_conversion.h
@@ -26,10 +26,7 @@
 void EncodeListStatus(const ListStatus& status, wire::ListStatus* message);
 ListStatus DecodeListStatus(const wire::ListStatus& message);
 
-// `with_version`: includes the versions of endpoints.
-void EncodeChange(const StoreChange& change,
-                  bool with_version,
-                  wire::StoreChange* message);
+void EncodeChange(const StoreChange& change, wire::StoreChange* message);
 // Empty if the message holds no valid change.
 std::optional<StoreChange> DecodeChange(RelayedList list,
                                         const wire::StoreChange& message);
--- a/src/teaselthread/gateway/peer_heartbeat.cc
+++ b/src/teaselthread/gateway/peer_heartbeat.cc
@@ -175,8 +175,7 @@
     changes->set_count(part.count);
     changes->clear_changes();
     for (const StoreChange& change : part.batch.changes)
-      EncodeChange(change, state_->rollouts().enabled(),
-                   changes->add_changes());
+      EncodeChange(change, changes->add_changes());
     for (const SocketAddress& target : zone)
       SendTo(target, message);
   }
