--- a/src/teaselthread/requests/request_log.cc
+++ b/src/teaselthread/requests/request_log.cc
@@ -12,6 +12,8 @@
       .Add("endpoint", endpoint.record().id)
       .AddRounded("load", endpoint.EstimatedLoad(state_->Now()))
       .Add("cold", endpoint.IsCold(state_->Now()));
+  if (!endpoint.record().version.empty())
+    line.Add("version", endpoint.record().version);
   if (const auto count = endpoint.LatestCount(Duration::max(), state_->Now())) {
     line.AddTime("load_age", state_->Now() - count->at);
   }
@@ -42,7 +44,7 @@
     line.Add("hedge", true);
   if (selection.kv_source)
     line.Add("kv_source", selection.kv_source->ToString());
-  rollout_guard->OnSend(exchange.request, selection, &line);
+  rollout_guard->OnSend(exchange.request, selection);
   state_->log().Info(line);
 }
 
--- a/src/teaselthread/requests/rollout_guard.cc
+++ b/src/teaselthread/requests/rollout_guard.cc
@@ -59,17 +59,12 @@
 }
 
 void RolloutGuard::OnSend(const ClassifiedRequest& request,
-                          const Selection& selection,
-                          LogLine* line) {
+                          const Selection& selection) {
   RolloutTable& rollouts = state_->rollouts();
   if (!rollouts.enabled())
     return;
   const EndpointRecord& endpoint = selection.endpoint->record();
-  const std::string& service = request.service->name;
-  rollouts.OnSend(service, RouteOf(request), endpoint.version);
-  const Rollout* rollout = rollouts.Find(service);
-  if (rollout && !rollout->order().is_closed())
-    line->Add("version", endpoint.version);
+  rollouts.OnSend(request.service->name, RouteOf(request), endpoint.version);
 }
 
 void RolloutGuard::OnEnd(const ClassifiedRequest& request,
--- a/src/teaselthread/requests/rollout_guard.h
+++ b/src/teaselthread/requests/rollout_guard.h
@@ -21,11 +21,8 @@
   // Selects an endpoint among the versions that may get the request.
   SelectionResult Select(const ClassifiedRequest& request,
                          const SelectionQuery& query) const;
-  // The request is about to be sent. Adds the version to the log line while an
-  // order is open.
-  void OnSend(const ClassifiedRequest& request,
-              const Selection& selection,
-              LogLine* line);
+  // The request is about to be sent.
+  void OnSend(const ClassifiedRequest& request, const Selection& selection);
   // The attempt that was sent at `sent_at` has ended. `first_event_at`: of the
   // stream, if this attempt has begun it.
   void OnEnd(const ClassifiedRequest& request,
