Continue a stream only at endpoints of the version that began it

When a stream broke or its endpoint was silent, the next endpoint was selected among all versions of the service. The class: a choice made anew for each attempt, of which an earlier one depends. Change: from the first event on, the request may be sent to endpoints of that version only. If none can take it, the stream is reset, or awaited if its endpoint is only silent. Rollouts, which decide on new requests, do not apply.

--- a/src/libteaselthread/endpoints/endpoint_selector.h
+++ b/src/libteaselthread/endpoints/endpoint_selector.h
@@ -29,6 +29,8 @@
   // Share of the service's recent requests that have the same affinity part,
   // from 0 to 1.
   double affinity_share = 0;
+  // The version that may get the request; any if empty.
+  std::optional<std::string> version;
   // Whether the request is sent even if each engine is at its load bound.
   bool ignores_load_bound = false;
   // For plain services: the time that a request usually takes, and a random
--- a/src/teaselthread/requests/endpoint_placement.cc
+++ b/src/teaselthread/requests/endpoint_placement.cc
@@ -25,6 +25,7 @@
     query.seed = state_->random()();
   }
   query.excluded = attempts.tried();
+  query.version = request.required_version;
   // A stream that was broken off is not kept waiting.
   query.ignores_load_bound = attempts.may_have_run();
   return query;
--- a/src/teaselthread/requests/request_checks.h
+++ b/src/teaselthread/requests/request_checks.h
@@ -22,6 +22,9 @@
   const Customer* customer = nullptr;
   const ServiceSpec* service = nullptr;
   Timestamp deadline{};
+  // Version of the endpoints that may get the request: the one that began its
+  // stream. Any if empty.
+  std::optional<std::string> required_version;
 
   // 0 is the most urgent. Not to be called before the checks have passed.
   int Priority() const;
--- a/src/teaselthread/requests/request_exchange.h
+++ b/src/teaselthread/requests/request_exchange.h
@@ -70,6 +70,7 @@
   std::string outcome = "none";
   std::string reason;
   std::string endpoint;
+  std::string endpoint_version;       // of the current attempt
   std::optional<HedgeOutcome> hedge;  // empty unless one was sent
   int status = 0;
 };
--- a/src/teaselthread/requests/request_handler.cc
+++ b/src/teaselthread/requests/request_handler.cc
@@ -41,7 +41,7 @@
     co_await final_responses_.Refuse(exchange, *refusal);
   } else {
     exchange.relay.set_on_first_event(
-        [this, &exchange] { crash_guard_.OnAnswerBegun(exchange.request); });
+        [this, &exchange] { OnFirstEvent(exchange); });
     exchange.may_abandon = [this, &exchange](const Selection& selection,
                                              AttemptRole role) {
       return silent_attempts_.MayAbandon(exchange, selection, role);
@@ -94,7 +94,10 @@
   const auto select_hedge = [&](const std::set<std::string>& excluded) {
     return SelectForHedge(exchange, excluded);
   };
-  exchange.endpoint = std::get<Selection>(selected).endpoint->record().id;
+  const EndpointRecord& endpoint =
+      std::get<Selection>(selected).endpoint->record();
+  exchange.endpoint = endpoint.id;
+  exchange.endpoint_version = endpoint.version;
   HedgedAttempt attempt(state_, &connections_, &crash_guard_, &placement_,
                         &exchange, std::get<Selection>(selected), select_hedge);
   auto [result, selection, role] = co_await attempt.Run();
@@ -116,6 +119,12 @@
   co_return is_final;
 }
 
+// What another version writes does not continue the stream.
+void RequestHandler::OnFirstEvent(RequestExchange& exchange) {
+  crash_guard_.OnAnswerBegun(exchange.request);
+  exchange.request.required_version = exchange.endpoint_version;
+}
+
 asio::awaitable<void> RequestHandler::HandleFailure(RequestExchange& exchange,
                                                     const Selection& selection,
                                                     AttemptResult result,
--- a/src/teaselthread/requests/request_handler.h
+++ b/src/teaselthread/requests/request_handler.h
@@ -44,6 +44,8 @@
   // Makes one attempt. Returns true if the request has ended, with or without a
   // final response.
   asio::awaitable<bool> RunAttempt(RequestExchange& exchange);
+  // An endpoint has sent the first event of an attempt.
+  void OnFirstEvent(RequestExchange& exchange);
   asio::awaitable<void> HandleFailure(RequestExchange& exchange,
                                       const Selection& selection,
                                       AttemptResult result,
--- a/src/teaselthread/requests/rollout_guard.cc
+++ b/src/teaselthread/requests/rollout_guard.cc
@@ -42,6 +42,11 @@
   const Timestamp now = state_->Now();
   const std::string& service = query.service->name;
   SelectionContext context = state_->MakeSelectionContext(service);
+  // Rollouts decide on new requests only.
+  if (query.version) {
+    context.versions = VersionRule{query.version, {}, {}};
+    return state_->selector().Select(query, context, now);
+  }
   if (!state_->rollouts().enabled())
     return state_->selector().Select(query, context, now);
   const std::vector<VersionRule> rules = state_->rollouts().RulesFor(
--- a/tests/gateway/gateway_harness.cc
+++ b/tests/gateway/gateway_harness.cc
@@ -173,8 +173,10 @@
 
 void GatewayHarness::AddEndpoint(const std::string& id,
                                  const std::string& service,
-                                 const ScriptedEndpoint& endpoint) {
+                                 const ScriptedEndpoint& endpoint,
+                                 const std::string& version) {
   EndpointRecord record = MakeDeskRecord(id, "a");
+  record.version = version;
   record.service = service;
   record.address = endpoint.address();
   state_->endpoints().Put(record, state_->Now());
--- a/tests/gateway/gateway_harness.h
+++ b/tests/gateway/gateway_harness.h
@@ -80,7 +80,8 @@
   // Adds an endpoint of the service "pool" or "desk".
   void AddEndpoint(const std::string& id,
                    const std::string& service,
-                   const ScriptedEndpoint& endpoint);
+                   const ScriptedEndpoint& endpoint,
+                   const std::string& version = "");
 
   // Sends bytes on a new connection and reads until `complete` returns true for
   // the response, the gateway closes the connection, or 3 s have passed.
