Resume a caller's stream only at the version that began it

The field by which callers name the request that began the stream was not read, and no gateway remembered or could learn which version had begun a stream. The class: knowledge that is needed beyond the life of the process that has it. Change: ResumedStreams finds the version in this gateway's memory, in the fact that only one version has served while the stream may have begun, or in records of other gateways; otherwise the request is refused (stream-origin-unknown). A gateway that has just started trusts a single version only if the records name no other and an endpoint of it is older than the stream may be. A route that splits over services keeps a resumed stream at its service. Event stream-resumed, streams_resumed_total by source.

--- a/src/libteaselthread/attempts/retry_after.cc
+++ b/src/libteaselthread/attempts/retry_after.cc
@@ -42,6 +42,7 @@
     case RefusalReason::kNoEndpoint:
     case RefusalReason::kEndpointBusy:
     case RefusalReason::kRetryLimit:
+    case RefusalReason::kStreamOriginUnknown:
       return kRecoveryDelay;
     default:
       return Duration::zero();
--- a/src/libteaselthread/endpoints/endpoint_table.cc
+++ b/src/libteaselthread/endpoints/endpoint_table.cc
@@ -161,6 +161,29 @@
   return running;
 }
 
+std::map<std::string, std::set<std::string>> EndpointTable::RegisteredVersions()
+    const {
+  std::map<std::string, std::set<std::string>> versions;
+  for (const auto& [id, entry] : endpoints_) {
+    const EndpointRecord& record = entry.endpoint->record();
+    versions[record.service].insert(record.version);
+  }
+  return versions;
+}
+
+std::optional<uint64_t> EndpointTable::EarliestStart(
+    const std::string& service,
+    const std::string& version) const {
+  std::optional<uint64_t> earliest;
+  for (const EndpointPtr& endpoint : Running(service)) {
+    const EndpointRecord& record = endpoint->record();
+    if (record.version == version)
+      earliest = std::min(earliest.value_or(record.started_at_ms),
+                          record.started_at_ms);
+  }
+  return earliest;
+}
+
 uint32_t EndpointTable::LocalRequests(const std::string& service) const {
   uint32_t total = 0;
   for (const auto& [id, entry] : endpoints_) {
--- a/src/libteaselthread/endpoints/endpoint_table.h
+++ b/src/libteaselthread/endpoints/endpoint_table.h
@@ -64,6 +64,12 @@
                                         Timestamp now) const;
   // All running endpoints of a service, including draining ones.
   std::vector<EndpointPtr> Running(const std::string& service) const;
+  // The versions of the running endpoints, by service.
+  std::map<std::string, std::set<std::string>> RegisteredVersions() const;
+  // The earliest start (Unix milliseconds) of a service's running endpoints of
+  // a version. Empty if there are none.
+  std::optional<uint64_t> EarliestStart(const std::string& service,
+                                        const std::string& version) const;
   // Local requests in progress at the endpoints of a service.
   uint32_t LocalRequests(const std::string& service) const;
   // The endpoints with the highest load according to recent counts, at most
--- a/src/libteaselthread/requests/reasons.cc
+++ b/src/libteaselthread/requests/reasons.cc
@@ -60,6 +60,7 @@
     {"buffers-full", kServiceUnavailable},
     {"excessive-framing", kBadRequest},
     {"endpoints-limited", kServiceUnavailable},
+    {"stream-origin-unknown", kServiceUnavailable},
 }};
 
 constexpr std::array<ReasonRow, kUnknownReasonCount> kUnknowns = {{
--- a/src/libteaselthread/requests/reasons.h
+++ b/src/libteaselthread/requests/reasons.h
@@ -45,8 +45,9 @@
   kBuffersFull,       // the node keeps too many bodies already
   kExcessiveFraming,  // a chunked body with far more framing than content
   kEndpointsLimited,  // this node's shares of all rate limits are used up
+  kStreamOriginUnknown,  // so is the version that can continue the stream
 };
-inline constexpr size_t kRefusalReasonCount = 36;
+inline constexpr size_t kRefusalReasonCount = 37;
 
 // Why it is unknown whether a request ran.
 enum class UnknownReason : uint8_t {
--- a/src/libteaselthread/streams/stream_origins.cc
+++ b/src/libteaselthread/streams/stream_origins.cc
@@ -5,6 +5,12 @@
 
 namespace teaselthread {
 
+std::string_view ToString(OriginSource source) {
+  constexpr std::string_view kNames[kOriginSourceCount] = {
+      "memory", "single-version", "record", "unknown"};
+  return kNames[static_cast<size_t>(source)];
+}
+
 StreamKey StreamKey::Of(std::string_view service,
                         std::string_view customer,
                         std::string_view request_id) {
--- a/src/libteaselthread/streams/stream_origins.h
+++ b/src/libteaselthread/streams/stream_origins.h
@@ -35,6 +35,17 @@
   friend auto operator<=>(const StreamOrigin&, const StreamOrigin&) = default;
 };
 
+// How the version that began a stream is known.
+enum class OriginSource : uint8_t {
+  kMemory,  // this node or one that has told it has relayed the beginning
+  kSingleVersion,  // no other version has served while the stream may have
+                   // begun
+  kRecord,         // from the store
+  kUnknown,
+};
+inline constexpr size_t kOriginSourceCount = 4;
+std::string_view ToString(OriginSource source);
+
 // The versions that began the streams of which this node has relayed the first
 // event, or has learned from other nodes. Only that version can continue them.
 //
--- a/src/teaselthread/gateway/gateway_metrics.cc
+++ b/src/teaselthread/gateway/gateway_metrics.cc
@@ -156,6 +156,7 @@
   ByReason<AttemptFailure>(out, "attempt_failures_total", failures_);
   ByReason<AttemptFailure>(out, "retries_total", retries_);
   ByReason<SilenceDecision>(out, "silent_attempts_total", silences_);
+  ByReason<OriginSource>(out, "streams_resumed_total", streams_resumed_);
   ByReason<ClosingReason>(out, "caller_connections_closed_total",
                           callers_closed_);
   ByReason<ConnectionEnd>(out, "caller_connection_ends_total",
--- a/src/teaselthread/gateway/gateway_metrics.h
+++ b/src/teaselthread/gateway/gateway_metrics.h
@@ -16,6 +16,7 @@
 #include "libteaselthread/requests/reasons.h"
 #include "libteaselthread/rollouts/rollout.h"
 #include "libteaselthread/routes/route.h"
+#include "libteaselthread/streams/stream_origins.h"
 
 namespace teaselthread {
 
@@ -102,6 +103,10 @@
   void OnLimitedSelection(uint32_t endpoints) {
     endpoints_left_out_ += endpoints;
   }
+  // A caller has resumed a stream.
+  void OnStreamResumed(OriginSource source) {
+    ++streams_resumed_[static_cast<size_t>(source)];
+  }
   // An endpoint was silent for the limit of its attempt.
   void OnSilence(SilenceDecision decision) {
     ++silences_[static_cast<size_t>(decision)];
@@ -148,6 +153,7 @@
   uint64_t endpoints_left_out_ = 0;
   std::array<uint64_t, kCrashVerdictCount> crash_evidence_{};
   std::array<uint64_t, kSilenceDecisionCount> silences_{};
+  std::array<uint64_t, kOriginSourceCount> streams_resumed_{};
   uint64_t hedges_sent_ = 0;
   uint64_t hedges_won_ = 0;
   uint64_t attempts_cancelled_ = 0;
--- a/src/teaselthread/gateway/gateway_state.cc
+++ b/src/teaselthread/gateway/gateway_state.cc
@@ -133,6 +133,28 @@
   return longest;
 }
 
+Duration GatewayState::LongestStreamLifetime() const {
+  Duration longest = kMinStreamLifetime;
+  if (!routes_)
+    return longest;
+  for (const ServiceSpec& service : routes_->parts().services)
+    longest = std::max(longest, StreamLifetime(service.name));
+  return longest;
+}
+
+void GatewayState::UpdateVersionHistory() {
+  const Timestamp now = Now();
+  for (const auto& [service, versions] : endpoints_.RegisteredVersions())
+    version_history_.OnRegistered(ShortHash(service), versions, now);
+  stream_origins_.ForgetBefore(now - LongestStreamLifetime());
+}
+
+asio::awaitable<bool> GatewayState::ReadStreamRecords(Duration max_age) {
+  if (!stream_record_source_)
+    co_return false;
+  co_return co_await stream_record_source_(max_age);
+}
+
 uint32_t GatewayState::FleetRequests(const std::string& service) const {
   return peers_.FleetRequests(ShortHash(service),
                               endpoints_.LocalRequests(service), Now());
--- a/src/teaselthread/gateway/gateway_state.h
+++ b/src/teaselthread/gateway/gateway_state.h
@@ -90,6 +90,18 @@
   VersionHistory& version_history() { return version_history_; }
   // How long a stream of the service may last, with all attempts of its caller.
   Duration StreamLifetime(const std::string& service) const;
+  Duration LongestStreamLifetime() const;
+  // Takes note of the versions that are registered now, and forgets streams
+  // that have ended.
+  void UpdateVersionHistory();
+  // Reads what other gateways have recorded of streams, unless that was read
+  // less than `max_age` ago. Returns false if it cannot be read.
+  using StreamRecordSource =
+      std::function<asio::awaitable<bool>(Duration max_age)>;
+  void set_stream_record_source(StreamRecordSource source) {
+    stream_record_source_ = std::move(source);
+  }
+  asio::awaitable<bool> ReadStreamRecords(Duration max_age);
   // The live gateways whose evidence on rollouts is needed.
   RolloutFleet MakeRolloutFleet() const;
   WaitingRequests& WaitingFor(const std::string& service) {
@@ -164,6 +176,7 @@
   RolloutTable rollouts_;
   StreamOrigins stream_origins_;
   VersionHistory version_history_;
+  StreamRecordSource stream_record_source_;
   std::map<std::string, WaitingRequests> waiting_;          // by service
   std::map<std::string, ReturnSchedule> return_schedules_;  // by service
   PeerSet peers_;
--- a/src/teaselthread/gateway/wire_codec.h
+++ b/src/teaselthread/gateway/wire_codec.h
@@ -25,6 +25,10 @@
   std::string key;                        // API key; empty if absent
   std::vector<PromptPart> prompt;         // in the prompt's order
   std::optional<uint64_t> last_event_id;  // last event the caller received
+  // It has received some, whether or not last_event_id is a number.
+  bool continues_stream = false;
+  // Of its request that got the first event; empty if it names none.
+  std::string resumed_id;
 };
 
 // What the gateway adds to a request that it sends to an endpoint.
--- a/src/teaselthread/requests/request_checks.cc
+++ b/src/teaselthread/requests/request_checks.cc
@@ -35,8 +35,11 @@
                ? RefusalReason::kUnknownRoute
                : StaleReason();
   }
-  request.service =
-      request.routes->FindService(PickService(*request.route, request.head.id));
+  // A stream stays with the service that began it.
+  const CallerHead& head = request.head;
+  const bool names_origin = head.continues_stream && !head.resumed_id.empty();
+  request.service = request.routes->FindService(
+      PickService(*request.route, names_origin ? head.resumed_id : head.id));
   return std::nullopt;
 }
 
--- a/src/teaselthread/requests/request_handler.cc
+++ b/src/teaselthread/requests/request_handler.cc
@@ -68,7 +68,10 @@
       .OnRequest(state_->Now());
   state_->HedgePolicyFor(exchange.request.service->name)
       .OnRequest(state_->Now());
-  bool is_final = false;
+  const auto refusal = co_await resumed_streams_.Resolve(exchange);
+  if (refusal)
+    co_await final_responses_.Refuse(exchange, *refusal);
+  bool is_final = refusal.has_value();
   while (!is_final)
     is_final = co_await RunAttempt(exchange);
 }
@@ -123,6 +126,7 @@
 void RequestHandler::OnFirstEvent(RequestExchange& exchange) {
   crash_guard_.OnAnswerBegun(exchange.request);
   exchange.request.required_version = exchange.endpoint_version;
+  resumed_streams_.OnFirstEvent(exchange);
 }
 
 asio::awaitable<void> RequestHandler::HandleFailure(RequestExchange& exchange,
--- a/src/teaselthread/requests/request_handler.h
+++ b/src/teaselthread/requests/request_handler.h
@@ -11,6 +11,7 @@
 #include "teaselthread/requests/request_checks.h"
 #include "teaselthread/requests/request_exchange.h"
 #include "teaselthread/requests/request_log.h"
+#include "teaselthread/requests/resumed_streams.h"
 #include "teaselthread/requests/silent_attempts.h"
 
 namespace teaselthread {
@@ -26,6 +27,7 @@
         crash_guard_(state, &connections_),
         placement_(state),
         silent_attempts_(state, &checks_, &crash_guard_, &placement_),
+        resumed_streams_(state),
         final_responses_(state),
         log_(state) {}
 
@@ -64,6 +66,7 @@
   CrashGuard crash_guard_;
   EndpointPlacement placement_;
   SilentAttempts silent_attempts_;
+  ResumedStreams resumed_streams_;
   FinalResponses final_responses_;
   RequestLog log_;
   EndpointConnections connections_;
--- a/src/teaselthread/store/store_controller.cc
+++ b/src/teaselthread/store/store_controller.cc
@@ -135,6 +135,7 @@
                              [this](Timestamp now) {
                                state_->endpoints().Sweep(now);
                                EndForgottenEvacuations(now);
+                               state_->UpdateVersionHistory();
                                CheckConfiguration();
                                if (configuration_.is_unreachable())
                                  return;
@@ -332,6 +333,7 @@
       records.push_back(*change.endpoint);
   }
   state_->endpoints().ReplaceAll(records, state_->Now());
+  state_->UpdateVersionHistory();
   state_->set_endpoints_known();
   state_->endpoint_changes().OnRevision(
       endpoints_.watcher().newest_object_revision(), state_->Now(),
@@ -351,6 +353,7 @@
     else
       state_->endpoints().Remove(change.name, state_->Now());
   }
+  state_->UpdateVersionHistory();
   LogEndpointChanges(changes);
 }
 
