Streams: know which origins are not yet sent or written

Cause: a stream can be continued only at the version that began it, so the origins of streams must outlive the gateway that knows them. StreamOrigins could only be asked for one stream.

Change: StreamOrigins numbers what it learns, lists what was learned after a number or all that is known, hands out its own streams in two consecutive batches, and takes what other nodes and the store say. What was read from the store does not count as learned.

--- a/src/libteaselthread/streams/stream_origins.h
+++ b/src/libteaselthread/streams/stream_origins.h
@@ -3,10 +3,13 @@
 
 #include <compare>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "libteaselthread/timestamp.h"
 
@@ -61,21 +64,63 @@
            uint32_t service,
            const std::string& version,
            Timestamp begun_at);
+  // Another node has sent this. What is known of a stream stays.
+  void OnReported(const StreamOrigin& origin, Timestamp now);
+  // The same for what was read from the store.
+  void OnRecorded(const StreamOrigin& origin, Timestamp now);
   // Empty if it is not known.
   std::optional<std::string> VersionOf(StreamKey key) const;
   // Forgets the streams that began before `time`.
   void ForgetBefore(Timestamp time);
   size_t size() const { return entries_.size(); }
 
+  // The next batch to send of the service's streams that Add was called for:
+  // up to `max_new` of those not sent yet, and those of the previous batch, as
+  // each stream is sent twice.
+  std::vector<StreamOrigin> TakeToSend(uint32_t service,
+                                       size_t max_new,
+                                       Timestamp now);
+  // Those that began since `time` are to be sent again.
+  void SendAgain(Timestamp time);
+
+  // Number of streams that Add or OnReported has added so far.
+  uint64_t learned() const { return learned_; }
+  // Streams of the services that were added when learned() was above `after`,
+  // the latest ones last, at most `max`. If `after` is 0, all that are known,
+  // also from the store, the youngest ones last.
+  std::vector<StreamOrigin> LearnedAfter(uint64_t after,
+                                         const std::set<uint32_t>& services,
+                                         size_t max,
+                                         Timestamp now) const;
+  bool HasLearnedAfter(uint64_t after,
+                       const std::set<uint32_t>& services) const;
+
  private:
   struct Entry {
     uint32_t service = 0;
     std::string version;
     Timestamp begun_at{};
+    uint64_t sequence = 0;  // learned() when it was added; 0 if from the store
+    bool is_own = false;
   };
+  using Entries = std::map<StreamKey, Entry>;
+  // Streams of a service that are to be sent. Those that were forgotten are
+  // left out when they are taken.
+  struct ToSend {
+    std::deque<StreamKey> fresh;
+    std::vector<StreamKey> repeated;
+  };
+
+  // Returns whether the stream was not known.
+  bool Insert(StreamKey key, Entry entry);
+  void Erase(Entries::iterator entry);
+  static StreamOrigin MakeOrigin(Entries::const_iterator entry, Timestamp now);
 
-  std::map<StreamKey, Entry> entries_;
+  Entries entries_;
   std::multimap<Timestamp, StreamKey> by_age_;
+  std::map<uint64_t, StreamKey> by_sequence_;  // those with a sequence above 0
+  std::map<uint32_t, ToSend> to_send_;         // by service
+  uint64_t learned_ = 0;
 };
 
 }  // namespace teaselthread
--- a/src/libteaselthread/streams/version_history.cc
+++ b/src/libteaselthread/streams/version_history.cc
@@ -38,6 +38,20 @@
   return versions;
 }
 
+std::map<std::string, Timestamp> VersionHistory::LastServedSince(
+    uint32_t service,
+    Timestamp time) const {
+  std::map<std::string, Timestamp> versions;
+  const auto found = services_.find(service);
+  if (found == services_.end())
+    return versions;
+  for (const auto& [version, last_served_at] : found->second.last_served_at) {
+    if (last_served_at >= time)
+      versions.emplace(version, last_served_at);
+  }
+  return versions;
+}
+
 bool VersionHistory::IsKnownSince(uint32_t service, Timestamp time) const {
   const auto found = services_.find(service);
   return found != services_.end() && found->second.known_since != Timestamp{} &&
--- a/src/libteaselthread/streams/version_history.h
+++ b/src/libteaselthread/streams/version_history.h
@@ -26,6 +26,9 @@
 
   // Versions that have served since `time`.
   std::set<std::string> ServingSince(uint32_t service, Timestamp time) const;
+  // The same with the time when each of them served last.
+  std::map<std::string, Timestamp> LastServedSince(uint32_t service,
+                                                   Timestamp time) const;
   // Whether more than one version has.
   bool IsMixedSince(uint32_t service, Timestamp time) const {
     return ServingSince(service, time).size() > 1;
