Store: a kind for the origins of streams

Change: StoreKind kStreams, and the target of a call that removes an object only if its revision is still the one that was read.

--- a/src/teaselthread/gateway/wire_codec.h
+++ b/src/teaselthread/gateway/wire_codec.h
@@ -63,8 +63,9 @@
   kEvacuations,
   kNodes,  // written by the gateways
   kRollouts,
+  kStreams,  // written by the gateways
 };
-inline constexpr size_t kStoreKindCount = 5;
+inline constexpr size_t kStoreKindCount = 6;
 std::string_view ToString(StoreKind kind);
 
 // One object of the platform's store, or a notice of its removal.
@@ -116,6 +117,11 @@
   // Target of PUT and DELETE calls; of POST calls if the name is empty.
   virtual std::string ObjectTarget(StoreKind kind,
                                    const std::string& name) const = 0;
+  // Target of a DELETE call that the store rejects unless `revision` is the
+  // object's current one.
+  virtual std::string RemovalTarget(StoreKind kind,
+                                    const std::string& name,
+                                    uint64_t revision) const = 0;
   virtual std::string EncodeObject(const StoreObject& object) const = 0;
   // The store's epoch, which rises when the store is restored from an older
   // copy. Empty if the response does not name one.
