Heartbeats: reports of the versions that began streams

Change: message StreamReport, its conversion with checks of lengths and indexes, and its transfer. A heartbeat with a report is not replied to by the zone leader, like the others that come in addition to the usual ones.

--- a/src/teaselthread/gateway/heartbeat_conversion.cc
+++ b/src/teaselthread/gateway/heartbeat_conversion.cc
@@ -1,5 +1,6 @@
 #include "teaselthread/gateway/heartbeat_conversion.h"
 
+#include <algorithm>
 #include <cmath>
 
 #include "heartbeat.pb.h"
@@ -15,6 +16,10 @@
 constexpr int kSideNumbers = 4;
 // Routes of a valid report: those with counters of their own and the others.
 constexpr int kMaxReportRoutes = RolloutCounters::kMaxRoutes + 1;
+// Of one report: a stream takes up to 13 bytes, and the rest of a heartbeat and
+// the versions need room too.
+constexpr int kMaxReportStreams = 64;
+constexpr size_t kMaxReportVersionBytes = 250;
 
 void EncodeOrder(const RolloutOrder& order, wire::RolloutOrder* message) {
   message->set_service(order.service);
@@ -235,4 +240,76 @@
   return updates;
 }
 
+void EncodeEvidence(const CrashEvidence& evidence,
+                    wire::PartEvidence* message) {
+  message->set_part(evidence.part);
+  for (const uint32_t crash : evidence.crashes)
+    message->add_crashes(crash);
+  for (const uint32_t crash : evidence.cleared)
+    message->add_cleared(crash);
+  for (const uint32_t crash : evidence.overlapping)
+    message->add_overlapping(crash);
+  for (const uint32_t crash : evidence.tried)
+    message->add_tried(crash);
+  message->set_age_ms(ToMilliseconds(evidence.age));
+}
+
+CrashEvidence DecodeEvidence(const wire::PartEvidence& message) {
+  return {message.part(),
+          {message.crashes().begin(), message.crashes().end()},
+          {message.cleared().begin(), message.cleared().end()},
+          {message.overlapping().begin(), message.overlapping().end()},
+          {message.tried().begin(), message.tried().end()},
+          milliseconds(message.age_ms())};
+}
+
+std::vector<wire::StreamReport> EncodeStreams(
+    const std::vector<StreamOrigin>& streams) {
+  std::vector<wire::StreamReport> reports;
+  std::vector<std::string> versions;  // of the last report
+  size_t version_bytes = 0;
+  for (const StreamOrigin& stream : streams) {
+    // No heartbeat could carry it.
+    if (stream.version.size() > kMaxReportVersionBytes)
+      continue;
+    auto found = std::find(versions.begin(), versions.end(), stream.version);
+    const size_t new_bytes =
+        found == versions.end() ? stream.version.size() + 2 : 0;
+    if (reports.empty() || reports.back().streams_size() == kMaxReportStreams ||
+        version_bytes + new_bytes > kMaxReportVersionBytes + 2) {
+      reports.emplace_back().set_service(stream.service);
+      versions.clear();
+      version_bytes = 0;
+      found = versions.end();
+    }
+    wire::StreamReport& report = reports.back();
+    if (found == versions.end()) {
+      found = versions.insert(versions.end(), stream.version);
+      version_bytes += stream.version.size() + 2;
+      report.add_versions(stream.version);
+    }
+    report.add_streams(stream.key.hash);
+    report.add_origins(static_cast<uint32_t>(found - versions.begin()));
+    report.add_ages(static_cast<uint32_t>(stream.age / kAgeUnit));
+  }
+  return reports;
+}
+
+std::optional<std::vector<StreamOrigin>> DecodeStreams(
+    const wire::StreamReport& message) {
+  const int count = message.streams_size();
+  if (message.origins_size() != count || message.ages_size() != count)
+    return std::nullopt;
+  std::vector<StreamOrigin> streams;
+  for (int i = 0; i < count; ++i) {
+    if (message.origins(i) >= static_cast<uint32_t>(message.versions_size()))
+      return std::nullopt;
+    streams.push_back({{message.streams(i)},
+                       message.service(),
+                       message.versions(static_cast<int>(message.origins(i))),
+                       message.ages(i) * kAgeUnit});
+  }
+  return streams;
+}
+
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/heartbeat_conversion.h
+++ b/src/teaselthread/gateway/heartbeat_conversion.h
@@ -4,9 +4,11 @@
 #include <optional>
 #include <vector>
 
+#include "libteaselthread/endpoints/crash_evidence.h"
 #include "libteaselthread/peers/store_changes.h"
 #include "libteaselthread/rate_limits/rate_limit_update.h"
 #include "libteaselthread/rollouts/rollout_evidence.h"
+#include "libteaselthread/streams/stream_origins.h"
 
 // Conversion of parts of heartbeats to and from their wire format.
 namespace teaselthread {
@@ -15,9 +17,11 @@
 class ChangePart;
 class GatewayHeartbeat;
 class ListStatus;
+class PartEvidence;
 class RateLimitReport;
 class RolloutReport;
 class StoreChange;
+class StreamReport;
 }  // namespace wire
 
 // Rounds up.
@@ -46,6 +50,16 @@
 std::optional<std::vector<RateLimitUpdate>> DecodeRateLimits(
     const wire::RateLimitReport& message);
 
+void EncodeEvidence(const CrashEvidence& evidence, wire::PartEvidence* message);
+CrashEvidence DecodeEvidence(const wire::PartEvidence& message);
+
+// Splits streams of one service into reports that each fit into a heartbeat.
+std::vector<wire::StreamReport> EncodeStreams(
+    const std::vector<StreamOrigin>& streams);
+// Empty if the message is not valid.
+std::optional<std::vector<StreamOrigin>> DecodeStreams(
+    const wire::StreamReport& message);
+
 }  // namespace teaselthread
 
 #endif  // TEASELTHREAD_GATEWAY_HEARTBEAT_CONVERSION_H_
--- a/src/teaselthread/gateway/peer_heartbeat.cc
+++ b/src/teaselthread/gateway/peer_heartbeat.cc
@@ -204,14 +204,26 @@
     SendTo(target, message);
 }
 
+size_t PeerHeartbeat::SendStreams(const std::vector<StreamOrigin>& streams,
+                                  const std::vector<SocketAddress>& targets) {
+  wire::GatewayHeartbeat message = MakeMessage();
+  size_t sent = 0;
+  for (wire::StreamReport& report : EncodeStreams(streams)) {
+    *message.mutable_stream_report() = std::move(report);
+    for (const SocketAddress& target : targets)
+      SendTo(target, message);
+    sent += targets.size();
+  }
+  return sent;
+}
+
 void PeerHeartbeat::SetListStatuses(wire::GatewayHeartbeat* message) const {
   if (!list_status_source_)
     return;
   const auto set = [&](RelayedList list, auto add) {
     const std::optional<ListStatus> status = list_status_source_(list);
-    if (!status)
-      return;
-    EncodeListStatus(*status, (message->*add)());
+    if (status)
+      EncodeListStatus(*status, (message->*add)());
   };
   set(RelayedList::kEndpoints, &wire::GatewayHeartbeat::mutable_endpoints);
   set(RelayedList::kEvacuations, &wire::GatewayHeartbeat::mutable_evacuations);
@@ -371,6 +383,8 @@
   OnSuspects(message, state_->peers().IsZonePeer(from));
   if (message.has_rate_limits())
     OnRateLimits(message.rate_limits());
+  if (message.has_stream_report())
+    OnStreamReport(message.stream_report());
   if (on_new_peer_ && !status.echoed_at && state_->peers().IsZonePeer(from))
     on_new_peer_(from);
   if (on_rollout_reports_ && message.rollout_reports_size() > 0) {
@@ -386,7 +400,7 @@
                                           return !report.sender().empty();
                                         });
   if (!is_from_leader && !has_counters && !message.has_rate_limits() &&
-      state_->peers().IsZonePeer(from))
+      !message.has_stream_report() && state_->peers().IsZonePeer(from))
     ReplyAsLeader(from);
 }
 
@@ -410,35 +424,25 @@
     on_rate_limits_(*updates);
 }
 
+void PeerHeartbeat::OnStreamReport(const wire::StreamReport& report) {
+  const auto streams = DecodeStreams(report);
+  if (!streams)
+    state_->metrics().OnUnreadableEntry();
+  else if (on_streams_)
+    on_streams_(*streams);
+}
+
 void PeerHeartbeat::SetSuspects(wire::GatewayHeartbeat* message) const {
   for (const CrashEvidence& evidence :
-       state_->crash_suspects().ToShare(kMaxSuspectBytes, state_->Now())) {
-    wire::PartEvidence* field = message->add_suspects();
-    field->set_part(evidence.part);
-    for (const uint32_t crash : evidence.crashes)
-      field->add_crashes(crash);
-    for (const uint32_t crash : evidence.cleared)
-      field->add_cleared(crash);
-    for (const uint32_t crash : evidence.overlapping)
-      field->add_overlapping(crash);
-    for (const uint32_t crash : evidence.tried)
-      field->add_tried(crash);
-    field->set_age_ms(ToMilliseconds(evidence.age));
-  }
+       state_->crash_suspects().ToShare(kMaxSuspectBytes, state_->Now()))
+    EncodeEvidence(evidence, message->add_suspects());
 }
 
 void PeerHeartbeat::OnSuspects(const wire::GatewayHeartbeat& message,
                                bool is_zone_peer) {
   CrashSuspects& suspects = state_->crash_suspects();
   for (const wire::PartEvidence& field : message.suspects()) {
-    const CrashEvidence evidence{
-        field.part(),
-        {field.crashes().begin(), field.crashes().end()},
-        {field.cleared().begin(), field.cleared().end()},
-        {field.overlapping().begin(), field.overlapping().end()},
-        {field.tried().begin(), field.tried().end()},
-        std::chrono::milliseconds(field.age_ms())};
-    const bool is_new = suspects.Merge(evidence, state_->Now());
+    const bool is_new = suspects.Merge(DecodeEvidence(field), state_->Now());
     passes_on_suspects_ = passes_on_suspects_ || (is_new && !is_zone_peer);
   }
 }
--- a/src/teaselthread/gateway/peer_heartbeat.h
+++ b/src/teaselthread/gateway/peer_heartbeat.h
@@ -15,6 +15,7 @@
 class GatewayHeartbeat;
 class LoadReport;
 class RateLimitReport;
+class StreamReport;
 }  // namespace wire
 
 // Sends this node's state to its peers as UDP datagrams and receives theirs.
@@ -60,6 +61,14 @@
   void set_on_new_peer(NewPeerCallback on_new_peer) {
     on_new_peer_ = std::move(on_new_peer);
   }
+  // Called with the streams that a report of another node names.
+  using StreamsCallback = std::function<void(const std::vector<StreamOrigin>&)>;
+  void set_on_streams(StreamsCallback on_streams) {
+    on_streams_ = std::move(on_streams);
+  }
+  // Sends heartbeats with streams of one service. Returns their number.
+  size_t SendStreams(const std::vector<StreamOrigin>& streams,
+                     const std::vector<SocketAddress>& targets);
   // Sends a heartbeat with rate limits of endpoints.
   void SendRateLimits(const std::vector<RateLimitUpdate>& updates,
                       const std::vector<SocketAddress>& targets);
@@ -90,6 +99,7 @@
   void OnChangePart(const wire::ChangePart& part);
   void ReplyAsLeader(const SocketAddress& follower);
   void OnRateLimits(const wire::RateLimitReport& report);
+  void OnStreamReport(const wire::StreamReport& report);
   // Adds what this node knows of prompt parts that crash engines.
   void SetSuspects(wire::GatewayHeartbeat* message) const;
   void OnSuspects(const wire::GatewayHeartbeat& message, bool is_zone_peer);
@@ -113,6 +123,7 @@
   ReportsCallback on_rollout_reports_;
   RateLimitsCallback on_rate_limits_;
   NewPeerCallback on_new_peer_;
+  StreamsCallback on_streams_;
   uint32_t heartbeat_rounds_ = 0;
   Timestamp last_sent_at_{};
   // Evidence from another zone is to be passed on in this one.
