Streams: record which versions began them

Cause: gateways have no disks. When all of them were killed, none knew which version began a stream, and only that version can continue it.

Change: while a service has had several versions within the lifetime of its streams, StreamReporter sends the origins of this gateway's streams to the leader and the deputy of its zone, and StreamRecorder of the leader writes what it knows to the store, in eight objects used in turn. A write comes at most each 500 ms, and only if a stream or a version is new, or a slot begins. Each slot covers 1/7 of the retention: with 1/8, what was learned at the end of a slot would be overwritten before the retention is over. StreamRecordReader reads the objects of all zones on demand.

Writes that could lose what is recorded: - A gateway that starts anew uses the names of its former process, so it reads all objects before its first write. - A write without a response may be executed later, so the next one goes to another object and has everything that is known. - An object is removed only at the revision that was read as too old.

--- a/src/teaselthread/gateway/gateway.cc
+++ b/src/teaselthread/gateway/gateway.cc
@@ -44,7 +44,9 @@
       admin_(&state_),
       store_(&state_),
       registrar_(&state_),
-      rollout_writer_(&state_) {}
+      rollout_writer_(&state_),
+      stream_record_reader_(&state_),
+      stream_recorder_(&state_, &stream_record_reader_) {}
 
 Result<bool> Gateway::Start() {
   for (Result<bool> started : {front_.Start(), admin_.Start()}) {
@@ -76,6 +78,10 @@
       std::make_unique<RateLimitController>(&state_, heartbeat_.get());
   rate_limits_->Start();
   rollout_writer_.Start();
+  stream_reporter_ =
+      std::make_unique<StreamReporter>(&state_, heartbeat_.get());
+  stream_reporter_->Start();
+  stream_recorder_.Start();
   state_.timers().Subscribe(kSweepInterval, state_.Now(),
                             [this](Timestamp) { front_.handler().Sweep(); });
   state_.timers().Subscribe(
--- a/src/teaselthread/gateway/gateway.h
+++ b/src/teaselthread/gateway/gateway.h
@@ -12,6 +12,9 @@
 #include "teaselthread/store/node_registrar.h"
 #include "teaselthread/store/rollout_writer.h"
 #include "teaselthread/store/store_controller.h"
+#include "teaselthread/streams/stream_record_reader.h"
+#include "teaselthread/streams/stream_recorder.h"
+#include "teaselthread/streams/stream_reporter.h"
 
 namespace teaselthread {
 
@@ -46,6 +49,9 @@
   RolloutWriter rollout_writer_;
   std::unique_ptr<RolloutController> rollouts_;
   std::unique_ptr<RateLimitController> rate_limits_;
+  StreamRecordReader stream_record_reader_;
+  StreamRecorder stream_recorder_;
+  std::unique_ptr<StreamReporter> stream_reporter_;
 };
 
 }  // namespace teaselthread
--- a/src/teaselthread/gateway/gateway_metrics.cc
+++ b/src/teaselthread/gateway/gateway_metrics.cc
@@ -185,6 +185,11 @@
   Scalar(out, "unreadable_entries_total", "counter", unreadable_entries_);
   Scalar(out, "heartbeats_sent_total", "counter", heartbeats_sent_);
   Scalar(out, "heartbeat_bytes_total", "counter", heartbeat_bytes_);
+  Scalar(out, "stream_reports_sent_total", "counter", stream_reports_sent_);
+  Scalar(out, "stream_records_written_total", "counter",
+         stream_records_written_);
+  Scalar(out, "stream_records_read_total", "counter", stream_records_read_);
+  Scalar(out, "streams_known", "gauge", gauges.streams_known);
   Scalar(out, "log_lines_dropped_total", "counter", gauges.log_lines_dropped);
   Scalar(out, "configuration_version", "gauge", gauges.configuration_version);
   Scalar(out, "configuration_age_seconds", "gauge",
--- a/src/teaselthread/gateway/gateway_metrics.h
+++ b/src/teaselthread/gateway/gateway_metrics.h
@@ -63,7 +63,8 @@
   uint64_t buffered_bytes = 0;  // reserved for bodies
   uint64_t buffer_limit_bytes = 0;
   uint64_t log_lines_dropped = 0;
-  uint64_t rate_limits = 0;  // of endpoints, in force
+  uint64_t rate_limits = 0;    // of endpoints, in force
+  uint64_t streams_known = 0;  // with the version that began them
   bool ready = false;
   bool rollouts_enabled = false;
   std::vector<const Rollout*> rollouts;  // valid while rendering
@@ -125,6 +126,9 @@
   void OnStoreRestored() { ++store_restorations_; }
   void OnUnreadableEntry() { ++unreadable_entries_; }
   void OnHeartbeatSent(size_t bytes);
+  void OnStreamReportsSent(size_t count) { stream_reports_sent_ += count; }
+  void OnStreamRecordWritten() { ++stream_records_written_; }
+  void OnStreamRecordsRead(size_t count) { stream_records_read_ += count; }
   // An order has entered a stage at this gateway.
   void OnRolloutStage(RolloutStage stage) {
     ++rollout_stages_[static_cast<size_t>(stage)];
@@ -164,6 +168,9 @@
   uint64_t unreadable_entries_ = 0;
   uint64_t heartbeats_sent_ = 0;
   uint64_t heartbeat_bytes_ = 0;
+  uint64_t stream_reports_sent_ = 0;
+  uint64_t stream_records_written_ = 0;
+  uint64_t stream_records_read_ = 0;
   std::array<uint64_t, kRolloutStageCount> rollout_stages_{};
 };
 
--- a/src/teaselthread/gateway/gateway_state.cc
+++ b/src/teaselthread/gateway/gateway_state.cc
@@ -263,6 +263,7 @@
   gauges.buffer_limit_bytes = buffers_.limit();
   gauges.log_lines_dropped = log_.dropped();
   gauges.rate_limits = endpoints_.rate_limits().size();
+  gauges.streams_known = stream_origins_.size();
   gauges.ready = IsReady();
   gauges.rollouts_enabled = rollouts_.enabled();
   for (const auto& [name, rollout] : rollouts_.rollouts())
--- /dev/null
+++ b/src/teaselthread/streams/stream_record_reader.cc
@@ -0,0 +1,150 @@
+#include "teaselthread/streams/stream_record_reader.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "teaselthread/streams/stream_record.h"
+#include "teaselthread/streams/stream_services.h"
+
+namespace teaselthread {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kCallTimeout = milliseconds(400);
+// The times of day of two machines may differ by some seconds.
+constexpr Duration kClockMargin = seconds(5);
+constexpr Duration kRemovalMargin = seconds(60);
+constexpr size_t kMaxRemovals = 8;  // per read
+// A hyphen and the digit of the slot follow the gateway's name.
+constexpr size_t kSlotSuffixSize = 2;
+constexpr int kOk = 200;
+constexpr int kNoResponse = 0;
+
+}  // namespace
+
+StreamRecordReader::StreamRecordReader(GatewayState* state)
+    : state_(state),
+      connection_(state->settings().store()),
+      removal_connection_(state->settings().store()),
+      read_ended_(state->io(), asio::steady_timer::time_point::max()) {}
+
+asio::awaitable<bool> StreamRecordReader::Read(Duration max_age) {
+  if (read_at_ && *read_at_ >= state_->Now() - max_age)
+    co_return true;
+  if (!is_reading_)
+    co_return co_await ReadAll();
+  co_await read_ended_.async_wait(kAsTuple);
+  co_return last_succeeded_;
+}
+
+asio::awaitable<bool> StreamRecordReader::ReadAll() {
+  const Timestamp began_at = state_->Now();
+  is_reading_ = true;
+  outdated_.clear();
+  Summary summary;
+  last_succeeded_ = co_await ReadPages(&summary);
+  const bool succeeded = last_succeeded_;
+  if (succeeded) {
+    read_at_ = began_at;
+    state_->version_history().OnRecordsRead(began_at);
+  }
+  is_reading_ = false;
+  read_ended_.cancel();
+  state_->metrics().OnStreamRecordsRead(summary.objects);
+  LogLine line("stream-records-read");
+  line.Add("objects", summary.objects)
+      .Add("streams", summary.streams)
+      .Add("status", summary.status)
+      .AddTime("elapsed", state_->Now() - began_at);
+  state_->log().Info(line);
+  if (!outdated_.empty() && state_->peers().IsZoneLeader(state_->Now())) {
+    std::vector<std::string> targets = std::exchange(outdated_, {});
+    asio::co_spawn(state_->io(), Remove(std::move(targets)), asio::detached);
+  }
+  co_return succeeded;
+}
+
+asio::awaitable<bool> StreamRecordReader::ReadPages(Summary* summary) {
+  for (std::string after;;) {
+    std::string target =
+        state_->codec().ListTarget(StoreKind::kStreams, after, false);
+    const Timestamp called_at = state_->Now();
+    const Result<HttpReply> reply =
+        co_await connection_.Get(target, kCallTimeout);
+    summary->status = reply ? reply->status : kNoResponse;
+    state_->OnStoreCall(StoreKind::kStreams, target, summary->status,
+                        called_at);
+    if (!reply || reply->status != kOk)
+      co_return false;
+    const Result<StorePage> page = state_->codec().DecodeList(reply->body);
+    if (!page) {
+      state_->metrics().OnUnreadableEntry();
+      co_return false;
+    }
+    for (const StoreObject& object : page->objects)
+      OnObject(object, summary);
+    if (!page->has_more || page->objects.empty())
+      co_return true;
+    after = page->objects.back().name;
+  }
+}
+
+void StreamRecordReader::OnObject(const StoreObject& object, Summary* summary) {
+  const auto record = DecodeStreamRecord(object.content);
+  if (!record) {
+    state_->metrics().OnUnreadableEntry();
+    return;
+  }
+  const uint64_t now_ms = UnixMilliseconds();
+  const Duration retention = StreamRetention(*state_);
+  // Longer ages do not differ from this one in their effect.
+  const Duration max_age = 2 * (retention + kRemovalMargin);
+  const uint64_t age_ms =
+      now_ms > record->written_at_ms ? now_ms - record->written_at_ms : 0;
+  const Duration age = milliseconds(std::min<uint64_t>(
+      age_ms, static_cast<uint64_t>(
+                  std::chrono::duration_cast<milliseconds>(max_age).count())));
+  if (age > retention + kRemovalMargin && !IsOwn(object.name) &&
+      outdated_.size() < kMaxRemovals) {
+    outdated_.push_back(state_->codec().RemovalTarget(
+        StoreKind::kStreams, object.name, object.revision));
+  }
+  if (age > retention + kClockMargin)
+    return;
+  const Timestamp now = state_->Now();
+  for (const auto& [service, versions] : record->served) {
+    for (const auto& [version, served_age] : versions)
+      state_->version_history().OnRecorded(service, version,
+                                           now - age - served_age);
+  }
+  for (StreamOrigin stream : record->streams) {
+    stream.age += age;
+    state_->stream_origins().OnRecorded(stream, now);
+  }
+  ++summary->objects;
+  summary->streams += record->streams.size();
+}
+
+bool StreamRecordReader::IsOwn(const std::string& name) const {
+  const std::string& self = state_->settings().name();
+  return name.size() == self.size() + kSlotSuffixSize &&
+         name.starts_with(self + "-");
+}
+
+asio::awaitable<void> StreamRecordReader::Remove(
+    std::vector<std::string> targets) {
+  for (const std::string& target : targets) {
+    const Timestamp called_at = state_->Now();
+    std::string no_body;
+    const Result<HttpReply> reply = co_await removal_connection_.Call(
+        http::verb::delete_, target, std::move(no_body), kCallTimeout);
+    state_->OnStoreCall(StoreKind::kStreams, target,
+                        reply ? reply->status : kNoResponse, called_at);
+    if (!reply)
+      co_return;
+  }
+}
+
+}  // namespace teaselthread
--- /dev/null
+++ b/src/teaselthread/streams/stream_services.cc
@@ -0,0 +1,50 @@
+#include "teaselthread/streams/stream_services.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "libteaselthread/rendezvous_hash.h"
+#include "teaselthread/gateway/gateway_state.h"
+
+namespace teaselthread {
+
+MixedServices FindMixedServices(GatewayState* state, Timestamp now) {
+  MixedServices mixed;
+  if (!state->routes())
+    return mixed;
+  for (const ServiceSpec& service : state->routes()->parts().services) {
+    const uint32_t hash = ShortHash(service.name);
+    if (!state->version_history().IsMixedSince(hash, Timestamp::min()))
+      continue;
+    const Timestamp since = now - state->StreamLifetime(service.name);
+    if (state->version_history().IsMixedSince(hash, since))
+      mixed[hash] = state->version_history().LastServedSince(hash, since);
+  }
+  return mixed;
+}
+
+std::set<uint32_t> HashesOf(const MixedServices& services) {
+  std::set<uint32_t> hashes;
+  for (const auto& [hash, versions] : services)
+    hashes.insert(hash);
+  return hashes;
+}
+
+Duration StreamRetention(const GatewayState& state) {
+  // A service without routes has the shortest lifetime.
+  Duration longest = state.StreamLifetime("");
+  if (!state.routes())
+    return longest;
+  for (const ServiceSpec& service : state.routes()->parts().services)
+    longest = std::max(longest, state.StreamLifetime(service.name));
+  return longest;
+}
+
+uint64_t UnixMilliseconds() {
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch)
+          .count());
+}
+
+}  // namespace teaselthread
