Streams: read the records of other gateways for a stream that is not known

Change: the reader of the records is the source of ResumedStreams. One function for the time of day and one for how long origins are kept, where two stood.

--- a/src/teaselthread/gateway/gateway.cc
+++ b/src/teaselthread/gateway/gateway.cc
@@ -82,6 +82,8 @@
       std::make_unique<StreamReporter>(&state_, heartbeat_.get());
   stream_reporter_->Start();
   stream_recorder_.Start();
+  state_.set_stream_record_source(
+      [this](Duration max_age) { return stream_record_reader_.Read(max_age); });
   state_.timers().Subscribe(kSweepInterval, state_.Now(),
                             [this](Timestamp) { front_.handler().Sweep(); });
   state_.timers().Subscribe(
--- a/src/teaselthread/gateway/gateway_state.cc
+++ b/src/teaselthread/gateway/gateway_state.cc
@@ -73,6 +73,13 @@
       std::chrono::nanoseconds(now.tv_nsec)));
 }
 
+uint64_t GatewayState::UnixMilliseconds() {
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch)
+          .count());
+}
+
 std::chrono::steady_clock::time_point GatewayState::ToSteady(Timestamp time) {
   return std::chrono::steady_clock::time_point(time.time_since_epoch());
 }
@@ -133,20 +140,10 @@
   return longest;
 }
 
-Duration GatewayState::LongestStreamLifetime() const {
-  Duration longest = kMinStreamLifetime;
-  if (!routes_)
-    return longest;
-  for (const ServiceSpec& service : routes_->parts().services)
-    longest = std::max(longest, StreamLifetime(service.name));
-  return longest;
-}
-
 void GatewayState::UpdateVersionHistory() {
   const Timestamp now = Now();
   for (const auto& [service, versions] : endpoints_.RegisteredVersions())
     version_history_.OnRegistered(ShortHash(service), versions, now);
-  stream_origins_.ForgetBefore(now - LongestStreamLifetime());
 }
 
 asio::awaitable<bool> GatewayState::ReadStreamRecords(Duration max_age) {
--- a/src/teaselthread/gateway/gateway_state.h
+++ b/src/teaselthread/gateway/gateway_state.h
@@ -56,6 +56,8 @@
   Timestamp Now() const;
   // CLOCK_BOOTTIME, which also advances while the machine is suspended.
   static Timestamp BootNow();
+  // The time of day of this machine, which may differ from that of others.
+  static uint64_t UnixMilliseconds();
   static std::chrono::steady_clock::time_point ToSteady(Timestamp time);
 
   // Null until the first configuration is known. Versions never decrease.
@@ -90,9 +92,7 @@
   VersionHistory& version_history() { return version_history_; }
   // How long a stream of the service may last, with all attempts of its caller.
   Duration StreamLifetime(const std::string& service) const;
-  Duration LongestStreamLifetime() const;
-  // Takes note of the versions that are registered now, and forgets streams
-  // that have ended.
+  // Takes note of the versions that are registered now.
   void UpdateVersionHistory();
   // Reads what other gateways have recorded of streams, unless that was read
   // less than `max_age` ago. Returns false if it cannot be read.
--- a/src/teaselthread/requests/crash_guard.cc
+++ b/src/teaselthread/requests/crash_guard.cc
@@ -31,12 +31,6 @@
       }));
 }
 
-uint64_t UnixMilliseconds() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
-}
-
 }  // namespace
 
 CrashGuard::CrashGuard(GatewayState* state, EndpointConnections* connections)
@@ -88,7 +82,7 @@
   if (parts.empty())
     return;
   queue_.Add({request.head.id, std::move(parts), engine, sent_at, state_->Now(),
-              UnixMilliseconds(), Timestamp{}});
+              GatewayState::UnixMilliseconds(), Timestamp{}});
   probe_.Start(engine);
 }
 
--- a/src/teaselthread/requests/resumed_streams.cc
+++ b/src/teaselthread/requests/resumed_streams.cc
@@ -21,12 +21,6 @@
 // Ids come from callers and may be as long as a header field.
 constexpr size_t kMaxLoggedIdBytes = 64;
 
-uint64_t UnixMilliseconds() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<uint64_t>(
-      std::chrono::duration_cast<milliseconds>(now).count());
-}
-
 StreamKey KeyOf(const ClassifiedRequest& request,
                 const std::string& request_id) {
   return StreamKey::Of(request.service->name,
@@ -104,7 +98,8 @@
   const auto started_at_ms =
       state_->endpoints().EarliestStart(service, version);
   const bool is_older_than_stream =
-      started_at_ms && *started_at_ms + age_ms <= UnixMilliseconds();
+      started_at_ms &&
+      *started_at_ms + age_ms <= GatewayState::UnixMilliseconds();
   return history.records_read_at() && is_older_than_stream
              ? std::optional(version)
              : std::nullopt;
--- a/src/teaselthread/streams/stream_record_reader.cc
+++ b/src/teaselthread/streams/stream_record_reader.cc
@@ -97,7 +97,7 @@
     state_->metrics().OnUnreadableEntry();
     return;
   }
-  const uint64_t now_ms = UnixMilliseconds();
+  const uint64_t now_ms = GatewayState::UnixMilliseconds();
   const Duration retention = StreamRetention(*state_);
   // Longer ages do not differ from this one in their effect.
   const Duration max_age = 2 * (retention + kRemovalMargin);
--- a/src/teaselthread/streams/stream_recorder.cc
+++ b/src/teaselthread/streams/stream_recorder.cc
@@ -134,7 +134,7 @@
   const StreamOrigins& origins = state_->stream_origins();
   content.learned = origins.learned();
   content.versions = VersionsOf(mixed);
-  content.record.written_at_ms = UnixMilliseconds();
+  content.record.written_at_ms = GatewayState::UnixMilliseconds();
   content.record.streams = origins.LearnedAfter(slot_after_, HashesOf(mixed),
                                                 StreamRecord::kMaxStreams, now);
   for (const auto& [service, versions] : mixed) {
--- a/src/teaselthread/streams/stream_services.cc
+++ b/src/teaselthread/streams/stream_services.cc
@@ -1,7 +1,6 @@
 #include "teaselthread/streams/stream_services.h"
 
 #include <algorithm>
-#include <chrono>
 
 #include "libteaselthread/rendezvous_hash.h"
 #include "teaselthread/gateway/gateway_state.h"
@@ -40,11 +39,4 @@
   return longest;
 }
 
-uint64_t UnixMilliseconds() {
-  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch)
-          .count());
-}
-
 }  // namespace teaselthread
--- a/src/teaselthread/streams/stream_services.h
+++ b/src/teaselthread/streams/stream_services.h
@@ -20,8 +20,6 @@
 std::set<uint32_t> HashesOf(const MixedServices& services);
 // How long origins of streams are kept: the lifetime of the longest streams.
 Duration StreamRetention(const GatewayState& state);
-// The time of day of this machine, which may differ from that of others.
-uint64_t UnixMilliseconds();
 
 }  // namespace teaselthread
 
--- a/tests/streams/stream_records_test.cc
+++ b/tests/streams/stream_records_test.cc
@@ -145,7 +145,8 @@
   }
   void PutRecord(const std::string& name, int64_t age_ms, uint64_t key) {
     StreamRecord record;
-    record.written_at_ms = UnixMilliseconds() - static_cast<uint64_t>(age_ms);
+    record.written_at_ms =
+        GatewayState::UnixMilliseconds() - static_cast<uint64_t>(age_ms);
     record.streams = {{{key}, kService, "v1", seconds(1)}};
     store.objects[name] = {1, EncodeStreamRecord(record)};
   }
