Streams: records that stay small, and resumed streams that do not hold others up

Cause: each gateway that starts takes itself for the zone leader at first. It read all records and wrote them again as its own, so that after all gateways had been killed they grew to many times their size, and reads ran into their time-out of 400 ms at gateways with narrow links. Streams that began up to 0.6 s before the kill were not recorded. Found by the review besides: a resumed stream for which its version had no room held up all requests of the service; a caller that left while its stream was looked up still had it sent; an entry without a start time counted as very old; an error in a read would have let its callers wait for ever; a failed read was repeated without a pause.

Change: what was read from the store is not written again. A gateway writes after it has led its zone for 1 s, and goes on with the slot that is due next. Reads have 1.5 s a page; writes come every 250 ms. Resumed streams are not kept waiting for room, like others that broke off.

--- a/src/libteaselthread/endpoints/endpoint_table.cc
+++ b/src/libteaselthread/endpoints/endpoint_table.cc
@@ -177,7 +177,7 @@
   std::optional<uint64_t> earliest;
   for (const EndpointPtr& endpoint : Running(service)) {
     const EndpointRecord& record = endpoint->record();
-    if (record.version == version)
+    if (record.version == version && record.started_at_ms > 0)
       earliest = std::min(earliest.value_or(record.started_at_ms),
                           record.started_at_ms);
   }
--- a/src/libteaselthread/endpoints/endpoint_table.h
+++ b/src/libteaselthread/endpoints/endpoint_table.h
@@ -67,7 +67,7 @@
   // The versions of the running endpoints, by service.
   std::map<std::string, std::set<std::string>> RegisteredVersions() const;
   // The earliest start (Unix milliseconds) of a service's running endpoints of
-  // a version. Empty if there are none.
+  // a version. Empty if none is known.
   std::optional<uint64_t> EarliestStart(const std::string& service,
                                         const std::string& version) const;
   // Local requests in progress at the endpoints of a service.
--- a/src/libteaselthread/streams/stream_origins.cc
+++ b/src/libteaselthread/streams/stream_origins.cc
@@ -144,14 +144,9 @@
     if (origins.size() < max && services.contains(entry->second.service))
       origins.push_back(MakeOrigin(entry, now));
   };
-  if (after == 0) {
-    for (auto item = by_age_.rbegin(); item != by_age_.rend(); ++item)
-      add(item->second);
-  } else {
-    for (auto item = by_sequence_.rbegin();
-         item != by_sequence_.rend() && item->first > after; ++item)
-      add(item->second);
-  }
+  for (auto item = by_sequence_.rbegin();
+       item != by_sequence_.rend() && item->first > after; ++item)
+    add(item->second);
   std::reverse(origins.begin(), origins.end());
   return origins;
 }
--- a/src/libteaselthread/streams/stream_origins.h
+++ b/src/libteaselthread/streams/stream_origins.h
@@ -86,8 +86,7 @@
   // Number of streams that Add or OnReported has added so far.
   uint64_t learned() const { return learned_; }
   // Streams of the services that were added when learned() was above `after`,
-  // the latest ones last, at most `max`. If `after` is 0, all that are known,
-  // also from the store, the youngest ones last.
+  // the latest ones last, at most `max`. What was read from the store is there.
   std::vector<StreamOrigin> LearnedAfter(uint64_t after,
                                          const std::set<uint32_t>& services,
                                          size_t max,
--- a/src/teaselthread/requests/endpoint_placement.cc
+++ b/src/teaselthread/requests/endpoint_placement.cc
@@ -7,6 +7,13 @@
 
 constexpr auto kRoomCheckInterval = std::chrono::milliseconds(20);
 
+// A stream that was broken off is not kept waiting: few endpoints can continue
+// it, and the room that others wait for is elsewhere.
+bool IsBrokenOff(const ClassifiedRequest& request,
+                 const RequestAttempts& attempts) {
+  return attempts.may_have_run() || request.required_version.has_value();
+}
+
 }  // namespace
 
 SelectionQuery EndpointPlacement::MakeQuery(const ClassifiedRequest& request,
@@ -26,8 +33,7 @@
   }
   query.excluded = attempts.tried();
   query.version = request.required_version;
-  // A stream that was broken off is not kept waiting.
-  query.ignores_load_bound = attempts.may_have_run();
+  query.ignores_load_bound = IsBrokenOff(request, attempts);
   return query;
 }
 
@@ -56,7 +62,7 @@
   WaitingRequests& waiting = state_->WaitingFor(service);
   const int priority = request.Priority();
   const bool is_queued =
-      waiting.HasAheadOf(priority) && !attempts.may_have_run();
+      waiting.HasAheadOf(priority) && !IsBrokenOff(request, attempts);
   SelectionResult result =
       is_queued ? LastReason(service) : Select(request, attempts);
   if (!LacksRoom(result))
--- a/src/teaselthread/requests/request_handler.cc
+++ b/src/teaselthread/requests/request_handler.cc
@@ -69,9 +69,14 @@
   state_->HedgePolicyFor(exchange.request.service->name)
       .OnRequest(state_->Now());
   const auto refusal = co_await resumed_streams_.Resolve(exchange);
-  if (refusal)
+  // The caller may have left meanwhile.
+  const bool has_left =
+      exchange.guard->interruption() == AttemptFailure::kCallerGone;
+  if (has_left)
+    Drop(exchange);
+  else if (refusal)
     co_await final_responses_.Refuse(exchange, *refusal);
-  bool is_final = refusal.has_value();
+  bool is_final = has_left || refusal.has_value();
   while (!is_final)
     is_final = co_await RunAttempt(exchange);
 }
@@ -122,6 +127,12 @@
   co_return is_final;
 }
 
+void RequestHandler::Drop(RequestExchange& exchange) {
+  exchange.outcome = "dropped";
+  exchange.reason = "caller-gone";
+  exchange.writer->Abort();
+}
+
 // What another version writes does not continue the stream.
 void RequestHandler::OnFirstEvent(RequestExchange& exchange) {
   crash_guard_.OnAnswerBegun(exchange.request);
@@ -150,9 +161,7 @@
     case NextStep::kRetry:
       break;
     case NextStep::kDrop:
-      exchange.outcome = "dropped";
-      exchange.reason = "caller-gone";
-      exchange.writer->Abort();
+      Drop(exchange);
       break;
     case NextStep::kRelayError:
       co_await final_responses_.Relay(exchange, std::move(result));
--- a/src/teaselthread/requests/request_handler.h
+++ b/src/teaselthread/requests/request_handler.h
@@ -46,6 +46,8 @@
   // Makes one attempt. Returns true if the request has ended, with or without a
   // final response.
   asio::awaitable<bool> RunAttempt(RequestExchange& exchange);
+  // The caller has disconnected. Nothing is sent.
+  static void Drop(RequestExchange& exchange);
   // An endpoint has sent the first event of an attempt.
   void OnFirstEvent(RequestExchange& exchange);
   asio::awaitable<void> HandleFailure(RequestExchange& exchange,
--- a/src/teaselthread/requests/resumed_streams.cc
+++ b/src/teaselthread/requests/resumed_streams.cc
@@ -12,7 +12,7 @@
 // Requests that arrive at the same time share one read.
 constexpr Duration kMaxRecordAge = milliseconds(100);
 // From the first event of a stream until other nodes can read its record.
-constexpr Duration kRecordDelay = milliseconds(700);
+constexpr Duration kRecordDelay = milliseconds(500);
 // Share of the time left that a request may wait for a record.
 constexpr int kMaxWaitDivisor = 4;
 // An endpoint that has run for the route's timeout and this much longer has
@@ -111,8 +111,12 @@
   co_await state_->ReadStreamRecords(kMaxRecordAge);
   std::optional<Origin> origin = Find(request);
   const Duration time_left = request.deadline - state_->Now();
-  const bool may_appear = !request.head.resumed_id.empty() &&
-                          time_left >= kMaxWaitDivisor * kRecordDelay;
+  const std::string& service = request.service->name;
+  const bool is_mixed = state_->version_history().IsMixedSince(
+      ShortHash(service), state_->Now() - state_->StreamLifetime(service));
+  const bool may_appear = is_mixed && !request.head.resumed_id.empty() &&
+                          time_left >= kMaxWaitDivisor * kRecordDelay &&
+                          !exchange.guard->is_final();
   if (!origin && may_appear) {
     asio::steady_timer timer(state_->io(), kRecordDelay);
     co_await timer.async_wait(kAsTuple);
--- a/src/teaselthread/streams/stream_record_reader.cc
+++ b/src/teaselthread/streams/stream_record_reader.cc
@@ -1,6 +1,7 @@
 #include "teaselthread/streams/stream_record_reader.h"
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 #include "teaselthread/streams/stream_record.h"
@@ -12,7 +13,10 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr Duration kCallTimeout = milliseconds(400);
+// A page may have several hundred KB, and the links of gateways are narrow.
+constexpr Duration kCallTimeout = milliseconds(1'500);
+// Pause after a read that has failed.
+constexpr Duration kFailurePause = milliseconds(300);
 // The times of day of two machines may differ by some seconds.
 constexpr Duration kClockMargin = seconds(5);
 constexpr Duration kRemovalMargin = seconds(60);
@@ -33,6 +37,8 @@
 asio::awaitable<bool> StreamRecordReader::Read(Duration max_age) {
   if (read_at_ && *read_at_ >= state_->Now() - max_age)
     co_return true;
+  if (failed_at_ && state_->Now() - *failed_at_ < kFailurePause)
+    co_return false;
   if (!is_reading_)
     co_return co_await ReadAll();
   co_await read_ended_.async_wait(kAsTuple);
@@ -44,11 +50,18 @@
   is_reading_ = true;
   outdated_.clear();
   Summary summary;
-  last_succeeded_ = co_await ReadPages(&summary);
+  // Callers wait for the end of the read, whatever it is.
+  try {
+    last_succeeded_ = co_await ReadPages(&summary);
+  } catch (const std::exception&) {
+    last_succeeded_ = false;
+  }
   const bool succeeded = last_succeeded_;
   if (succeeded) {
     read_at_ = began_at;
     state_->version_history().OnRecordsRead(began_at);
+  } else {
+    failed_at_ = state_->Now();
   }
   is_reading_ = false;
   read_ended_.cancel();
@@ -97,6 +110,8 @@
     state_->metrics().OnUnreadableEntry();
     return;
   }
+  if (IsOwn(object.name))
+    own_slots_[object.name.back() - '0'] = record->written_at_ms;
   const uint64_t now_ms = GatewayState::UnixMilliseconds();
   const Duration retention = StreamRetention(*state_);
   // Longer ages do not differ from this one in their effect.
--- a/src/teaselthread/streams/stream_record_reader.h
+++ b/src/teaselthread/streams/stream_record_reader.h
@@ -25,6 +25,10 @@
   // could not be read.
   asio::awaitable<bool> Read(Duration max_age);
 
+  // When the objects of this gateway were written (Unix milliseconds), by slot,
+  // as of the last read.
+  const std::map<int, uint64_t>& own_slots() const { return own_slots_; }
+
  private:
   // What one read has found.
   struct Summary {
@@ -44,8 +48,10 @@
   HttpConnection removal_connection_;
   asio::steady_timer read_ended_;     // cancelled at the end of a read
   std::optional<Timestamp> read_at_;  // when the last successful read began
+  std::optional<Timestamp> failed_at_;
   bool is_reading_ = false;
   bool last_succeeded_ = false;
+  std::map<int, uint64_t> own_slots_;
   std::vector<std::string> outdated_;  // targets of calls that remove objects
 };
 
--- a/src/teaselthread/streams/stream_recorder.cc
+++ b/src/teaselthread/streams/stream_recorder.cc
@@ -8,8 +8,12 @@
 
 using std::chrono::milliseconds;
 
-constexpr Duration kCheckInterval = milliseconds(100);
-constexpr Duration kWriteInterval = milliseconds(500);
+constexpr Duration kCheckInterval = milliseconds(50);
+constexpr Duration kWriteInterval = milliseconds(250);
+// Longer than two heartbeats.
+constexpr Duration kMinLeaderTime = milliseconds(1'000);
+// Any read of this process will do.
+constexpr Duration kAnyAge = std::chrono::hours(1);
 constexpr Duration kCallTimeout = milliseconds(800);
 constexpr Duration kLogInterval = milliseconds(1'000);
 // Pauses after failures double up to the longest one.
@@ -44,7 +48,7 @@
   for (bool is_last = false; !is_last;) {
     is_last = state_->leaving();
     const Timestamp now = state_->Now();
-    const bool is_leader = state_->peers().IsZoneLeader(now);
+    const bool is_leader = LeadsFirmly(now);
     // A gateway that no longer leads the zone writes what is left.
     const bool may_write = is_leader || is_recorder_;
     const MixedServices mixed =
@@ -70,6 +74,32 @@
   }
 }
 
+bool StreamRecorder::LeadsFirmly(Timestamp now) {
+  if (!state_->peers().IsZoneLeader(now)) {
+    leader_since_.reset();
+    return false;
+  }
+  leader_since_ = leader_since_.value_or(now);
+  return now - *leader_since_ >= kMinLeaderTime;
+}
+
+asio::awaitable<bool> StreamRecorder::FindFirstSlot() {
+  has_first_slot_ = co_await reader_->Read(kAnyAge);
+  if (!has_first_slot_)
+    co_return false;
+  const std::map<int, uint64_t>& written = reader_->own_slots();
+  const auto written_at = [&](int slot) {
+    const auto found = written.find(slot);
+    return found == written.end() ? 0 : found->second;
+  };
+  slot_ = 0;
+  for (int slot = 1; slot < kSlots; ++slot) {
+    if (written_at(slot) < written_at(slot_))
+      slot_ = slot;
+  }
+  co_return true;
+}
+
 bool StreamRecorder::HasNews(const MixedServices& mixed, Timestamp now) {
   if (mixed.empty()) {
     written_versions_.clear();
@@ -103,11 +133,9 @@
 }
 
 asio::awaitable<bool> StreamRecorder::Write(const MixedServices& mixed) {
-  // An earlier process of this gateway may have written its slots. What they
-  // say must be known before they are written again.
-  if (!state_->version_history().records_read_at()) {
-    const bool is_read = co_await reader_->Read(Duration::zero());
-    if (!is_read)
+  if (!has_first_slot_) {
+    const bool is_found = co_await FindFirstSlot();
+    if (!is_found)
       co_return false;
   }
   const Content content = MakeContent(mixed, state_->Now());
--- a/src/teaselthread/streams/stream_recorder.h
+++ b/src/teaselthread/streams/stream_recorder.h
@@ -40,6 +40,12 @@
   };
 
   asio::awaitable<void> Run();
+  // Whether this gateway has been the zone leader long enough to write. Each
+  // gateway takes itself for the leader until it hears of the others.
+  bool LeadsFirmly(Timestamp now);
+  // Continues with the slot that an earlier process of this gateway would have
+  // used next. Returns false if the store cannot be read.
+  asio::awaitable<bool> FindFirstSlot();
   // Whether a write is due for something that is not in the store yet.
   bool HasNews(const MixedServices& mixed, Timestamp now);
   void UpdateSlot(const MixedServices& mixed, Timestamp now);
@@ -55,6 +61,8 @@
   GatewayState* state_;
   StreamRecordReader* reader_;
   HttpConnection connection_;
+  std::optional<Timestamp> leader_since_;
+  bool has_first_slot_ = false;
   bool is_recorder_ = false;  // this gateway was the zone leader last time
   int slot_ = 0;
   Timestamp slot_began_at_{};
