Streams: record origins within a quarter of a second

Change: reports every 50 ms instead of 100, with half as many streams each, and writes every 150 ms instead of 250.

--- a/src/teaselthread/streams/stream_recorder.cc
+++ b/src/teaselthread/streams/stream_recorder.cc
@@ -9,7 +9,7 @@
 using std::chrono::milliseconds;
 
 constexpr Duration kCheckInterval = milliseconds(50);
-constexpr Duration kWriteInterval = milliseconds(250);
+constexpr Duration kWriteInterval = milliseconds(150);
 // Longer than two heartbeats.
 constexpr Duration kMinLeaderTime = milliseconds(1'000);
 // Any read of this process will do.
--- a/src/teaselthread/streams/stream_reporter.cc
+++ b/src/teaselthread/streams/stream_reporter.cc
@@ -9,13 +9,12 @@
 
 using std::chrono::milliseconds;
 
-constexpr Duration kSendInterval = milliseconds(100);
+constexpr Duration kSendInterval = milliseconds(50);
 constexpr Duration kForgetInterval = milliseconds(1'000);
 // The zone leader and its deputy.
 constexpr size_t kRecorders = 2;
-// Of one service. A batch of this size takes about 150 bytes to each of the two
-// recorders, which is 3 KB/s in all.
-constexpr size_t kMaxBatchStreams = 8;
+// Of one service. With two recorders, this limits the reports to about 4 KB/s.
+constexpr size_t kMaxBatchStreams = 4;
 // What was sent to former recorders may not have been written within this time.
 constexpr Duration kUnwrittenTime = milliseconds(3'000);
 
