Streams: refuse a resumed stream of unknown origin sooner

Callers whose streams nobody knows waited for 0.5 s for a record before they were refused.

Cause: the wait was that of the former intervals of reports and writes. Change: 0.3 s, which covers a report, a write and a read. Result: gateway_io_test passes.

--- a/src/teaselthread/requests/resumed_streams.cc
+++ b/src/teaselthread/requests/resumed_streams.cc
@@ -12,7 +12,7 @@
 // Requests that arrive at the same time share one read.
 constexpr Duration kMaxRecordAge = milliseconds(100);
 // From the first event of a stream until other nodes can read its record.
-constexpr Duration kRecordDelay = milliseconds(500);
+constexpr Duration kRecordDelay = milliseconds(300);
 // Share of the time left that a request may wait for a record.
 constexpr int kMaxWaitDivisor = 4;
 // An endpoint that has run for the route's timeout and this much longer has
