Header fields of a store's response are shared

Cause: the linter finds that assigning an HttpReply, and so a Result of it, may throw since it holds header fields; and an unused name in a test. Change: the fields are held by a shared pointer.

--- a/src/teaselthread/http_client.cc
+++ b/src/teaselthread/http_client.cc
@@ -62,7 +62,8 @@
   exchange.reply.status = static_cast<int>(parser.get().result_int());
   exchange.keep_alive = parser.get().keep_alive();
   exchange.reply.body = std::move(parser.get().body());
-  exchange.reply.fields = std::move(parser.get().base());
+  exchange.reply.fields =
+      std::make_shared<const http::fields>(std::move(parser.get().base()));
   co_return exchange;
 }
 
--- a/src/teaselthread/http_client.h
+++ b/src/teaselthread/http_client.h
@@ -1,6 +1,7 @@
 #ifndef TEASELTHREAD_HTTP_CLIENT_H_
 #define TEASELTHREAD_HTTP_CLIENT_H_
 
+#include <memory>
 #include <string>
 
 #include "libteaselthread/error.h"
@@ -21,7 +22,8 @@
 struct HttpReply {
   int status = 0;
   std::string body;
-  http::fields fields = {};  // of the header
+  // Of the header; shared, since assigning fields may throw.
+  std::shared_ptr<const http::fields> fields;
 };
 
 // Connects to an IP address and port.
--- a/src/teaselthread/store/store_watcher.cc
+++ b/src/teaselthread/store/store_watcher.cc
@@ -77,7 +77,7 @@
     if (!page)
       co_return OnFailure(Describe(page.last_reason()));
     const StoreEpoch page_epoch =
-        state_->codec().DecodeStoreEpoch(reply->fields);
+        state_->codec().DecodeStoreEpoch(*reply->fields);
     // The watch starts from the revision of the first page, so it also delivers
     // the changes made while the later pages are read.
     if (!first_revision) {
@@ -148,7 +148,7 @@
   if (!page)
     co_return OnFailure(Describe(page.last_reason()));
   // The changes are those of another history.
-  const StoreEpoch epoch = state_->codec().DecodeStoreEpoch(reply->fields);
+  const StoreEpoch epoch = state_->codec().DecodeStoreEpoch(*reply->fields);
   if (epoch && epoch != view_.epoch())
     co_return CallResult::kRelist;
   OnSuccess(page->objects);
--- a/tests/streams/stream_versions_test.cc
+++ b/tests/streams/stream_versions_test.cc
@@ -7,7 +7,6 @@
 
 using std::chrono::milliseconds;
 using test::EventChunk;
-using test::HasStatus;
 using test::IsComplete;
 using test::kLastChunk;
 using test::MakeRequest;
