Store: one client for the calls of writers and readers

Cause: the recorder and the reader of stream records repeated what the registrar of nodes and the writer of rollouts had: a call that is counted and logged, the loop over the pages of a list, and the pauses after writes that fail. Change: StoreClient and RetryPause, used by all four. No change of behaviour: what is called, counted and passed on stays the same. Result: gateway_io_test, rollouts_test and rollout_orders_test pass.

--- a/src/teaselthread/store/node_registrar.cc
+++ b/src/teaselthread/store/node_registrar.cc
@@ -16,9 +16,7 @@
 // Gives nodes that start at the same time the chance to write their records
 // before the first read.
 constexpr Duration kFirstReadDelay = milliseconds(600);
-constexpr int kOk = 200;
 constexpr int kConflict = 409;
-constexpr int kNoResponse = 0;
 
 std::string StringField(const json::object& object, std::string_view key) {
   const json::value* value = object.if_contains(key);
@@ -28,7 +26,7 @@
 }  // namespace
 
 NodeRegistrar::NodeRegistrar(GatewayState* state)
-    : state_(state), connection_(state->settings().store()) {}
+    : state_(state), client_(state, StoreKind::kNodes, kCallTimeout) {}
 
 void NodeRegistrar::Start() {
   asio::co_spawn(state_->io(), Run(), asio::detached);
@@ -66,42 +64,29 @@
   const std::string body = state_->codec().EncodeObject(object);
   std::string collection_target =
       state_->codec().ObjectTarget(StoreKind::kNodes, "");
-  const int created =
-      co_await Call(http::verb::post, std::move(collection_target), body);
+  const int created = co_await client_.Call(http::verb::post,
+                                            std::move(collection_target), body);
   if (created != kConflict)
     co_return IsSuccess(created);
   std::string own_target =
       state_->codec().ObjectTarget(StoreKind::kNodes, self.name);
   const int replaced =
-      co_await Call(http::verb::put, std::move(own_target), body);
+      co_await client_.Call(http::verb::put, std::move(own_target), body);
   co_return IsSuccess(replaced);
 }
 
 asio::awaitable<bool> NodeRegistrar::ReadRecords(bool may_be_stale) {
   has_own_record_ = false;
-  std::string after;
-  for (;;) {
-    std::string target =
-        state_->codec().ListTarget(StoreKind::kNodes, after, may_be_stale);
-    const Timestamp called_at = state_->Now();
-    Result<HttpReply> reply = co_await connection_.Get(target, kCallTimeout);
-    state_->OnStoreCall(StoreKind::kNodes, target, reply ? reply->status : 0,
-                        called_at);
-    if (!reply || reply->status != kOk)
-      co_return false;
-    const Result<StorePage> page = state_->codec().DecodeList(reply->body);
-    if (!page) {
-      state_->metrics().OnUnreadableEntry();
-      co_return false;
-    }
-    for (const StoreObject& object : page->objects)
-      OnRecord(object);
-    if (!page->has_more || page->objects.empty()) {
-      state_->peers().OnRecordsRead(state_->Now());
-      co_return !has_own_record_;
-    }
-    after = page->objects.back().name;
-  }
+  std::function<void(const StoreObject&)> on_object =
+      [this](const StoreObject& object) { OnRecord(object); };
+  const StoreClient::ListResult result =
+      co_await client_.List(may_be_stale, std::move(on_object));
+  if (result.is_malformed)
+    state_->metrics().OnUnreadableEntry();
+  if (!result.is_complete)
+    co_return false;
+  state_->peers().OnRecordsRead(state_->Now());
+  co_return !has_own_record_;
 }
 
 void NodeRegistrar::OnRecord(const StoreObject& object) {
@@ -126,23 +111,12 @@
   state_->peers().OnRecord(peer, state_->Now());
 }
 
-asio::awaitable<int> NodeRegistrar::Call(http::verb method,
-                                         std::string target,
-                                         std::string body) {
-  const Timestamp called_at = state_->Now();
-  const Result<HttpReply> reply =
-      co_await connection_.Call(method, target, std::move(body), kCallTimeout);
-  const int status = reply ? reply->status : kNoResponse;
-  state_->OnStoreCall(StoreKind::kNodes, target, status, called_at);
-  co_return status;
-}
-
 asio::awaitable<void> NodeRegistrar::Deregister() {
   std::string target = state_->codec().ObjectTarget(StoreKind::kNodes,
                                                     state_->settings().name());
   std::string no_body;
-  const int status =
-      co_await Call(http::verb::delete_, std::move(target), std::move(no_body));
+  const int status = co_await client_.Call(
+      http::verb::delete_, std::move(target), std::move(no_body));
   if (IsSuccess(status))
     co_return;
   LogLine line("deregistration-failed");
--- a/src/teaselthread/store/node_registrar.h
+++ b/src/teaselthread/store/node_registrar.h
@@ -2,7 +2,7 @@
 #define TEASELTHREAD_STORE_NODE_REGISTRAR_H_
 
 #include "teaselthread/gateway/gateway_state.h"
-#include "teaselthread/http_connection.h"
+#include "teaselthread/store/store_client.h"
 
 namespace teaselthread {
 
@@ -24,13 +24,10 @@
   asio::awaitable<bool> Register();
   // Returns whether this node's record must be written again.
   asio::awaitable<bool> ReadRecords(bool may_be_stale);
-  asio::awaitable<int> Call(http::verb method,
-                            std::string target,
-                            std::string body);
   void OnRecord(const StoreObject& object);
 
   GatewayState* state_;
-  HttpConnection connection_;
+  StoreClient client_;
   bool has_own_record_ = false;  // among the records that are being read
 };
 
--- a/src/teaselthread/store/rollout_writer.cc
+++ b/src/teaselthread/store/rollout_writer.cc
@@ -1,8 +1,9 @@
 #include "teaselthread/store/rollout_writer.h"
 
-#include <algorithm>
 #include <utility>
 
+#include "teaselthread/store/retry_pause.h"
+
 namespace teaselthread {
 namespace {
 
@@ -12,16 +13,11 @@
 constexpr Duration kCallTimeout = milliseconds(800);
 // After a write, the watch needs some time to deliver it.
 constexpr Duration kPauseAfterWrite = milliseconds(400);
-// Pauses after failures double up to the longest one.
-constexpr Duration kShortestPause = milliseconds(200);
-constexpr Duration kLongestPause = milliseconds(3'200);
-constexpr int kOk = 200;
-constexpr int kNoResponse = 0;
 
 }  // namespace
 
 RolloutWriter::RolloutWriter(GatewayState* state)
-    : state_(state), connection_(state->settings().store()) {}
+    : state_(state), client_(state, StoreKind::kRollouts, kCallTimeout) {}
 
 void RolloutWriter::Start() {
   if (state_->rollouts().enabled())
@@ -30,7 +26,7 @@
 
 asio::awaitable<void> RolloutWriter::Run() {
   asio::steady_timer timer(state_->io());
-  Duration pause = kShortestPause;
+  RetryPause pause;
   for (;;) {
     Duration next = kCheckInterval;
     const bool is_due =
@@ -39,13 +35,10 @@
              .WantedWrites(state_->MakeRolloutFleet(), state_->Now())
              .empty();
     if (is_due && co_await WriteStates()) {
-      pause = kShortestPause;
+      pause.Reset();
       next = kPauseAfterWrite;
     } else if (is_due) {
-      std::uniform_real_distribution<double> jitter(0.7, 1.0);
-      next = std::chrono::duration_cast<Duration>(pause *
-                                                  jitter(state_->random()));
-      pause = std::min(2 * pause, kLongestPause);
+      next = pause.Next(state_->random());
     }
     timer.expires_after(next);
     co_await timer.async_wait(kAsTuple);
@@ -70,30 +63,18 @@
 asio::awaitable<std::optional<std::set<std::string>>>
 RolloutWriter::ReadOrders() {
   std::set<std::string> names;
-  for (std::string after;;) {
-    std::string target =
-        state_->codec().ListTarget(StoreKind::kRollouts, after, false);
-    const Timestamp called_at = state_->Now();
-    const Result<HttpReply> reply =
-        co_await connection_.Get(target, kCallTimeout);
-    state_->OnStoreCall(StoreKind::kRollouts, target,
-                        reply ? reply->status : kNoResponse, called_at);
-    if (!reply || reply->status != kOk)
-      co_return std::nullopt;
-    const Result<StorePage> page = state_->codec().DecodeList(reply->body);
-    if (!page)
-      co_return std::nullopt;
-    for (const StoreObject& object : page->objects) {
-      const Result<RolloutOrder> order = state_->codec().DecodeRollout(object);
-      if (!order)
-        continue;
-      state_->rollouts().Put(*order, state_->Now());
-      names.insert(order->name);
-    }
-    if (!page->has_more || page->objects.empty())
-      co_return names;
-    after = page->objects.back().name;
-  }
+  std::function<void(const StoreObject&)> on_object =
+      [&](const StoreObject& object) {
+        const Result<RolloutOrder> order =
+            state_->codec().DecodeRollout(object);
+        if (!order)
+          return;
+        state_->rollouts().Put(*order, state_->Now());
+        names.insert(order->name);
+      };
+  const StoreClient::ListResult result =
+      co_await client_.List(false, std::move(on_object));
+  co_return result.is_complete ? std::optional(names) : std::nullopt;
 }
 
 asio::awaitable<bool> RolloutWriter::Write(const RolloutWrite& write) {
@@ -103,10 +84,8 @@
   std::string body =
       state_->codec().EncodeStatus(write.name, write.status, write.revision);
   const Timestamp called_at = state_->Now();
-  const Result<HttpReply> reply = co_await connection_.Call(
-      http::verb::put, target, std::move(body), kCallTimeout);
-  const int status = reply ? reply->status : kNoResponse;
-  state_->OnStoreCall(StoreKind::kRollouts, target, status, called_at);
+  const int status = co_await client_.Call(http::verb::put, std::move(target),
+                                           std::move(body));
   LogLine line("rollout-written");
   line.Add("name", write.name)
       .Add("target", write.status.target)
--- a/src/teaselthread/store/rollout_writer.h
+++ b/src/teaselthread/store/rollout_writer.h
@@ -2,7 +2,7 @@
 #define TEASELTHREAD_STORE_ROLLOUT_WRITER_H_
 
 #include "teaselthread/gateway/gateway_state.h"
-#include "teaselthread/http_connection.h"
+#include "teaselthread/store/store_client.h"
 
 namespace teaselthread {
 
@@ -29,7 +29,7 @@
   asio::awaitable<bool> Write(const RolloutWrite& write);
 
   GatewayState* state_;
-  HttpConnection connection_;
+  StoreClient client_;
 };
 
 }  // namespace teaselthread
--- a/src/teaselthread/streams/stream_record_reader.cc
+++ b/src/teaselthread/streams/stream_record_reader.cc
@@ -23,15 +23,13 @@
 constexpr size_t kMaxRemovals = 8;  // per read
 // A hyphen and the digit of the slot follow the gateway's name.
 constexpr size_t kSlotSuffixSize = 2;
-constexpr int kOk = 200;
-constexpr int kNoResponse = 0;
 
 }  // namespace
 
 StreamRecordReader::StreamRecordReader(GatewayState* state)
     : state_(state),
-      connection_(state->settings().store()),
-      removal_connection_(state->settings().store()),
+      client_(state, StoreKind::kStreams, kCallTimeout),
+      removal_client_(state, StoreKind::kStreams, kCallTimeout),
       read_ended_(state->io(), asio::steady_timer::time_point::max()) {}
 
 asio::awaitable<bool> StreamRecordReader::Read(Duration max_age) {
@@ -80,28 +78,14 @@
 }
 
 asio::awaitable<bool> StreamRecordReader::ReadPages(Summary* summary) {
-  for (std::string after;;) {
-    std::string target =
-        state_->codec().ListTarget(StoreKind::kStreams, after, false);
-    const Timestamp called_at = state_->Now();
-    const Result<HttpReply> reply =
-        co_await connection_.Get(target, kCallTimeout);
-    summary->status = reply ? reply->status : kNoResponse;
-    state_->OnStoreCall(StoreKind::kStreams, target, summary->status,
-                        called_at);
-    if (!reply || reply->status != kOk)
-      co_return false;
-    const Result<StorePage> page = state_->codec().DecodeList(reply->body);
-    if (!page) {
-      state_->metrics().OnUnreadableEntry();
-      co_return false;
-    }
-    for (const StoreObject& object : page->objects)
-      OnObject(object, summary);
-    if (!page->has_more || page->objects.empty())
-      co_return true;
-    after = page->objects.back().name;
-  }
+  std::function<void(const StoreObject&)> on_object =
+      [this, summary](const StoreObject& object) { OnObject(object, summary); };
+  const StoreClient::ListResult result =
+      co_await client_.List(false, std::move(on_object));
+  summary->status = result.status;
+  if (result.is_malformed)
+    state_->metrics().OnUnreadableEntry();
+  co_return result.is_complete;
 }
 
 void StreamRecordReader::OnObject(const StoreObject& object, Summary* summary) {
@@ -151,13 +135,11 @@
 asio::awaitable<void> StreamRecordReader::Remove(
     std::vector<std::string> targets) {
   for (const std::string& target : targets) {
-    const Timestamp called_at = state_->Now();
+    std::string called = target;
     std::string no_body;
-    const Result<HttpReply> reply = co_await removal_connection_.Call(
-        http::verb::delete_, target, std::move(no_body), kCallTimeout);
-    state_->OnStoreCall(StoreKind::kStreams, target,
-                        reply ? reply->status : kNoResponse, called_at);
-    if (!reply)
+    const int status = co_await removal_client_.Call(
+        http::verb::delete_, std::move(called), std::move(no_body));
+    if (status == StoreClient::kNoResponse)
       co_return;
   }
 }
--- a/src/teaselthread/streams/stream_record_reader.h
+++ b/src/teaselthread/streams/stream_record_reader.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "teaselthread/gateway/gateway_state.h"
-#include "teaselthread/http_connection.h"
+#include "teaselthread/store/store_client.h"
 
 namespace teaselthread {
 
@@ -44,8 +44,8 @@
   asio::awaitable<void> Remove(std::vector<std::string> targets);
 
   GatewayState* state_;
-  HttpConnection connection_;
-  HttpConnection removal_connection_;
+  StoreClient client_;
+  StoreClient removal_client_;
   asio::steady_timer read_ended_;     // cancelled at the end of a read
   std::optional<Timestamp> read_at_;  // when the last successful read began
   std::optional<Timestamp> failed_at_;
--- a/src/teaselthread/streams/stream_recorder.cc
+++ b/src/teaselthread/streams/stream_recorder.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "teaselthread/store/retry_pause.h"
+
 namespace teaselthread {
 namespace {
 
@@ -16,11 +18,7 @@
 constexpr Duration kAnyAge = std::chrono::hours(1);
 constexpr Duration kCallTimeout = milliseconds(800);
 constexpr Duration kLogInterval = milliseconds(1'000);
-// Pauses after failures double up to the longest one.
-constexpr Duration kShortestPause = milliseconds(200);
-constexpr Duration kLongestPause = milliseconds(3'200);
 constexpr int kNotFound = 404;
-constexpr int kNoResponse = 0;
 
 std::map<uint32_t, std::set<std::string>> VersionsOf(
     const MixedServices& mixed) {
@@ -35,7 +33,9 @@
 }  // namespace
 
 StreamRecorder::StreamRecorder(GatewayState* state, StreamRecordReader* reader)
-    : state_(state), reader_(reader), connection_(state->settings().store()) {}
+    : state_(state),
+      reader_(reader),
+      client_(state, StoreKind::kStreams, kCallTimeout) {}
 
 void StreamRecorder::Start() {
   asio::co_spawn(state_->io(), Run(), asio::detached);
@@ -43,7 +43,7 @@
 
 asio::awaitable<void> StreamRecorder::Run() {
   asio::steady_timer timer(state_->io());
-  Duration pause = kShortestPause;
+  RetryPause pause;
   Timestamp next_write{};
   for (bool is_last = false; !is_last;) {
     is_last = state_->leaving();
@@ -59,12 +59,10 @@
     const bool is_due = is_last || now >= next_write;
     if (is_due && HasNews(mixed, now)) {
       const bool written = co_await Write(mixed);
-      std::uniform_real_distribution<double> jitter(0.7, 1.0);
-      next_write = written
-                       ? now + kWriteInterval
-                       : state_->Now() + std::chrono::duration_cast<Duration>(
-                                             pause * jitter(state_->random()));
-      pause = written ? kShortestPause : std::min(2 * pause, kLongestPause);
+      if (written)
+        pause.Reset();
+      next_write = written ? now + kWriteInterval
+                           : state_->Now() + pause.Next(state_->random());
       is_recorder_ = is_leader || !written;
     } else if (is_due) {
       is_recorder_ = is_leader;
@@ -151,7 +149,7 @@
   }
   // The call may be executed later and then replaces what is written until
   // then. So the next write goes to another object and has everything.
-  if (status == kNoResponse)
+  if (status == StoreClient::kNoResponse)
     BeginSlot(0, state_->Now());
   co_return false;
 }
@@ -184,26 +182,15 @@
   std::string own_target =
       state_->codec().ObjectTarget(StoreKind::kStreams, object.name);
   std::string replacement = body;
-  const int replaced = co_await Call(http::verb::put, std::move(own_target),
-                                     std::move(replacement));
+  const int replaced = co_await client_.Call(
+      http::verb::put, std::move(own_target), std::move(replacement));
   if (replaced != kNotFound)
     co_return replaced;
   std::string collection_target =
       state_->codec().ObjectTarget(StoreKind::kStreams, "");
   std::string creation = body;
-  co_return co_await Call(http::verb::post, std::move(collection_target),
-                          std::move(creation));
-}
-
-asio::awaitable<int> StreamRecorder::Call(http::verb method,
-                                          std::string target,
-                                          std::string body) {
-  const Timestamp called_at = state_->Now();
-  const Result<HttpReply> reply =
-      co_await connection_.Call(method, target, std::move(body), kCallTimeout);
-  const int status = reply ? reply->status : kNoResponse;
-  state_->OnStoreCall(StoreKind::kStreams, target, status, called_at);
-  co_return status;
+  co_return co_await client_.Call(
+      http::verb::post, std::move(collection_target), std::move(creation));
 }
 
 void StreamRecorder::LogWrite(size_t streams, size_t bytes, int status) {
--- a/src/teaselthread/streams/stream_recorder.h
+++ b/src/teaselthread/streams/stream_recorder.h
@@ -8,7 +8,7 @@
 #include <string>
 
 #include "teaselthread/gateway/gateway_state.h"
-#include "teaselthread/http_connection.h"
+#include "teaselthread/store/store_client.h"
 #include "teaselthread/streams/stream_record.h"
 #include "teaselthread/streams/stream_record_reader.h"
 #include "teaselthread/streams/stream_services.h"
@@ -53,14 +53,11 @@
   asio::awaitable<bool> Write(const MixedServices& mixed);
   Content MakeContent(const MixedServices& mixed, Timestamp now) const;
   asio::awaitable<int> Put(const Content& content, size_t* bytes);
-  asio::awaitable<int> Call(http::verb method,
-                            std::string target,
-                            std::string body);
   void LogWrite(size_t streams, size_t bytes, int status);
 
   GatewayState* state_;
   StreamRecordReader* reader_;
-  HttpConnection connection_;
+  StoreClient client_;
   std::optional<Timestamp> leader_since_;
   bool has_first_slot_ = false;
   bool is_recorder_ = false;  // this gateway was the zone leader last time
