Streams: one query of the version history, and lifetimes computed once

Cause: VersionHistory answered the same question twice, with times and without. How long origins are kept was the maximum over all services, each of which went through all routes, and was computed anew for each object that was read. Each request that resumes a stream copied the versions of all endpoints, though a timer and each change of the endpoints do that. Change: LastServedSince alone; LongestStreamLifetime goes through the routes once; the history is no longer updated on the request path, where the tests of resumed streams, which have no timer, do it themselves.

--- a/src/libteaselthread/streams/stream_origins.h
+++ b/src/libteaselthread/streams/stream_origins.h
@@ -40,10 +40,12 @@
 
 // How the version that began a stream is known.
 enum class OriginSource : uint8_t {
-  kMemory,  // this node or one that has told it has relayed the beginning
-  kSingleVersion,  // no other version has served while the stream may have
-                   // begun
-  kRecord,         // from the store
+  // This node, or one that has told it, has relayed the beginning.
+  kMemory,
+  // No other version has served since the stream can have begun.
+  kSingleVersion,
+  // It was read from the store.
+  kRecord,
   kUnknown,
 };
 inline constexpr size_t kOriginSourceCount = 4;
--- a/src/libteaselthread/streams/version_history.cc
+++ b/src/libteaselthread/streams/version_history.cc
@@ -25,19 +25,6 @@
   records_read_at_ = std::max(records_read_at_.value_or(time), time);
 }
 
-std::set<std::string> VersionHistory::ServingSince(uint32_t service,
-                                                   Timestamp time) const {
-  std::set<std::string> versions;
-  const auto found = services_.find(service);
-  if (found == services_.end())
-    return versions;
-  for (const auto& [version, last_served_at] : found->second.last_served_at) {
-    if (last_served_at >= time)
-      versions.insert(version);
-  }
-  return versions;
-}
-
 std::map<std::string, Timestamp> VersionHistory::LastServedSince(
     uint32_t service,
     Timestamp time) const {
--- a/src/libteaselthread/streams/version_history.h
+++ b/src/libteaselthread/streams/version_history.h
@@ -24,14 +24,13 @@
   // The records of all nodes, as of `time`, have been read.
   void OnRecordsRead(Timestamp time);
 
-  // Versions that have served since `time`.
-  std::set<std::string> ServingSince(uint32_t service, Timestamp time) const;
-  // The same with the time when each of them served last.
+  // Versions that have served since `time`, with the time when each of them
+  // served last.
   std::map<std::string, Timestamp> LastServedSince(uint32_t service,
                                                    Timestamp time) const;
   // Whether more than one version has.
   bool IsMixedSince(uint32_t service, Timestamp time) const {
-    return ServingSince(service, time).size() > 1;
+    return LastServedSince(service, time).size() > 1;
   }
   // Whether this node has known the registered versions since `time`.
   bool IsKnownSince(uint32_t service, Timestamp time) const;
--- a/src/teaselthread/gateway/gateway_state.cc
+++ b/src/teaselthread/gateway/gateway_state.cc
@@ -125,16 +125,25 @@
 }
 
 Duration GatewayState::StreamLifetime(const std::string& service) const {
+  return LongestLifetime([&](const Route& route) {
+    return std::any_of(route.services.begin(), route.services.end(),
+                       [&](const WeightedService& target) {
+                         return target.service == service;
+                       });
+  });
+}
+
+Duration GatewayState::LongestStreamLifetime() const {
+  return LongestLifetime([](const Route&) { return true; });
+}
+
+Duration GatewayState::LongestLifetime(
+    const std::function<bool(const Route&)>& is_included) const {
   Duration longest = kMinStreamLifetime;
   if (!routes_)
     return longest;
   for (const Route& route : routes_->parts().routes) {
-    const bool leads_to_service =
-        std::any_of(route.services.begin(), route.services.end(),
-                    [&](const WeightedService& target) {
-                      return target.service == service;
-                    });
-    if (route.kind == RequestKind::kStreaming && leads_to_service)
+    if (route.kind == RequestKind::kStreaming && is_included(route))
       longest = std::max(longest, kTimeoutMultiple * route.timeout);
   }
   return longest;
--- a/src/teaselthread/gateway/gateway_state.h
+++ b/src/teaselthread/gateway/gateway_state.h
@@ -92,6 +92,8 @@
   VersionHistory& version_history() { return version_history_; }
   // How long a stream of the service may last, with all attempts of its caller.
   Duration StreamLifetime(const std::string& service) const;
+  // The same for all services: how long origins of streams are kept.
+  Duration LongestStreamLifetime() const;
   // Takes note of the versions that are registered now.
   void UpdateVersionHistory();
   // Reads what other gateways have recorded of streams, unless that was read
@@ -162,6 +164,10 @@
   uint64_t connections = 0;
 
  private:
+  // Of the streams of those routes.
+  Duration LongestLifetime(
+      const std::function<bool(const Route&)>& is_included) const;
+
   asio::io_context* io_;
   GatewaySettings settings_;
   const WireCodec* codec_;
--- a/src/teaselthread/requests/resumed_streams.cc
+++ b/src/teaselthread/requests/resumed_streams.cc
@@ -79,15 +79,14 @@
 
 std::optional<std::string> ResumedStreams::SingleVersion(
     const ClassifiedRequest& request) const {
-  state_->UpdateVersionHistory();
   const VersionHistory& history = state_->version_history();
   const std::string& service = request.service->name;
   const uint32_t key = ShortHash(service);
   const Timestamp since = state_->Now() - state_->StreamLifetime(service);
-  const std::set<std::string> versions = history.ServingSince(key, since);
+  const auto versions = history.LastServedSince(key, since);
   if (versions.size() != 1)
     return std::nullopt;
-  const std::string& version = *versions.begin();
+  const std::string& version = versions.begin()->first;
   if (history.IsKnownSince(key, since))
     return version;
   // What served before this process started is known from records only. Those
--- a/src/teaselthread/streams/stream_record_reader.cc
+++ b/src/teaselthread/streams/stream_record_reader.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "teaselthread/streams/stream_record.h"
-#include "teaselthread/streams/stream_services.h"
 
 namespace teaselthread {
 namespace {
@@ -97,7 +96,7 @@
   if (IsOwn(object.name))
     own_slots_[object.name.back() - '0'] = record->written_at_ms;
   const uint64_t now_ms = GatewayState::UnixMilliseconds();
-  const Duration retention = StreamRetention(*state_);
+  const Duration retention = state_->LongestStreamLifetime();
   // Longer ages do not differ from this one in their effect.
   const Duration max_age = 2 * (retention + kRemovalMargin);
   const uint64_t age_ms =
--- a/src/teaselthread/streams/stream_recorder.cc
+++ b/src/teaselthread/streams/stream_recorder.cc
@@ -118,7 +118,7 @@
   if (has_new_service)
     slot_after_ = 0;
   // When a slot is used again, the time of the others covers the retention.
-  const Duration slot_time = StreamRetention(*state_) / (kSlots - 1);
+  const Duration slot_time = state_->LongestStreamLifetime() / (kSlots - 1);
   if (now - slot_began_at_ >= slot_time)
     BeginSlot(has_new_service ? 0 : written_, now);
 }
--- a/src/teaselthread/streams/stream_reporter.cc
+++ b/src/teaselthread/streams/stream_reporter.cc
@@ -27,7 +27,8 @@
                              [this](Timestamp now) { Send(now); });
   state_->timers().Subscribe(
       kForgetInterval, state_->Now(), [this](Timestamp now) {
-        state_->stream_origins().ForgetBefore(now - StreamRetention(*state_));
+        state_->stream_origins().ForgetBefore(now -
+                                              state_->LongestStreamLifetime());
       });
 }
 
--- a/src/teaselthread/streams/stream_services.cc
+++ b/src/teaselthread/streams/stream_services.cc
@@ -1,7 +1,5 @@
 #include "teaselthread/streams/stream_services.h"
 
-#include <algorithm>
-
 #include "libteaselthread/rendezvous_hash.h"
 #include "teaselthread/gateway/gateway_state.h"
 
@@ -29,14 +27,4 @@
   return hashes;
 }
 
-Duration StreamRetention(const GatewayState& state) {
-  // A service without routes has the shortest lifetime.
-  Duration longest = state.StreamLifetime("");
-  if (!state.routes())
-    return longest;
-  for (const ServiceSpec& service : state.routes()->parts().services)
-    longest = std::max(longest, state.StreamLifetime(service.name));
-  return longest;
-}
-
 }  // namespace teaselthread
--- a/src/teaselthread/streams/stream_services.h
+++ b/src/teaselthread/streams/stream_services.h
@@ -18,8 +18,6 @@
 
 MixedServices FindMixedServices(GatewayState* state, Timestamp now);
 std::set<uint32_t> HashesOf(const MixedServices& services);
-// How long origins of streams are kept: the lifetime of the longest streams.
-Duration StreamRetention(const GatewayState& state);
 
 }  // namespace teaselthread
 
--- a/tests/streams/resumed_streams_test.cc
+++ b/tests/streams/resumed_streams_test.cc
@@ -73,6 +73,7 @@
     harness.RunFor(milliseconds(30));
   }
   std::string Send(const std::string& request) {
+    harness.state().UpdateVersionHistory();
     return harness.Exchange(request, IsComplete);
   }
   void AddOrigin(const std::string& id, const std::string& version) {
