Versions that serve are noted without copies

Cause: five times a second, and with each change of the endpoints, the versions of all endpoints were copied into a set for each service, and from there into the history; at 3,200 endpoints 16,000 copies a second. Change: the history is told of each endpoint in turn.

--- a/src/libteaselthread/endpoints/endpoint_table.cc
+++ b/src/libteaselthread/endpoints/endpoint_table.cc
@@ -161,14 +161,10 @@
   return running;
 }
 
-std::map<std::string, std::set<std::string>> EndpointTable::RegisteredVersions()
-    const {
-  std::map<std::string, std::set<std::string>> versions;
-  for (const auto& [id, entry] : endpoints_) {
-    const EndpointRecord& record = entry.endpoint->record();
-    versions[record.service].insert(record.version);
-  }
-  return versions;
+void EndpointTable::ForEachRunning(
+    const std::function<void(const EndpointRecord&)>& visit) const {
+  for (const auto& [id, entry] : endpoints_)
+    visit(entry.endpoint->record());
 }
 
 std::optional<uint64_t> EndpointTable::EarliestStart(
--- a/src/libteaselthread/endpoints/endpoint_table.h
+++ b/src/libteaselthread/endpoints/endpoint_table.h
@@ -1,6 +1,7 @@
 #ifndef TEASELTHREAD_ENDPOINTS_ENDPOINT_TABLE_H_
 #define TEASELTHREAD_ENDPOINTS_ENDPOINT_TABLE_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -64,8 +65,9 @@
                                         Timestamp now) const;
   // All running endpoints of a service, including draining ones.
   std::vector<EndpointPtr> Running(const std::string& service) const;
-  // The versions of the running endpoints, by service.
-  std::map<std::string, std::set<std::string>> RegisteredVersions() const;
+  // Calls `visit` for the running endpoints of all services.
+  void ForEachRunning(
+      const std::function<void(const EndpointRecord&)>& visit) const;
   // The earliest start (Unix milliseconds) of a service's running endpoints of
   // a version. Empty if none is known.
   std::optional<uint64_t> EarliestStart(const std::string& service,
--- a/src/libteaselthread/streams/version_history.cc
+++ b/src/libteaselthread/streams/version_history.cc
@@ -5,13 +5,12 @@
 namespace teaselthread {
 
 void VersionHistory::OnRegistered(uint32_t service,
-                                  const std::set<std::string>& versions,
+                                  const std::string& version,
                                   Timestamp now) {
   Service& known = services_[service];
   if (known.known_since == Timestamp{})
     known.known_since = now;
-  for (const std::string& version : versions)
-    known.last_served_at[version] = now;
+  known.last_served_at[version] = now;
 }
 
 void VersionHistory::OnRecorded(uint32_t service,
--- a/src/libteaselthread/streams/version_history.h
+++ b/src/libteaselthread/streams/version_history.h
@@ -4,7 +4,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 
 #include "libteaselthread/timestamp.h"
@@ -15,9 +14,9 @@
 // Services are identified by the ShortHash of their names.
 class VersionHistory {
  public:
-  // Endpoints of these versions of a service are registered at the moment.
+  // Endpoints of the version are registered at the moment.
   void OnRegistered(uint32_t service,
-                    const std::set<std::string>& versions,
+                    const std::string& version,
                     Timestamp now);
   // Another node has recorded that the version served at `time`.
   void OnRecorded(uint32_t service, const std::string& version, Timestamp time);
--- a/src/teaselthread/gateway/gateway_state.cc
+++ b/src/teaselthread/gateway/gateway_state.cc
@@ -151,8 +151,10 @@
 
 void GatewayState::UpdateVersionHistory() {
   const Timestamp now = Now();
-  for (const auto& [service, versions] : endpoints_.RegisteredVersions())
-    version_history_.OnRegistered(ShortHash(service), versions, now);
+  endpoints_.ForEachRunning([&](const EndpointRecord& record) {
+    version_history_.OnRegistered(ShortHash(record.service), record.version,
+                                  now);
+  });
 }
 
 asio::awaitable<bool> GatewayState::ReadStreamRecords(Duration max_age) {
--- a/tests/streams/resumed_streams_test.cc
+++ b/tests/streams/resumed_streams_test.cc
@@ -63,8 +63,10 @@
   }
   // The gateway has known these versions for a minute.
   void KnowForLong(const std::set<std::string>& known) {
-    harness.state().version_history().OnRegistered(
-        kServiceHash, known, harness.state().Now() - seconds(60));
+    for (const std::string& version : known) {
+      harness.state().version_history().OnRegistered(
+          kServiceHash, version, harness.state().Now() - seconds(60));
+    }
   }
   // The caller of the stream leaves after its first event.
   void BeginAndBreak(const std::string& id) {
--- a/tests/streams/stream_records_test.cc
+++ b/tests/streams/stream_records_test.cc
@@ -51,7 +51,8 @@
   }
 
   void Serve(const std::set<std::string>& versions) {
-    state.version_history().OnRegistered(kService, versions, state.Now());
+    for (const std::string& version : versions)
+      state.version_history().OnRegistered(kService, version, state.Now());
   }
   void Begin(uint64_t key, const std::string& version) {
     state.stream_origins().Add({key}, kService, version, state.Now());
