Endpoints: a response is incomplete if its upload was reset

What callers saw: an endpoint answers a long upload at once with a 200 that has neither a length nor chunks, sends a part of the body and resets the connection while the upload is still being written. The caller gets the part as a complete 200, a plain one with a Content-Length and a stream with its last chunk.

Cause: the response is read while the request is written, and a socket reports a reset only once. If the write gets the error, the next read sees an end that does not differ from an orderly one, and nothing looked at how the write had ended.

Change: a response that ends with its connection is complete only if the write of the request has not failed. If the write is still in progress, its end is awaited for up to 0.5 s, since an endpoint whose process has ended resets the connection as soon as more of the request arrives. An endpoint that ends its side in good order and reads on, or not, is answered as before.

Why it works: of the two operations one gets the error, and both are now asked. The order in which they end does not matter. The failure is the existing one, "broken": health, retries and the log line of the attempt are those of any lost connection.

--- a/src/teaselthread/requests/endpoint_attempt.cc
+++ b/src/teaselthread/requests/endpoint_attempt.cc
@@ -28,6 +28,9 @@
 // An attempt that is not abandoned for silence ends by this if the endpoint's
 // VM no longer responds. Lost packets alone must not end it.
 constexpr KeepAliveProbes kConnectionKeepAlive{3, milliseconds(3'500)};
+// If an endpoint's process has ended, a reset follows the end of its connection
+// within this time while the request is still being written.
+constexpr milliseconds kResetTime(500);
 constexpr int kMisdirectedRequest = 421;
 constexpr int kServiceUnavailable = 503;
 
@@ -186,15 +189,17 @@
 // read while the request is still being written.
 void EndpointAttempt::StartWrite(
     std::shared_ptr<const EndpointHttpRequest> request) {
-  request_written_ = std::make_shared<bool>(false);
+  write_ = std::make_shared<RequestWrite>(state_->io());
   auto serializer =
       std::make_shared<http::serializer<true, http::string_body, http::fields>>(
           *request);
   http::async_write(
       connection_->socket, *serializer,
-      [serializer, request, connection = connection_,
-       written = request_written_](const boost::system::error_code& failure,
-                                   size_t) { *written = !failure; });
+      [serializer, request, connection = connection_, write = write_](
+          const boost::system::error_code& failure, size_t) {
+        write->result = failure;
+        write->ended.cancel();
+      });
 }
 
 asio::awaitable<bool> EndpointAttempt::ReadHead(std::unique_ptr<Parser>* parser,
@@ -416,13 +421,28 @@
     co_return SetFailure(ToAttemptFailure(failure));
   if (count > 0)
     endpoint_->contact().bytes_at = state_->Now();
+  if (parser.is_done() && parser.need_eof())
+    co_return co_await CheckConnectionEnd();
+  co_return true;
+}
+
+// A socket reports a reset only once. If the write of the request gets the
+// error, the read sees an end that does not differ from an orderly one.
+asio::awaitable<bool> EndpointAttempt::CheckConnectionEnd() {
+  if (!write_->result) {
+    write_->ended.expires_after(kResetTime);
+    co_await write_->ended.async_wait(kAsTuple);
+  }
+  if (write_->result.value_or(boost::system::error_code()))
+    co_return SetFailure(AttemptFailure::kBroken);
   co_return true;
 }
 
 void EndpointAttempt::ReleaseConnection(const Parser& parser) {
+  const bool is_written = write_->result && !*write_->result;
   const bool is_reusable = parser.keep_alive() &&
-                           connection_->buffer.size() == 0 &&
-                           *request_written_ && !guard_->interruption();
+                           connection_->buffer.size() == 0 && is_written &&
+                           !guard_->interruption();
   if (!is_reusable)
     return;
   // From here on another request may use the connection, or it is destroyed.
--- a/src/teaselthread/requests/endpoint_attempt.h
+++ b/src/teaselthread/requests/endpoint_attempt.h
@@ -63,6 +63,15 @@
  private:
   using Parser = http::response_parser<http::buffer_body>;
 
+  // The write of the request, which goes on while the response is read.
+  struct RequestWrite {
+    explicit RequestWrite(asio::io_context& io)
+        : ended(io, asio::steady_timer::time_point::max()) {}
+
+    std::optional<boost::system::error_code> result;  // empty until it ends
+    asio::steady_timer ended;                         // cancelled at its end
+  };
+
   asio::awaitable<bool> Connect();
   void StartWrite(std::shared_ptr<const EndpointHttpRequest> request);
   // Skips responses to earlier requests until one belongs to this request.
@@ -78,6 +87,9 @@
                                                       const StreamRelay& relay);
   // Reads the next part of the body. Returns false on an error.
   asio::awaitable<bool> ReadBodyData(Parser& parser, std::string_view* bytes);
+  // Whether a response that ends with its connection is complete, which it is
+  // not if the connection has been reset. Sets the failure if it is not.
+  asio::awaitable<bool> CheckConnectionEnd();
   bool BelongsToRequest(const EndpointHead& head) const;
   // Takes note of what the endpoint says of itself in its response.
   void ObserveEndpoint(int status);
@@ -98,7 +110,7 @@
   ResponseTimeouts limits_;
   EndpointConnectionPtr connection_;
   EndpointHead endpoint_head_;
-  std::shared_ptr<bool> request_written_;
+  std::shared_ptr<RequestWrite> write_;
   std::string body_buffer_;
   BufferQuota::Reservation buffered_;
   AttemptFailure read_failure_ = AttemptFailure::kBroken;
--- a/tests/gateway/gateway_harness.cc
+++ b/tests/gateway/gateway_harness.cc
@@ -111,7 +111,7 @@
       Stop(false);
       co_return;
     }
-    if (!reply.rest.empty()) {
+    if (reply.repeated.empty() && reply.pause > Duration::zero()) {
       asio::steady_timer pause(acceptor_.get_executor(), reply.pause);
       co_await pause.async_wait(kAsTuple);
       co_await asio::async_write(socket, asio::buffer(reply.rest), kAsTuple);
@@ -120,6 +120,10 @@
       co_await Repeat(socket, reply);
       co_return;
     }
+    if (reply.half_closes) {
+      co_await HalfClose(socket, reply);
+      co_return;
+    }
     boost::system::error_code ignored;
     if (reply.resets)
       socket.set_option(asio::socket_base::linger(true, 0), ignored);
@@ -159,6 +163,22 @@
   ++abandoned_;
 }
 
+asio::awaitable<void> ScriptedEndpoint::HalfClose(tcp::socket& socket,
+                                                  const Reply& reply) {
+  boost::system::error_code failure;
+  socket.shutdown(tcp::socket::shutdown_send, failure);
+  if (reply.stops_reading) {
+    co_await socket.async_wait(tcp::socket::wait_error, kAsTuple);
+    co_return;
+  }
+  std::string part(65'536, '\0');
+  while (!failure) {
+    auto [ended, count] =
+        co_await socket.async_read_some(asio::buffer(part), kAsTuple);
+    failure = ended;
+  }
+}
+
 GatewayHarness::GatewayHarness()
     : state_(std::make_unique<GatewayState>(&io_,
                                             MakeSettings(FreePort(io_)),
--- a/tests/gateway/gateway_harness.h
+++ b/tests/gateway/gateway_harness.h
@@ -24,11 +24,15 @@
     bool closes = false;  // closes in an orderly way after the bytes
     bool resets = false;  // resets the connection after the bytes
     bool reads_body = true;
+    // Closes its side of the connection after the bytes and reads on, unless it
+    // stops reading, until the gateway closes the connection.
+    bool half_closes = false;
+    bool stops_reading = false;
     // Sent again and again after the bytes until the gateway closes the
     // connection, each time after a pause.
     std::string repeated = {};
     Duration pause = Duration::zero();
-    // Sent once after the bytes and a pause.
+    // Sent once after the bytes and a pause. A reset follows both.
     std::string rest = {};
     // The endpoint ends: it resets all its connections and refuses new ones.
     bool crashes = false;
@@ -56,6 +60,8 @@
   asio::awaitable<void> Serve(tcp::socket socket);
   asio::awaitable<void> ServeRequests(tcp::socket& socket);
   asio::awaitable<void> Repeat(tcp::socket& socket, const Reply& reply);
+  static asio::awaitable<void> HalfClose(tcp::socket& socket,
+                                         const Reply& reply);
   // Closes all connections and refuses new ones.
   void Stop(bool resets);
 
