Responses: statuses that do not exist, and 101, are errors

What callers saw: an endpoint in trouble sends the status 000, 001 or 099, and the bytes of another response in the body. The caller gets that other response as a 200. The same after 101, and after 100, 102 or 103 with a body. Statuses 600 and 999 are passed on with the endpoint's seal.

Cause: the parser takes any three digits. Each status below 200 was taken for an informational response without a body, so what followed the head was read as the next response. No upper limit was checked at all. The other two readers of responses, the client for the store and for nodes and the endpoint calls of a node, did not know informational responses: they took one for the final response, and on a kept connection the next call would have got the reply.

Change: ReadResponseHead reads the heads for all three, and CheckResponseHead decides in one place whether one is valid: 100 to 599 except 101, which no request asks for, and no body with an informational response. The other two clients skip informational responses as attempts do.

Why it works: nothing after an invalid head is read any more; the attempt fails as "malformed" and its connection is reset. What may follow is what follows any attempt that may have run.

--- a/src/teaselthread/endpoint_call.cc
+++ b/src/teaselthread/endpoint_call.cc
@@ -5,6 +5,7 @@
 
 #include "teaselthread/http_client.h"
 #include "teaselthread/io_timeout.h"
+#include "teaselthread/response_head.h"
 
 namespace teaselthread {
 namespace {
@@ -105,13 +106,12 @@
   if (write_failure)
     co_return failed();
   beast::flat_buffer buffer(kMaxFramingBytes);
-  http::response_parser<http::buffer_body> parser;
-  parser.body_limit(kMaxResponseBytes);
-  auto [head_failure, head_read] =
-      co_await http::async_read_header(socket, buffer, parser, kAsTuple);
+  std::optional<http::response_parser<http::buffer_body>> parser;
+  const boost::system::error_code head_failure =
+      co_await ReadFinalResponseHead(socket, buffer, kMaxResponseBytes, parser);
   if (head_failure)
     co_return failed();
-  const auto& head = parser.get();
+  const auto& head = parser->get();
   const auto echoed_id = head["X-Request-Id"];
   if (!echoed_id.empty() && echoed_id != request_.request_id())
     co_return Attempt::kBroken;  // the response to another request
@@ -124,16 +124,16 @@
   sink.Write(std::move(head_frame));
   std::array<char, kReadBufferBytes> bytes;
   uint64_t total = 0;
-  while (!parser.is_done()) {
+  while (!parser->is_done()) {
     if (sink.cancelled())
       co_return Attempt::kCancelled;
     timeout.Arm(ReadTimeout());
-    parser.get().body().data = bytes.data();
-    parser.get().body().size = bytes.size();
+    parser->get().body().data = bytes.data();
+    parser->get().body().size = bytes.size();
     auto [failure, count] =
-        co_await http::async_read_some(socket, buffer, parser, kAsTuple);
+        co_await http::async_read_some(socket, buffer, *parser, kAsTuple);
     const bool succeeded = !failure || failure == http::error::need_buffer;
-    const size_t filled = bytes.size() - parser.get().body().size;
+    const size_t filled = bytes.size() - parser->get().body().size;
     if (filled > 0) {
       wire::ForwardFrame data;
       data.set_data(bytes.data(), filled);
@@ -147,7 +147,7 @@
   wire::ForwardFrame end;
   end.mutable_end()->set_body_bytes(total);
   sink.Write(std::move(end));
-  socket_is_reusable_ = parser.get().keep_alive();
+  socket_is_reusable_ = parser->get().keep_alive();
   co_return Attempt::kAnswered;
 }
 
--- a/src/teaselthread/http_client.cc
+++ b/src/teaselthread/http_client.cc
@@ -1,6 +1,7 @@
 #include "teaselthread/http_client.h"
 
 #include "teaselthread/io_timeout.h"
+#include "teaselthread/response_head.h"
 
 namespace teaselthread {
 namespace {
@@ -52,18 +53,21 @@
   if (write_failure)
     co_return fail(write_failure);
   beast::flat_buffer buffer(kMaxFramingBytes);
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(kMaxReplyBytes);
-  auto [read_failure, read] =
-      co_await http::async_read(socket, buffer, parser, kAsTuple);
-  if (read_failure)
-    co_return fail(read_failure);
+  std::optional<http::response_parser<http::string_body>> parser;
+  const boost::system::error_code head_failure =
+      co_await ReadFinalResponseHead(socket, buffer, kMaxReplyBytes, parser);
+  if (head_failure)
+    co_return fail(head_failure);
+  auto [body_failure, read] =
+      co_await http::async_read(socket, buffer, *parser, kAsTuple);
+  if (body_failure)
+    co_return fail(body_failure);
   HttpExchange exchange;
-  exchange.reply.status = static_cast<int>(parser.get().result_int());
-  exchange.keep_alive = parser.get().keep_alive();
-  exchange.reply.body = std::move(parser.get().body());
+  exchange.reply.status = static_cast<int>(parser->get().result_int());
+  exchange.keep_alive = parser->get().keep_alive();
+  exchange.reply.body = std::move(parser->get().body());
   exchange.reply.fields =
-      std::make_shared<const http::fields>(std::move(parser.get().base()));
+      std::make_shared<const http::fields>(std::move(parser->get().base()));
   co_return exchange;
 }
 
--- a/src/teaselthread/requests/endpoint_attempt.cc
+++ b/src/teaselthread/requests/endpoint_attempt.cc
@@ -4,6 +4,7 @@
 
 #include "teaselthread/http_client.h"
 #include "teaselthread/keep_alive.h"
+#include "teaselthread/response_head.h"
 
 namespace teaselthread {
 namespace {
@@ -18,8 +19,6 @@
 // on the body of each.
 constexpr int kMaxUnrelatedResponses = 2;
 constexpr size_t kMaxUnrelatedBodyBytes = size_t{1} << 20;
-// Number of 1xx responses that may precede the final one.
-constexpr int kMaxInformationalResponses = 16;
 // Used if the endpoint sends no keep-alive timeout.
 constexpr seconds kDefaultKeepAlive(4);
 // A connection is not reused shortly before its keep-alive timeout, when the
@@ -214,13 +213,13 @@
     (*parser)->header_limit(EndpointConnection::kMaxHeaderBytes);
     (*parser)->body_limit(boost::none);
     (*parser)->skip(is_head);
-    auto [failure, count] = co_await http::async_read_header(
-        connection_->socket, connection_->buffer, **parser, kAsTuple);
+    const boost::system::error_code failure = co_await ReadResponseHead(
+        connection_->socket, connection_->buffer, **parser);
     if (failure)
       co_return SetFailure(ToAttemptFailure(failure));
     if ((*parser)->get().result_int() >= 400)
       guard_->StopWatchingFirstByte();
-    if ((*parser)->get().result_int() < 200) {
+    if (IsInformational((*parser)->get())) {
       ++informational;
       continue;
     }
