Responses: a head with folded lines is an error

What callers saw: an endpoint in trouble sends a line that begins with a blank or a tab after another field, as a name with a blank in front. The caller gets a 200 in which the line goes on as a part of the field before it.

Cause: the parser joins folded lines, which are obsolete, and its result does not show that it did. A gateway may reject such a head or join the lines (RFC 9112, 5.2); from an endpoint in trouble the line is as likely a broken field, or a Content-Length whose value stands in the next line.

Change: ReadUnfoldedHead parses what has arrived step by step and looks at the bytes that the parser took; a line that begins with white space ends the read with bad_field.

Why it works: the parser takes a field only together with the lines folded into it, so each such line is in the bytes of one step, however the head arrives. A first field that begins with white space was an error already.

--- a/src/teaselthread/response_head.h
+++ b/src/teaselthread/response_head.h
@@ -23,17 +23,23 @@
 boost::system::error_code CheckResponseHead(
     const http::response_header<>& head);
 
+// Reads a head that the parser accepts and that has no folded lines.
+asio::awaitable<boost::system::error_code> ReadUnfoldedHead(
+    tcp::socket& socket,
+    beast::flat_buffer& buffer,
+    http::basic_parser<false>& parser);
+
 // Reads the head of the next response, which may be an informational one.
-// Returns an error of the connection, of the parser, or of CheckResponseHead.
-// Whoever reads responses reads their heads by this function, so that all have
-// the same notion of a valid one.
+// Returns an error of the connection, of ReadUnfoldedHead, or of
+// CheckResponseHead. Whoever reads responses reads their heads by this
+// function, so that all have the same notion of a valid one.
 template <typename Body>
 asio::awaitable<boost::system::error_code> ReadResponseHead(
     tcp::socket& socket,
     beast::flat_buffer& buffer,
     http::response_parser<Body>& parser) {
-  auto [failure, count] =
-      co_await http::async_read_header(socket, buffer, parser, kAsTuple);
+  const boost::system::error_code failure =
+      co_await ReadUnfoldedHead(socket, buffer, parser);
   co_return failure ? failure : CheckResponseHead(parser.get().base());
 }
 
--- a/tests/endpoint_faults/invalid_responses_test.cc
+++ b/tests/endpoint_faults/invalid_responses_test.cc
@@ -188,6 +188,15 @@
 
 BOOST_AUTO_TEST_SUITE(because_of_a_field)
 
+// Guards against a line that callers got as a part of the field before it.
+BOOST_AUTO_TEST_CASE(that_begins_with_white_space) {
+  CheckIsAnErrorToEachReader(
+      {WithLine(" X-Name: value"), WithLine("\tX-Name: value"),
+       WithLine("X-Name: value\r\n folded"), WithLine("X-Name:\r\n\tfolded"),
+       WithLine("X-Name: value\r\n "),
+       WithFields("Content-Length:\r\n 15\r\n")});
+}
+
 BOOST_AUTO_TEST_CASE(whose_name_is_no_token) {
   std::vector<std::string> responses = {WithLine("X-Name"), WithLine(": value"),
                                         WithLine("X-Name : value"),
