Responses: an unknown transfer coding is an error

What callers saw: an endpoint in trouble names the coding "xchunked" or "chunked, gzip" and sends chunks. On plain routes the caller gets a 200 whose body holds the framing of the chunks, with the endpoint's seal.

Cause: a body whose coding the parser does not know ends with its connection, and its bytes were passed on as they came, while the field that names the coding belongs to one connection and was left out. The reader of requests checks this (HasUnambiguousFraming); nothing did for responses.

Evidence: invalid_responses_test, if_the_transfer_coding_is_not_chunked: on the code before 98 failed checks, at all three readers and for all seven codings.

Change: the check of requests is now one function for both, in a file of its own, and CheckResponseHead calls it. A field without a value, which names no coding, is no longer taken for none; for requests too (cannot_smuggle_another_request).

Why it works: the only coding that is left is the one that is decoded. No request of this program offers another one by TE.

--- a/src/teaselthread/gateway/request_reader.cc
+++ b/src/teaselthread/gateway/request_reader.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "teaselthread/message_framing.h"
+
 namespace teaselthread {
 namespace {
 
@@ -25,16 +27,6 @@
   return RefusalReason::kMalformed;
 }
 
-// A body whose length is ambiguous could be used to smuggle another request.
-bool HasUnambiguousFraming(const http::fields& fields) {
-  const auto encoding = fields[http::field::transfer_encoding];
-  if (encoding.empty())
-    return true;
-  return beast::iequals(encoding, "chunked") &&
-         fields.find(http::field::content_length) == fields.end() &&
-         fields.count(http::field::transfer_encoding) == 1;
-}
-
 bool IsWellFormed(const http::request<http::string_body>& message) {
   const auto target = message.target();
   const bool has_valid_target =
--- a/src/teaselthread/response_head.cc
+++ b/src/teaselthread/response_head.cc
@@ -2,6 +2,8 @@
 
 #include <string_view>
 
+#include "teaselthread/message_framing.h"
+
 namespace teaselthread {
 namespace {
 
@@ -64,6 +66,8 @@
     const http::response_header<>& head) {
   if (!HasValidStatus(head))
     return http::error::bad_status;
+  if (!HasUnambiguousFraming(head))
+    return http::error::bad_transfer_encoding;
   // The bytes of the body would be taken for the next response.
   if (IsInformational(head) && AnnouncesBody(head))
     return http::error::bad_content_length;
--- a/tests/endpoint_faults/invalid_responses_test.cc
+++ b/tests/endpoint_faults/invalid_responses_test.cc
@@ -219,6 +219,18 @@
 
 BOOST_AUTO_TEST_SUITE(because_of_its_framing)
 
+// Guards against a body that still has the framing of its chunks.
+BOOST_AUTO_TEST_CASE(if_the_transfer_coding_is_not_chunked) {
+  const std::string body = Chunk(kEvent) + kLastChunk;
+  std::vector<std::string> responses;
+  for (const char* coding : {"xchunked", "chunked, gzip", "gzip, chunked",
+                             "gzip", "chunked, chunked", ""})
+    responses.push_back(WithFields(Field("Transfer-Encoding", coding), body));
+  responses.push_back(WithFields(
+      "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n", body));
+  CheckIsAnErrorToEachReader(responses);
+}
+
 BOOST_AUTO_TEST_CASE(if_the_length_is_ambiguous_or_no_number) {
   std::vector<std::string> responses;
   for (const char* length :
--- a/tests/gateway/callers_port_test.cc
+++ b/tests/gateway/callers_port_test.cc
@@ -98,6 +98,7 @@
   const std::string hidden = MakeRequest("GET", "/order/", "id-hidden");
   for (const std::string field :
        {"Transfer-Encoding: xchunked\r\n", "Transfer-Encoding: identity\r\n",
+        "Transfer-Encoding:\r\n",
         "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
         "Content-Length: 5\r\nContent-Length: 6\r\n",
         "Content-Length: +5\r\n"}) {
