Responses: trailers do not become fields of the head

What callers saw: an endpoint sends fields after the last chunk of a body, such as Content-Encoding, a second seal or a folded line. On plain routes the caller gets them as fields of the head of the 200.

Cause: the parser adds trailers to the fields of the message, and a plain response's fields were copied after its body had been read. Streams send their head first and were not affected. Found while checking what reads answers.

Evidence: invalid_responses_test, a_trailer: 3 failed checks on the code before, one for each trailer.

Change: the fields are copied before the body is read.

Why it works: at that time the message has no trailers. They are optional for a receiver (RFC 9110, 6.5.1), and no request of this program asks for them.

--- a/src/teaselthread/requests/endpoint_attempt.cc
+++ b/src/teaselthread/requests/endpoint_attempt.cc
@@ -302,6 +302,8 @@
   if (relay && is_stream && !not_run)
     co_return co_await Stream(parser, *relay);
   AttemptResult result;
+  // Copied before the body, after which the parser has added the trailers.
+  ResponseHead head{status, EndToEndFields(parser.get().base())};
   if (!co_await ReadBody(parser, &result.body)) {
     // The header's statement that the request did not run holds even if the
     // body is lost.
@@ -315,7 +317,7 @@
   } else if (IsServerError(status) || continues_stream) {
     result.failure = AttemptFailure::kServerError;
   }
-  result.head = ResponseHead{status, EndToEndFields(parser.get().base())};
+  result.head = std::move(head);
   ReleaseConnection(parser);
   co_return result;
 }
--- a/tests/endpoint_faults/invalid_responses_test.cc
+++ b/tests/endpoint_faults/invalid_responses_test.cc
@@ -258,5 +258,33 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_trailer)
+
+// Guards against fields that callers got in the head although the endpoint sent
+// them after the body.
+BOOST_AUTO_TEST_CASE(does_not_reach_the_caller) {
+  for (const char* path : {"/list/", "/chat/"}) {
+    for (const char* trailer :
+         {"Content-Encoding: gzip\r\n", "X-Seal: other\r\n",
+          "X-Name: value\r\n folded\r\n"}) {
+      test::ScriptedEndpointsFixture fixture;
+      fixture.Start(std::string(path) == "/chat/" ? "pool" : "desk", 1,
+                    [&](const std::string&, const std::string& id, int) {
+                      return Reply{StreamHead(id) + EventChunk(1) + "0\r\n" +
+                                   trailer + "\r\n"};
+                    });
+      const std::string response = fixture.harness.Exchange(
+          MakeRequest("POST", path, kId, "body"), IsComplete);
+      BOOST_TEST(HasStatus(response, "200"));
+      BOOST_TEST(IsComplete(response));
+      BOOST_TEST(response.find("X-Seal: seal-" + kId) != std::string::npos);
+      for (const char* part : {"gzip", "other", "folded"})
+        BOOST_TEST(response.find(part) == std::string::npos, response);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
 }  // namespace teaselthread
