Calls: a second response is not that to the next call

What callers saw: nothing that was reported. Found while checking what reads responses: if a server sends two responses to one call, the next call on the same connection, to the store or to another node, gets the second one as its own. The endpoint calls of a node do so too unless the endpoint echoes the id.

Cause: the clients kept a connection open whatever had arrived on it behind the response. Attempts of gateways check this before they use a connection again.

Evidence: invalid_responses_test, a_second_response_to_a_call: on the code before, both clients get the second response, if it arrives 20 ms after the first one. If it arrives together with it, the read discards it; that is kept as a case.

Change: the check of attempts, HasNoPendingInput, is now in a file of its own and is made by all three before a connection is used again. A connection on which more than the response has arrived is closed.

Why it works: what arrives while no call waits can belong to none. A server that has closed the connection is found by the same check, so that a call which may not be repeated no longer fails for that.

--- a/src/teaselthread/endpoint_call.cc
+++ b/src/teaselthread/endpoint_call.cc
@@ -147,7 +147,7 @@
   wire::ForwardFrame end;
   end.mutable_end()->set_body_bytes(total);
   sink.Write(std::move(end));
-  socket_is_reusable_ = parser->get().keep_alive();
+  socket_is_reusable_ = parser->get().keep_alive() && buffer.size() == 0;
   co_return Attempt::kAnswered;
 }
 
--- a/src/teaselthread/endpoint_connection_pool.cc
+++ b/src/teaselthread/endpoint_connection_pool.cc
@@ -1,5 +1,7 @@
 #include "teaselthread/endpoint_connection_pool.h"
 
+#include "teaselthread/idle_connection.h"
+
 namespace teaselthread {
 namespace {
 
@@ -18,7 +20,7 @@
   while (!sockets.empty()) {
     IdleSocket idle = std::move(sockets.back());
     sockets.pop_back();
-    if (now - idle.since <= kMaxIdleTime)
+    if (now - idle.since <= kMaxIdleTime && HasNoPendingInput(idle.socket))
       return std::move(idle.socket);
   }
   return std::nullopt;
--- a/src/teaselthread/http_client.cc
+++ b/src/teaselthread/http_client.cc
@@ -64,7 +64,8 @@
     co_return fail(body_failure);
   HttpExchange exchange;
   exchange.reply.status = static_cast<int>(parser->get().result_int());
-  exchange.keep_alive = parser->get().keep_alive();
+  // What is left belongs to no call.
+  exchange.keep_alive = parser->get().keep_alive() && buffer.size() == 0;
   exchange.reply.body = std::move(parser->get().body());
   exchange.reply.fields =
       std::make_shared<const http::fields>(std::move(parser->get().base()));
--- a/src/teaselthread/http_connection.cc
+++ b/src/teaselthread/http_connection.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "teaselthread/idle_connection.h"
 #include "teaselthread/keep_alive.h"
 
 namespace teaselthread {
@@ -60,6 +61,8 @@
                                                            std::string target,
                                                            std::string body,
                                                            Duration timeout) {
+  if (socket_ && !HasNoPendingInput(*socket_))
+    socket_.reset();
   const bool is_reused = socket_.has_value();
   if (!socket_) {
     const Duration connect_timeout = std::min(timeout, kConnectTimeout);
--- /dev/null
+++ b/src/teaselthread/idle_connection.h
@@ -0,0 +1,14 @@
+#ifndef TEASELTHREAD_IDLE_CONNECTION_H_
+#define TEASELTHREAD_IDLE_CONNECTION_H_
+
+#include "teaselthread/asio.h"
+
+namespace teaselthread {
+
+// Whether an idle connection can take another call. Input on it means that the
+// server has closed it or sent a response that no call waits for.
+bool HasNoPendingInput(tcp::socket& socket);
+
+}  // namespace teaselthread
+
+#endif  // TEASELTHREAD_IDLE_CONNECTION_H_
--- a/src/teaselthread/requests/endpoint_connections.cc
+++ b/src/teaselthread/requests/endpoint_connections.cc
@@ -1,10 +1,9 @@
 #include "teaselthread/requests/endpoint_connections.h"
 
-#include <sys/socket.h>
-
-#include <cerrno>
 #include <utility>
 
+#include "teaselthread/idle_connection.h"
+
 namespace teaselthread {
 namespace {
 
@@ -12,15 +11,6 @@
 // endpoint accepts is larger.
 constexpr size_t kMaxIdle = 16;
 
-// Input on an idle connection means that the endpoint has closed it or sent a
-// stray response.
-bool HasNoPendingInput(EndpointConnection& connection) {
-  char byte = 0;
-  const ssize_t count = ::recv(connection.socket.native_handle(), &byte, 1,
-                               MSG_PEEK | MSG_DONTWAIT);
-  return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 }  // namespace
 
 void EndpointConnection::Reset() {
@@ -39,7 +29,7 @@
   while (!idle.empty()) {
     EndpointConnectionPtr connection = std::move(idle.back());
     idle.pop_back();
-    if (now < connection->usable_until && HasNoPendingInput(*connection)) {
+    if (now < connection->usable_until && HasNoPendingInput(connection->socket)) {
       connection->is_reused = !std::exchange(connection->is_unused, false);
       return connection;
     }
--- a/tests/endpoint_faults/invalid_responses_test.cc
+++ b/tests/endpoint_faults/invalid_responses_test.cc
@@ -3,11 +3,12 @@
 #include "gateway/gateway_harness.h"
 #include "platform/wire_names.h"
 #include "teaselthread/endpoint_call.h"
-#include "teaselthread/http_client.h"
+#include "teaselthread/http_connection.h"
 
 namespace teaselthread {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 using test::Chunk;
 using test::EventChunk;
@@ -103,13 +104,31 @@
   BOOST_TEST(ended);
 }
 
-class DiscardingSink : public FrameSink {
+class CollectingSink : public FrameSink {
  public:
-  void Write(wire::ForwardFrame) override {}
+  void Write(wire::ForwardFrame frame) override { body += frame.data(); }
   void Close() override {}
   bool cancelled() const override { return false; }
+
+  std::string body;
 };
 
+// Makes a call of a node. Returns the body, or nothing if it fails.
+asio::awaitable<std::optional<std::string>> CallEndpoint(
+    Endpoint endpoint,
+    EndpointConnectionPool* pool) {
+  wire::ForwardRequest request;
+  request.set_repeatable(true);
+  CollectingSink sink;
+  const auto now = [] { return Timestamp(); };
+  EndpointCall call(
+      endpoint, request,
+      {kCallTimeout, kCallTimeout, now() + kCallTimeout, now() + kCallTimeout},
+      pool, now);
+  const Outcome outcome = co_await call.Run(sink);
+  co_return outcome.answered() ? std::optional(sink.body) : std::nullopt;
+}
+
 void CheckOtherClientsGetAnError(const std::string& bytes) {
   RunCall(bytes, [](SocketAddress address) -> asio::awaitable<void> {
     std::string no_body;
@@ -118,18 +137,11 @@
     BOOST_TEST(!reply.has_value());
   });
   RunCall(bytes, [](SocketAddress address) -> asio::awaitable<void> {
-    const wire::ForwardRequest request;
     Endpoint endpoint;
     endpoint.address = address;
     EndpointConnectionPool pool;
-    DiscardingSink sink;
-    const auto now = [] { return Timestamp(); };
-    EndpointCall call(endpoint, request,
-                      {kCallTimeout, kCallTimeout, now() + kCallTimeout,
-                       now() + kCallTimeout},
-                      &pool, now);
-    const Outcome outcome = co_await call.Run(sink);
-    BOOST_TEST(!outcome.answered());
+    const auto body = co_await CallEndpoint(endpoint, &pool);
+    BOOST_TEST(!body.has_value());
   });
 }
 
@@ -286,5 +298,70 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Makes two calls with another client than a gateway against a server that
+// sends a second response to the first one, `pause` after the first response.
+template <typename Client, typename Call>
+std::vector<std::string> MakeTwoCalls(Duration pause, const Call& call) {
+  asio::io_context io;
+  test::ScriptedEndpoint server(
+      &io, [&](const std::string&, const std::string&, int number) {
+        Reply reply{MakeResponse("", "body " + std::to_string(number))};
+        if (number == 0)
+          reply.rest = MakeResponse("", "not asked for");
+        if (pause == Duration::zero())
+          reply.bytes += std::exchange(reply.rest, "");
+        reply.pause = pause;
+        return reply;
+      });
+  std::vector<std::string> bodies;
+  asio::co_spawn(
+      io,
+      [&]() -> asio::awaitable<void> {
+        Client client(server.address());
+        bodies.push_back(co_await call(client));
+        asio::steady_timer timer(io, 2 * pause);
+        co_await timer.async_wait(kAsTuple);
+        bodies.push_back(co_await call(client));
+        io.stop();
+      },
+      asio::detached);
+  io.run_for(kCallTimeout);
+  return bodies;
+}
+
+// The endpoint calls of a node.
+struct NodeClient {
+  explicit NodeClient(SocketAddress address) { endpoint.address = address; }
+
+  Endpoint endpoint;
+  EndpointConnectionPool pool;
+};
+
+BOOST_AUTO_TEST_SUITE(a_second_response_to_a_call)
+
+// Guards against a response that the next call on the connection got as its
+// own.
+BOOST_AUTO_TEST_CASE(is_not_taken_for_that_to_the_next_one) {
+  const std::vector<std::string> expected = {"body 0", "body 1"};
+  for (const Duration pause : {milliseconds(0), milliseconds(20)}) {
+    const auto of_connection = MakeTwoCalls<HttpConnection>(
+        pause, [](HttpConnection& client) -> asio::awaitable<std::string> {
+          const Result<HttpReply> reply =
+              co_await client.Get("/list", kCallTimeout);
+          co_return reply ? reply->body : "none";
+        });
+    BOOST_TEST(of_connection == expected, boost::test_tools::per_element());
+    const auto of_node = MakeTwoCalls<NodeClient>(
+        pause, [](NodeClient& client) -> asio::awaitable<std::string> {
+          const auto body =
+              co_await CallEndpoint(client.endpoint, &client.pool);
+          co_return body.value_or("none");
+        });
+    BOOST_TEST(of_node == expected, boost::test_tools::per_element());
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
 }  // namespace teaselthread
--- a/tests/gateway/gateway_harness.cc
+++ b/tests/gateway/gateway_harness.cc
@@ -111,7 +111,8 @@
       Stop(false);
       co_return;
     }
-    if (reply.repeated.empty() && reply.pause > Duration::zero()) {
+    if (reply.repeated.empty() &&
+        (reply.pause > Duration::zero() || !reply.rest.empty())) {
       asio::steady_timer pause(acceptor_.get_executor(), reply.pause);
       co_await pause.async_wait(kAsTuple);
       co_await asio::async_write(socket, asio::buffer(reply.rest), kAsTuple);
