Streams: one version is the only one if the store confirms it

During a release one gateway is out of step for some seconds. Streams that began at endpoints of the new version through other gateways break, are resumed there, and go on at the old version.

Cause: a gateway that does not know a resumed stream takes the version that it knows for the only one. Its list of endpoints is as old as the last word of the store or of its zone leader. If it is cut off or has been frozen, or if a relayed batch was lost, the list may lack a version that has joined.

Evidence: outdated_endpoints_test places each step: the list of a gateway is held while version 2 joins, and a stream of version 2 is resumed there.

Ruled out: the age of the last confirmation. It is up to 1.4 s where nothing is wrong, since leaders wait for changes and batch what they relay, and a stream of a new version can be back 0.1 s after its endpoint has registered. Reading the records instead: they are written up to 0.25 s later. Asking peers: the gateway that began the stream may be gone.

Change: before a gateway takes one version for the only one, the store has to confirm its list as of at most 0.1 s ago, on the clock that counts suspension. ListController::Confirm makes the watch call at once with the shortest wait; requests at the same time share it. If there are changes they are applied, and the stream is looked up in the records.

Why it works: the store's answer holds every endpoint that registered before the call, and a stream that is resumed began before that at one of them. Streams that a gateway remembers need no call, nor do mixed services, whose streams are found in the records as before.

The cost: one call for the streams that are resumed within 0.1 s at a gateway that does not know them. During an outage of the store such streams are refused, while they went on before if one version was known.

--- a/src/teaselthread/gateway/gateway.cc
+++ b/src/teaselthread/gateway/gateway.cc
@@ -84,6 +84,8 @@
   stream_recorder_.Start();
   state_.set_stream_record_source(
       [this](Duration max_age) { return stream_record_reader_.Read(max_age); });
+  state_.set_endpoint_confirmation(
+      [this](Duration max_age) { return store_.ConfirmEndpoints(max_age); });
   state_.timers().Subscribe(kSweepInterval, state_.Now(),
                             [this](Timestamp) { front_.handler().Sweep(); });
   state_.timers().Subscribe(
--- a/src/teaselthread/gateway/gateway_state.cc
+++ b/src/teaselthread/gateway/gateway_state.cc
@@ -163,6 +163,12 @@
   co_return co_await stream_record_source_(max_age);
 }
 
+asio::awaitable<bool> GatewayState::ConfirmEndpoints(Duration max_age) {
+  if (!endpoint_confirmation_)
+    co_return false;
+  co_return co_await endpoint_confirmation_(max_age);
+}
+
 uint32_t GatewayState::FleetRequests(const std::string& service) const {
   return peers_.FleetRequests(ShortHash(service),
                               endpoints_.LocalRequests(service), Now());
--- a/src/teaselthread/gateway/gateway_state.h
+++ b/src/teaselthread/gateway/gateway_state.h
@@ -104,6 +104,14 @@
     stream_record_source_ = std::move(source);
   }
   asio::awaitable<bool> ReadStreamRecords(Duration max_age);
+  // Makes sure that the endpoints are known as the store had them at most
+  // `max_age` ago. Returns false if the store does not confirm it.
+  using EndpointConfirmation =
+      std::function<asio::awaitable<bool>(Duration max_age)>;
+  void set_endpoint_confirmation(EndpointConfirmation confirmation) {
+    endpoint_confirmation_ = std::move(confirmation);
+  }
+  asio::awaitable<bool> ConfirmEndpoints(Duration max_age);
   // The live gateways whose evidence on rollouts is needed.
   RolloutFleet MakeRolloutFleet() const;
   WaitingRequests& WaitingFor(const std::string& service) {
@@ -183,6 +191,7 @@
   StreamOrigins stream_origins_;
   VersionHistory version_history_;
   StreamRecordSource stream_record_source_;
+  EndpointConfirmation endpoint_confirmation_;
   std::map<std::string, WaitingRequests> waiting_;          // by service
   std::map<std::string, ReturnSchedule> return_schedules_;  // by service
   PeerSet peers_;
--- a/src/teaselthread/requests/resumed_streams.cc
+++ b/src/teaselthread/requests/resumed_streams.cc
@@ -11,6 +11,9 @@
 
 // Requests that arrive at the same time share one read.
 constexpr Duration kMaxRecordAge = milliseconds(100);
+// Shorter than it takes a new endpoint to register, to get a request and to
+// send its first event, and the caller to come back after that.
+constexpr Duration kMaxEndpointsAge = milliseconds(100);
 // From the first event of a stream until other nodes can read its record.
 constexpr Duration kRecordDelay = milliseconds(300);
 // Share of the time left that a request may wait for a record.
@@ -37,8 +40,11 @@
       !request.head.continues_stream) {
     co_return std::nullopt;
   }
-  std::optional<Origin> origin = Find(request);
-  if (!origin)
+  std::optional<Origin> origin = co_await Find(request);
+  // If the store does not confirm that there is one version, it does not show
+  // the records either.
+  const bool is_unconfirmed = !origin && SingleVersion(request);
+  if (!origin && !is_unconfirmed)
     origin = co_await FindInRecords(exchange);
   Log(exchange, origin.value_or(Origin{}));
   if (!origin)
@@ -61,13 +67,21 @@
     add(request.head.resumed_id);
 }
 
-std::optional<ResumedStreams::Origin> ResumedStreams::Find(
-    const ClassifiedRequest& request) const {
+// The endpoints that a node knows are those of its last contact with the store
+// or its zone leader. A node that was frozen or cut off may lack a version that
+// has begun streams at other nodes since then.
+asio::awaitable<std::optional<ResumedStreams::Origin>> ResumedStreams::Find(
+    const ClassifiedRequest& request) {
   if (const auto version = VersionFromMemory(request))
-    return Origin{*version, OriginSource::kMemory};
+    co_return Origin{*version, OriginSource::kMemory};
+  if (!SingleVersion(request))
+    co_return std::nullopt;
+  const bool is_confirmed = co_await state_->ConfirmEndpoints(kMaxEndpointsAge);
+  if (!is_confirmed)
+    co_return std::nullopt;
   if (const auto version = SingleVersion(request))
-    return Origin{*version, OriginSource::kSingleVersion};
-  return std::nullopt;
+    co_return Origin{*version, OriginSource::kSingleVersion};
+  co_return std::nullopt;
 }
 
 std::optional<std::string> ResumedStreams::VersionFromMemory(
@@ -108,7 +122,7 @@
 ResumedStreams::FindInRecords(RequestExchange& exchange) {
   const ClassifiedRequest& request = exchange.request;
   co_await state_->ReadStreamRecords(kMaxRecordAge);
-  std::optional<Origin> origin = Find(request);
+  std::optional<Origin> origin = co_await Find(request);
   const Duration time_left = request.deadline - state_->Now();
   const std::string& service = request.service->name;
   const bool is_mixed = state_->version_history().IsMixedSince(
@@ -120,7 +134,7 @@
     asio::steady_timer timer(state_->io(), kRecordDelay);
     co_await timer.async_wait(kAsTuple);
     co_await state_->ReadStreamRecords(kMaxRecordAge);
-    origin = Find(request);
+    origin = co_await Find(request);
   }
   if (origin && origin->source == OriginSource::kMemory)
     origin->source = OriginSource::kRecord;
--- a/src/teaselthread/requests/resumed_streams.h
+++ b/src/teaselthread/requests/resumed_streams.h
@@ -31,11 +31,13 @@
     OriginSource source = OriginSource::kUnknown;
   };
 
-  // What this node knows now.
-  std::optional<Origin> Find(const ClassifiedRequest& request) const;
+  // What this node knows now. Has its endpoints confirmed before it takes one
+  // version for the only one.
+  asio::awaitable<std::optional<Origin>> Find(const ClassifiedRequest& request);
   std::optional<std::string> VersionFromMemory(
       const ClassifiedRequest& request) const;
-  // The only version that can have begun the stream, if there is only one.
+  // The only version that can have begun the stream, as far as this node knows,
+  // if there is only one.
   std::optional<std::string> SingleVersion(
       const ClassifiedRequest& request) const;
   // Reads the records of the other nodes, again a little later if the stream is
--- a/src/teaselthread/store/list_controller.cc
+++ b/src/teaselthread/store/list_controller.cc
@@ -11,6 +11,10 @@
 constexpr Duration kDeliveryTime = milliseconds(200);
 // The store may be slow to respond.
 constexpr Duration kMinCallTime = milliseconds(800);
+// Longer than a call takes to fail, which shows that further ones are useless.
+constexpr Duration kConfirmationTimeout = milliseconds(1'000);
+// A call that was made too early for one who asks is followed by another.
+constexpr int kMaxConfirmationCalls = 3;
 
 }  // namespace
 
@@ -26,15 +30,29 @@
       missed_by_watch_({kDeliveryTime, kMinCallTime}),
       missed_by_leader_({timing.batch_delay + kDeliveryTime, Duration::zero()}),
       missed_relay_({kDeliveryTime, Duration::zero()}),
-      watcher_(state,
-               kind,
-               timing.max_status_age,
-               [this] { return ChoosePollTiming(); },
-               {[this](const StoreUpdate& update) { OnList(update); },
-                [this](const StoreUpdate& update) { OnChanges(update); },
-                handlers_.on_reachability_changed, handlers_.on_restored}) {}
+      confirmation_ended_(state->io()),
+      watcher_(
+          state,
+          kind,
+          timing.max_status_age,
+          [this] { return ChoosePollTiming(); },
+          MakeCallbacks()) {}
+
+StoreWatcher::Callbacks ListController::MakeCallbacks() {
+  return {[this](const StoreUpdate& update) { OnList(update); },
+          [this](const StoreUpdate& update) { OnChanges(update); },
+          [this](bool reachable) {
+            EndConfirmation();
+            handlers_.on_reachability_changed(reachable);
+          },
+          handlers_.on_restored};
+}
 
 StoreWatcher::PollTiming ListController::ChoosePollTiming() const {
+  if (is_confirming_)
+    return {StoreWatcher::kProbeWait, Duration::zero(),
+            IsLeader() ? StoreWatcher::kLeaderBackoff
+                       : StoreWatcher::kFollowerBackoff};
   if (IsLeader())
     return {timing_.leader_wait, timing_.batch_delay,
             StoreWatcher::kLeaderBackoff};
@@ -102,6 +120,38 @@
   return is_missed_by(missed_by_leader_) || is_missed_by(missed_relay_);
 }
 
+asio::awaitable<bool> ListController::Confirm(Duration max_age) {
+  const Timestamp since = GatewayState::BootNow() - max_age;
+  const auto is_confirmed = [&] {
+    return confirmed_at_ && *confirmed_at_ >= since;
+  };
+  for (int call = 0; call < kMaxConfirmationCalls && !is_confirmed(); ++call) {
+    if (watcher_.is_unreachable())
+      co_return false;
+    if (!is_confirming_) {
+      is_confirming_ = true;
+      confirmation_ended_.expires_after(kConfirmationTimeout);
+      watcher_.CallNow();
+    }
+    auto [ended] = co_await confirmation_ended_.async_wait(kAsTuple);
+    if (!ended) {  // it has expired
+      is_confirming_ = false;
+      co_return is_confirmed();
+    }
+  }
+  co_return is_confirmed();
+}
+
+void ListController::OnConfirmed(Timestamp confirmed_at) {
+  confirmed_at_ = confirmed_at;
+  EndConfirmation();
+}
+
+void ListController::EndConfirmation() {
+  is_confirming_ = false;
+  confirmation_ended_.cancel();
+}
+
 std::optional<ListStatus> ListController::StatusToShare() const {
   const auto confirmed_at = watcher_.confirmed_at();
   if (!confirmed_at || watcher_.is_unreachable() || !IsLeader())
@@ -111,17 +161,24 @@
 
 void ListController::OnList(const StoreUpdate& update) {
   handlers_.replace_all(Decode(update.objects));
+  OnConfirmed(update.requested_at);
 }
 
 void ListController::OnChanges(const StoreUpdate& update) {
   probe_pending_ = false;
-  if (update.objects.empty())
-    return;
-  ChangeBatch batch{update.from, update.to, Decode(update.objects),
-                    watcher_.epoch()};
-  handlers_.apply(batch.changes);
-  if (IsLeader() && on_batch_)
-    on_batch_(list_, batch);
+  if (!update.objects.empty()) {
+    ChangeBatch batch{update.from, update.to, Decode(update.objects),
+                      watcher_.epoch()};
+    handlers_.apply(batch.changes);
+    if (IsLeader() && on_batch_)
+      on_batch_(list_, batch);
+  }
+  // Changes that a relayed batch has overtaken were not applied, and are in the
+  // response to the next call.
+  if (watcher_.revision() >= update.to)
+    OnConfirmed(update.requested_at);
+  else
+    EndConfirmation();
 }
 
 ListController::Changes ListController::Decode(
--- a/src/teaselthread/store/list_controller.h
+++ b/src/teaselthread/store/list_controller.h
@@ -50,6 +50,12 @@
   // watch that has not delivered a change that a peer has announced.
   void Check();
 
+  // Whether this gateway knows the list as the store had it at most `max_age`
+  // ago, on the clock that counts suspension of the machine. Asks the store if
+  // it must; calls at the same time share an answer. False if the store does
+  // not respond.
+  asio::awaitable<bool> Confirm(Duration max_age);
+
   // What this gateway states if it is the zone leader.
   std::optional<ListStatus> StatusToShare() const;
   StoreWatcher& watcher() { return watcher_; }
@@ -62,6 +68,10 @@
   Changes Decode(const std::vector<StoreObject>& objects) const;
   // Whether a change that this gateway has heard of has not reached it in time.
   bool HasMissedChange() const;
+  StoreWatcher::Callbacks MakeCallbacks();
+  // `confirmed_at` is the time of a call whose response leaves nothing unknown.
+  void OnConfirmed(Timestamp confirmed_at);
+  void EndConfirmation();
 
   GatewayState* state_;
   RelayedList list_;
@@ -74,6 +84,10 @@
   MissedChangeDetector missed_by_leader_;
   MissedChangeDetector missed_relay_;
   bool probe_pending_ = false;  // a change was missed; the store is to be asked
+  bool is_confirming_ = false;
+  asio::steady_timer confirmation_ended_;  // cancelled at the end of a call
+  std::optional<Timestamp>
+      confirmed_at_;  // on the clock that counts suspension
   StoreWatcher watcher_;
 };
 
--- a/src/teaselthread/store/store_controller.h
+++ b/src/teaselthread/store/store_controller.h
@@ -33,6 +33,11 @@
     ListController* controller = ControllerOf(list);
     return controller ? controller->StatusToShare() : std::nullopt;
   }
+  // Whether this gateway knows the endpoints as the store had them at most
+  // `max_age` ago; see ListController::Confirm.
+  asio::awaitable<bool> ConfirmEndpoints(Duration max_age) {
+    return endpoints_.Confirm(max_age);
+  }
   // Sets the function that relays changes to the gateways of the zone.
   void set_on_batch(const ListController::BatchCallback& on_batch);
   // Sets the function that is called when the store responds again and has
--- a/src/teaselthread/store/store_watcher.cc
+++ b/src/teaselthread/store/store_watcher.cc
@@ -35,6 +35,13 @@
     pause_.cancel();
 }
 
+void StoreWatcher::CallNow() {
+  if (connection_.busy())
+    connection_.Reconnect();
+  else
+    pause_.cancel();
+}
+
 void StoreWatcher::Resume() {
   if (is_suspended())
     pause_.cancel();
--- a/src/teaselthread/store/store_watcher.h
+++ b/src/teaselthread/store/store_watcher.h
@@ -79,6 +79,9 @@
   // to the store has failed, so that this one may be dead as well, or if a peer
   // has announced a change.
   void Reconnect();
+  // Makes a call without delay, with the poll timing that applies now. It
+  // replaces a call in progress.
+  void CallNow();
   // Ends a suspension. The poll timing is queried again.
   void Resume();
   bool is_suspended() const { return suspended_since_.has_value(); }
--- a/tests/store_epochs/restorable_store.cc
+++ b/tests/store_epochs/restorable_store.cc
@@ -70,6 +70,8 @@
 
 ScriptedEndpoint::Reply RestorableStore::Respond(
     const std::string& head) const {
+  if (is_silent_)
+    return {};
   const std::string target = TargetOf(head);
   const auto kind = std::find_if(
       std::begin(kKinds), std::end(kKinds), [&](StoreKind candidate) {
--- a/tests/store_epochs/restorable_store.h
+++ b/tests/store_epochs/restorable_store.h
@@ -21,6 +21,8 @@
   // Takes the copy that Restore returns to.
   void Copy() { copy_ = contents_; }
   void Restore();
+  // While it is silent, calls are read and never answered.
+  void set_silent(bool is_silent) { is_silent_ = is_silent; }
 
   uint64_t revision() const { return contents_.revision; }
   // GET calls for a kind.
@@ -49,6 +51,7 @@
 
   platform::PlatformCodec codec_;
   uint64_t epoch_ = 1;
+  bool is_silent_ = false;
   Contents contents_;
   Contents copy_;
   ScriptedEndpoint server_;
--- /dev/null
+++ b/tests/streams/outdated_endpoints_test.cc
@@ -0,0 +1,206 @@
+#include <boost/test/unit_test.hpp>
+
+#include "gateway/gateway_fixtures.h"
+#include "gateway/gateway_harness.h"
+#include "libteaselthread/rendezvous_hash.h"
+#include "platform/wire_names.h"
+#include "store_epochs/restorable_store.h"
+#include "teaselthread/store/store_controller.h"
+
+namespace teaselthread {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using test::EventChunk;
+using test::Field;
+using test::HasStatus;
+using test::IsComplete;
+using test::kLastChunk;
+using test::MakeRequest;
+using test::ScriptedEndpoint;
+using test::StreamHead;
+using Reply = ScriptedEndpoint::Reply;
+
+constexpr Duration kTick = milliseconds(20);
+// Longer than the store lets a watch wait.
+constexpr Duration kWatchTime = milliseconds(150);
+const uint32_t kServiceHash = ShortHash("pool");
+
+GatewaySettings WithStore(const SocketAddress& self,
+                          const SocketAddress& store) {
+  std::string text = "[gateway]\nname = node-b\nzone = a\nlog_level = error\n";
+  for (const char* key : {"front_listen", "readiness_listen",
+                          "directory_listen", "metrics_listen", "peer_listen"})
+    text += std::string(key) + " = " + self.ToString() + "\n";
+  text += "store = " + store.ToString() + "\n";
+  return GatewaySettings::Parse(text, "test").TakeValue();
+}
+
+// A gateway that has known version 1 for long, and a store in which version 2
+// joins. Streams begin at version 2 through other gateways.
+struct OutdatedFixture {
+  OutdatedFixture()
+      : store(&harness.io()), first(StartEngine()), second(StartEngine()) {
+    GatewayState& state = harness.state();
+    state.Reload(WithStore(state.settings().front_listen(), store.address()));
+    RouteTableParts parts = test::MakeRoutes().parts();
+    parts.version = 2;
+    for (ServiceSpec& service : parts.services)
+      service.cold_start = Duration::zero();
+    state.UpdateRoutes(RouteTable::Create(std::move(parts)).TakeValue());
+    controller = std::make_unique<StoreController>(&state);
+    state.set_endpoint_confirmation([this](Duration max_age) {
+      return controller->ConfirmEndpoints(max_age);
+    });
+    WriteEngine("1", *first);
+    state.version_history().OnRegistered(kServiceHash, "1",
+                                         state.Now() - seconds(60));
+    controller->Start();
+    Run(kWatchTime);
+  }
+
+  std::unique_ptr<ScriptedEndpoint> StartEngine() {
+    return std::make_unique<ScriptedEndpoint>(
+        &harness.io(), [](const std::string&, const std::string& id, int) {
+          return Reply{StreamHead(id) + EventChunk(2) + kLastChunk};
+        });
+  }
+  void WriteEngine(const std::string& version, const ScriptedEndpoint& engine) {
+    store.Write(StoreKind::kEndpoints, "engine-" + version,
+                R"({"service":"pool","zone":"a","slots":64,"state":"ready",)"
+                R"("cold_left_ms":0,"born":5,"version":")" +
+                    version + R"(","address":")" + engine.address().ToString() +
+                    R"("})");
+  }
+  // Heartbeats of a zone leader that knows of no change since `revision`, if
+  // there is one.
+  void Run(Duration time, std::optional<uint64_t> revision = std::nullopt) {
+    GatewayState& state = harness.state();
+    const Peer leader{
+        "a-leader", "a", {"192.0.2.9", 9}, {"192.0.2.9", 8}, true};
+    for (Duration passed{}; passed < time; passed += kTick) {
+      if (revision) {
+        PeerStatus status;
+        status.serving = true;
+        status.configuration_version = 2;
+        status.configuration_age = Duration::zero();
+        status.echoed_at = GatewayState::BootNow();
+        status.lists[0] = ListStatus{*revision, *revision, {}, {}};
+        status.lists[1] = status.lists[0];
+        state.peers().OnIdentity(leader, state.Now());
+        state.peers().OnHeartbeat(leader.peer_address, status, state.Now());
+        controller->OnPeerStatus(status);
+      }
+      state.timers().Advance(state.Now());
+      harness.RunFor(kTick);
+    }
+  }
+  // The store does not answer the gateway's watch while version 2 joins.
+  void JoinUnnoticed() {
+    store.set_silent(true);
+    Run(kWatchTime);
+    WriteEngine("2", *second);
+  }
+  // The record of a stream that began at version 2 is in the store.
+  void AddRecord() {
+    harness.state().set_stream_record_source(
+        [this](Duration) -> asio::awaitable<bool> {
+          GatewayState& state = harness.state();
+          state.stream_origins().Add(StreamKey::Of("pool", "office", "id-1"),
+                                     kServiceHash, "2", state.Now());
+          co_return true;
+        });
+  }
+  // A caller whose stream broke off elsewhere continues it at this gateway.
+  std::string Resume() {
+    return harness.Exchange(
+        MakeRequest("POST", "/chat/", "id-" + std::to_string(++requests),
+                    "body",
+                    Field(platform::kLastEventId, "1") +
+                        Field(platform::kResumes, "id-1")),
+        IsComplete);
+  }
+  void CheckIsRefused() {
+    const std::string response = Resume();
+    BOOST_TEST(HasStatus(response, "503"), response);
+    BOOST_TEST(response.find("stream-origin-unknown") != std::string::npos);
+    BOOST_TEST(first->heads().size() + second->heads().size() == 0u);
+  }
+
+  test::GatewayHarness harness;
+  test::RestorableStore store;
+  std::unique_ptr<ScriptedEndpoint> first;   // of version 1
+  std::unique_ptr<ScriptedEndpoint> second;  // of version 2
+  std::unique_ptr<StoreController> controller;
+  int requests = 1;
+};
+
+BOOST_FIXTURE_TEST_SUITE(a_gateway_where_a_stream_is_resumed, OutdatedFixture)
+
+BOOST_AUTO_TEST_SUITE(that_has_not_heard_of_a_version_that_joined)
+
+// Guards against streams that are joined from two versions: the gateway took
+// the version that it knew for the only one.
+BOOST_AUTO_TEST_CASE(continues_it_at_no_version_while_it_is_cut_off) {
+  JoinUnnoticed();
+  CheckIsRefused();
+}
+
+BOOST_AUTO_TEST_CASE(refuses_it_at_once_if_it_knows_that_it_is_cut_off) {
+  JoinUnnoticed();
+  CheckIsRefused();
+  const auto start = std::chrono::steady_clock::now();
+  CheckIsRefused();
+  BOOST_TEST((std::chrono::steady_clock::now() - start < milliseconds(300)));
+}
+
+BOOST_AUTO_TEST_CASE(continues_it_at_that_version_if_the_store_responds_again) {
+  AddRecord();
+  JoinUnnoticed();
+  store.set_silent(false);
+  BOOST_TEST(HasStatus(Resume(), "200"));
+  BOOST_TEST(first->heads().size() == 0u);
+  BOOST_TEST(second->heads().size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(refuses_it_if_there_is_no_record_of_it_either) {
+  JoinUnnoticed();
+  store.set_silent(false);
+  CheckIsRefused();
+}
+
+// A relayed batch was lost, or the leader has not heard of it either.
+BOOST_AUTO_TEST_CASE(asks_the_store_although_its_zone_leader_informs_it) {
+  AddRecord();
+  const uint64_t revision = store.revision();
+  Run(milliseconds(600), revision);
+  WriteEngine("2", *second);
+  Run(milliseconds(100), revision);
+  BOOST_TEST(HasStatus(Resume(), "200"));
+  BOOST_TEST(first->heads().size() == 0u);
+  BOOST_TEST(second->heads().size() == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(while_one_version_serves)
+
+BOOST_AUTO_TEST_CASE(continues_it_there_with_one_call_for_several_streams) {
+  const uint64_t revision = store.revision();
+  Run(milliseconds(600), revision);
+  const int reads = store.reads(StoreKind::kEndpoints);
+  for (int i = 0; i < 3; ++i)
+    BOOST_TEST(HasStatus(Resume(), "200"));
+  BOOST_TEST(store.reads(StoreKind::kEndpoints) == reads + 1);
+  Run(milliseconds(400), revision);
+  BOOST_TEST(store.reads(StoreKind::kEndpoints) == reads + 1);
+  BOOST_TEST(first->heads().size() == 3u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace teaselthread
--- a/tests/streams/resumed_streams_test.cc
+++ b/tests/streams/resumed_streams_test.cc
@@ -42,6 +42,8 @@
     parts.customers.push_back({"shop", {"key-2"}, std::nullopt});
     harness.state().UpdateRoutes(
         RouteTable::Create(std::move(parts)).TakeValue());
+    harness.state().set_endpoint_confirmation(
+        [](Duration) -> asio::awaitable<bool> { co_return true; });
   }
 
   // Each endpoint sends the first event and stalls, or the rest of a stream.
