Streams: tell unconfirmed from unknown origins

Cause: a resumed stream that is refused since the store does not confirm that one version serves was logged and counted as "unknown", like one of which no record is found; whoever is on call looks for it at different places. Change: streams_resumed_total and the line stream-resumed name it "unconfirmed".

--- a/src/libteaselthread/streams/stream_origins.cc
+++ b/src/libteaselthread/streams/stream_origins.cc
@@ -10,7 +10,7 @@
 
 std::string_view ToString(OriginSource source) {
   constexpr std::string_view kNames[kOriginSourceCount] = {
-      "memory", "single-version", "record", "unknown"};
+      "memory", "single-version", "record", "unconfirmed", "unknown"};
   return kNames[static_cast<size_t>(source)];
 }
 
--- a/src/libteaselthread/streams/stream_origins.h
+++ b/src/libteaselthread/streams/stream_origins.h
@@ -46,9 +46,12 @@
   kSingleVersion,
   // It was read from the store.
   kRecord,
+  // Not known: one version has served as far as this node knows, but the store
+  // does not confirm that.
+  kUnconfirmed,
   kUnknown,
 };
-inline constexpr size_t kOriginSourceCount = 4;
+inline constexpr size_t kOriginSourceCount = 5;
 std::string_view ToString(OriginSource source);
 
 // The versions that began the streams of which this node has relayed the first
--- a/src/teaselthread/requests/resumed_streams.cc
+++ b/src/teaselthread/requests/resumed_streams.cc
@@ -43,10 +43,12 @@
   std::optional<Origin> origin = co_await Find(request);
   // If the store does not confirm that there is one version, it does not show
   // the records either.
-  const bool is_unconfirmed = !origin && SingleVersion(request);
-  if (!origin && !is_unconfirmed)
+  Origin unknown;
+  if (!origin && SingleVersion(request))
+    unknown.source = OriginSource::kUnconfirmed;
+  else if (!origin)
     origin = co_await FindInRecords(exchange);
-  Log(exchange, origin.value_or(Origin{}));
+  Log(exchange, origin.value_or(unknown));
   if (!origin)
     co_return RefusalReason::kStreamOriginUnknown;
   request.required_version = origin->version;
@@ -150,7 +152,7 @@
       .Add("resumes", head.resumed_id.substr(0, kMaxLoggedIdBytes))
       .Add("service", exchange.request.service->name)
       .Add("source", ToString(origin.source));
-  if (origin.source != OriginSource::kUnknown)
+  if (!origin.version.empty())
     line.Add("version", origin.version);
   if (const auto read_at = state_->version_history().records_read_at())
     line.AddTime("records_age", state_->Now() - *read_at);
--- a/tests/streams/outdated_endpoints_test.cc
+++ b/tests/streams/outdated_endpoints_test.cc
@@ -150,6 +150,9 @@
 BOOST_AUTO_TEST_CASE(refuses_it_at_once_if_it_knows_that_it_is_cut_off) {
   JoinUnnoticed();
   CheckIsRefused();
+  const std::string metric =
+      R"(teaselthread_streams_resumed_total{reason="unconfirmed"} 1)";
+  BOOST_TEST(harness.state().RenderMetrics().find(metric) != std::string::npos);
   const auto start = std::chrono::steady_clock::now();
   CheckIsRefused();
   BOOST_TEST((std::chrono::steady_clock::now() - start < milliseconds(300)));
