--- a/tests/endpoint_faults/unread_uploads_test.cc
+++ b/tests/endpoint_faults/unread_uploads_test.cc
@@ -104,6 +104,40 @@
   }
 }
 
+// The endpoint's process has ended.
+BOOST_AUTO_TEST_CASE(is_an_error_if_an_orderly_end_comes_before_the_reset) {
+  for (const Duration pause : kPauses) {
+    UploadFixture fixture;
+    fixture.StartEndpoints("/order/", [=](const std::string& id) {
+      Reply reply = ResetResponse(id, pause);
+      reply.half_closes = true;
+      return reply;
+    });
+    BOOST_TEST(HasStatus(fixture.Upload("/order/"), "502"));
+  }
+}
+
+// A caller of HTTP/1.0 takes an orderly end of its connection for that of the
+// stream.
+BOOST_AUTO_TEST_CASE(resets_the_caller_if_no_other_endpoint_continues_it) {
+  for (const char* version : {"HTTP/1.0", "HTTP/1.1"}) {
+    UploadFixture fixture;
+    fixture.Start("pool", 1,
+                  [](const std::string&, const std::string& id, int) {
+                    return ResetResponse(id, milliseconds(20));
+                  });
+    std::string request =
+        MakeRequest("POST", "/chat/", "id-1", std::string(kUploadBytes, 'x'),
+                    "Connection: close\r\n");
+    request.replace(request.find("HTTP/1.1"), 8, version);
+    const std::string response = fixture.harness.Exchange(
+        request, [](const std::string&) { return false; });
+    BOOST_TEST(response.find(kEvent) != std::string::npos);
+    BOOST_TEST(!IsComplete(response), response);
+    BOOST_TEST(fixture.harness.last_failure() == asio::error::connection_reset);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(that_is_whole)
--- a/tests/gateway/gateway_harness.cc
+++ b/tests/gateway/gateway_harness.cc
@@ -168,6 +168,11 @@
                                                   const Reply& reply) {
   boost::system::error_code failure;
   socket.shutdown(tcp::socket::shutdown_send, failure);
+  if (reply.resets) {
+    socket.set_option(asio::socket_base::linger(true, 0), failure);
+    socket.close(failure);
+    co_return;
+  }
   if (reply.stops_reading) {
     co_await socket.async_wait(tcp::socket::wait_error, kAsTuple);
     co_return;
--- a/tests/gateway/gateway_harness.h
+++ b/tests/gateway/gateway_harness.h
@@ -25,7 +25,7 @@
     bool resets = false;  // resets the connection after the bytes
     bool reads_body = true;
     // Closes its side of the connection after the bytes and reads on, unless it
-    // stops reading, until the gateway closes the connection.
+    // stops reading or resets the connection, until the gateway closes it.
     bool half_closes = false;
     bool stops_reading = false;
     // Sent again and again after the bytes until the gateway closes the
