Responses: the parts that read them have a folder

Change: http/response_head, http/message_framing and http/idle_connection; names and comments of the confirmation of lists that a reader would ask about.

--- a/src/teaselthread/endpoint_call.cc
+++ b/src/teaselthread/endpoint_call.cc
@@ -3,9 +3,9 @@
 #include <algorithm>
 #include <array>
 
+#include "teaselthread/http/response_head.h"
 #include "teaselthread/http_client.h"
 #include "teaselthread/io_timeout.h"
-#include "teaselthread/response_head.h"
 
 namespace teaselthread {
 namespace {
--- a/src/teaselthread/endpoint_connection_pool.cc
+++ b/src/teaselthread/endpoint_connection_pool.cc
@@ -1,6 +1,6 @@
 #include "teaselthread/endpoint_connection_pool.h"
 
-#include "teaselthread/idle_connection.h"
+#include "teaselthread/http/idle_connection.h"
 
 namespace teaselthread {
 namespace {
--- a/src/teaselthread/gateway/request_reader.cc
+++ b/src/teaselthread/gateway/request_reader.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "teaselthread/message_framing.h"
+#include "teaselthread/http/message_framing.h"
 
 namespace teaselthread {
 namespace {
--- a/src/teaselthread/idle_connection.cc
+++ b/src/teaselthread/http/idle_connection.cc
@@ -1,4 +1,4 @@
-#include "teaselthread/idle_connection.h"
+#include "teaselthread/http/idle_connection.h"
 
 #include <sys/socket.h>
 
--- a/src/teaselthread/idle_connection.h
+++ b/src/teaselthread/http/idle_connection.h
@@ -1,5 +1,5 @@
-#ifndef TEASELTHREAD_IDLE_CONNECTION_H_
-#define TEASELTHREAD_IDLE_CONNECTION_H_
+#ifndef TEASELTHREAD_HTTP_IDLE_CONNECTION_H_
+#define TEASELTHREAD_HTTP_IDLE_CONNECTION_H_
 
 #include "teaselthread/asio.h"
 
@@ -11,4 +11,4 @@
 
 }  // namespace teaselthread
 
-#endif  // TEASELTHREAD_IDLE_CONNECTION_H_
+#endif  // TEASELTHREAD_HTTP_IDLE_CONNECTION_H_
--- a/src/teaselthread/message_framing.cc
+++ b/src/teaselthread/http/message_framing.cc
@@ -1,4 +1,4 @@
-#include "teaselthread/message_framing.h"
+#include "teaselthread/http/message_framing.h"
 
 namespace teaselthread {
 
--- a/src/teaselthread/message_framing.h
+++ b/src/teaselthread/http/message_framing.h
@@ -1,5 +1,5 @@
-#ifndef TEASELTHREAD_MESSAGE_FRAMING_H_
-#define TEASELTHREAD_MESSAGE_FRAMING_H_
+#ifndef TEASELTHREAD_HTTP_MESSAGE_FRAMING_H_
+#define TEASELTHREAD_HTTP_MESSAGE_FRAMING_H_
 
 #include "teaselthread/asio.h"
 
@@ -12,4 +12,4 @@
 
 }  // namespace teaselthread
 
-#endif  // TEASELTHREAD_MESSAGE_FRAMING_H_
+#endif  // TEASELTHREAD_HTTP_MESSAGE_FRAMING_H_
--- a/src/teaselthread/response_head.cc
+++ b/src/teaselthread/http/response_head.cc
@@ -1,8 +1,8 @@
-#include "teaselthread/response_head.h"
+#include "teaselthread/http/response_head.h"
 
 #include <string_view>
 
-#include "teaselthread/message_framing.h"
+#include "teaselthread/http/message_framing.h"
 
 namespace teaselthread {
 namespace {
--- a/src/teaselthread/response_head.h
+++ b/src/teaselthread/http/response_head.h
@@ -1,5 +1,5 @@
-#ifndef TEASELTHREAD_RESPONSE_HEAD_H_
-#define TEASELTHREAD_RESPONSE_HEAD_H_
+#ifndef TEASELTHREAD_HTTP_RESPONSE_HEAD_H_
+#define TEASELTHREAD_HTTP_RESPONSE_HEAD_H_
 
 #include <optional>
 
@@ -63,4 +63,4 @@
 
 }  // namespace teaselthread
 
-#endif  // TEASELTHREAD_RESPONSE_HEAD_H_
+#endif  // TEASELTHREAD_HTTP_RESPONSE_HEAD_H_
--- a/src/teaselthread/http_client.cc
+++ b/src/teaselthread/http_client.cc
@@ -1,7 +1,7 @@
 #include "teaselthread/http_client.h"
 
+#include "teaselthread/http/response_head.h"
 #include "teaselthread/io_timeout.h"
-#include "teaselthread/response_head.h"
 
 namespace teaselthread {
 namespace {
--- a/src/teaselthread/http_connection.cc
+++ b/src/teaselthread/http_connection.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "teaselthread/idle_connection.h"
+#include "teaselthread/http/idle_connection.h"
 #include "teaselthread/keep_alive.h"
 
 namespace teaselthread {
--- a/src/teaselthread/requests/endpoint_attempt.cc
+++ b/src/teaselthread/requests/endpoint_attempt.cc
@@ -2,9 +2,9 @@
 
 #include <charconv>
 
+#include "teaselthread/http/response_head.h"
 #include "teaselthread/http_client.h"
 #include "teaselthread/keep_alive.h"
-#include "teaselthread/response_head.h"
 
 namespace teaselthread {
 namespace {
--- a/src/teaselthread/requests/endpoint_connections.cc
+++ b/src/teaselthread/requests/endpoint_connections.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "teaselthread/idle_connection.h"
+#include "teaselthread/http/idle_connection.h"
 
 namespace teaselthread {
 namespace {
@@ -29,7 +29,8 @@
   while (!idle.empty()) {
     EndpointConnectionPtr connection = std::move(idle.back());
     idle.pop_back();
-    if (now < connection->usable_until && HasNoPendingInput(connection->socket)) {
+    if (now < connection->usable_until &&
+        HasNoPendingInput(connection->socket)) {
       connection->is_reused = !std::exchange(connection->is_unused, false);
       return connection;
     }
--- a/src/teaselthread/store/list_controller.cc
+++ b/src/teaselthread/store/list_controller.cc
@@ -13,7 +13,8 @@
 constexpr Duration kMinCallTime = milliseconds(800);
 // Longer than a call takes to fail, which shows that further ones are useless.
 constexpr Duration kConfirmationTimeout = milliseconds(1'000);
-// A call that was made too early for one who asks is followed by another.
+// A call in progress may be older than the caller of Confirm wants it, and end
+// before it can be replaced.
 constexpr int kMaxConfirmationCalls = 3;
 
 }  // namespace
@@ -133,8 +134,9 @@
       confirmation_ended_.expires_after(kConfirmationTimeout);
       watcher_.CallNow();
     }
-    auto [ended] = co_await confirmation_ended_.async_wait(kAsTuple);
-    if (!ended) {  // it has expired
+    auto [cancelled] = co_await confirmation_ended_.async_wait(kAsTuple);
+    const bool has_expired = !cancelled;
+    if (has_expired) {
       is_confirming_ = false;
       co_return is_confirmed();
     }
@@ -142,8 +144,8 @@
   co_return is_confirmed();
 }
 
-void ListController::OnConfirmed(Timestamp confirmed_at) {
-  confirmed_at_ = confirmed_at;
+void ListController::OnConfirmed(Timestamp called_at) {
+  confirmed_at_ = called_at;
   EndConfirmation();
 }
 
