Store: one time of confirmation, and one way to call at once

ListController kept a time of confirmation of its own, since that of StoreWatcher was also set if a relayed batch had overtaken changes that then were not applied. And CallNow stood beside the same choice in ListController::Check, and the timing of a probe twice in ChoosePollTiming.

Change: StoreWatcher sets its time only if the response leaves no change unknown, and ListController has none. A leader that had missed changes in this way no longer states too young an age of its list. Check uses CallNow, and the two probes share a branch.

The case that a relayed batch overtakes a call has no test of its own.

--- a/src/teaselthread/store/list_controller.cc
+++ b/src/teaselthread/store/list_controller.cc
@@ -50,19 +50,15 @@
 }
 
 StoreWatcher::PollTiming ListController::ChoosePollTiming() const {
-  if (is_confirming_)
-    return {StoreWatcher::kProbeWait, Duration::zero(),
-            IsLeader() ? StoreWatcher::kLeaderBackoff
-                       : StoreWatcher::kFollowerBackoff};
-  if (IsLeader())
-    return {timing_.leader_wait, timing_.batch_delay,
-            StoreWatcher::kLeaderBackoff};
-  if (probe_pending_)
-    return {StoreWatcher::kProbeWait, Duration::zero(),
-            StoreWatcher::kFollowerBackoff};
+  const bool is_leader = IsLeader();
+  const StoreWatcher::BackoffLimits backoff =
+      is_leader ? StoreWatcher::kLeaderBackoff : StoreWatcher::kFollowerBackoff;
+  if (is_confirming_ || (probe_pending_ && !is_leader))
+    return {StoreWatcher::kProbeWait, Duration::zero(), backoff};
+  if (is_leader)
+    return {timing_.leader_wait, timing_.batch_delay, backoff};
   const bool is_informed = watcher_.view().IsInformed(state_->Now());
-  return {StoreWatcher::kLongWait, timing_.batch_delay,
-          StoreWatcher::kFollowerBackoff, is_informed};
+  return {StoreWatcher::kLongWait, timing_.batch_delay, backoff, is_informed};
 }
 
 void ListController::OnPeerRevision(uint64_t revision, StoreEpoch epoch) {
@@ -105,10 +101,7 @@
       .Add("suspended", watcher_.is_suspended());
   state_->log().Info(line);
   probe_pending_ = true;
-  if (watcher_.is_suspended())
-    watcher_.Resume();
-  else
-    watcher_.Reconnect();
+  watcher_.CallNow();
 }
 
 bool ListController::HasMissedChange() const {
@@ -123,9 +116,7 @@
 
 asio::awaitable<bool> ListController::Confirm(Duration max_age) {
   const Timestamp since = GatewayState::BootNow() - max_age;
-  const auto is_confirmed = [&] {
-    return confirmed_at_ && *confirmed_at_ >= since;
-  };
+  const auto is_confirmed = [&] { return watcher_.confirmed_at() >= since; };
   for (int call = 0; call < kMaxConfirmationCalls && !is_confirmed(); ++call) {
     if (watcher_.is_unreachable())
       co_return false;
@@ -144,11 +135,6 @@
   co_return is_confirmed();
 }
 
-void ListController::OnConfirmed(Timestamp called_at) {
-  confirmed_at_ = called_at;
-  EndConfirmation();
-}
-
 void ListController::EndConfirmation() {
   is_confirming_ = false;
   confirmation_ended_.cancel();
@@ -163,24 +149,19 @@
 
 void ListController::OnList(const StoreUpdate& update) {
   handlers_.replace_all(Decode(update.objects));
-  OnConfirmed(update.requested_at);
+  EndConfirmation();
 }
 
 void ListController::OnChanges(const StoreUpdate& update) {
   probe_pending_ = false;
-  if (!update.objects.empty()) {
-    ChangeBatch batch{update.from, update.to, Decode(update.objects),
-                      watcher_.epoch()};
-    handlers_.apply(batch.changes);
-    if (IsLeader() && on_batch_)
-      on_batch_(list_, batch);
-  }
-  // Changes that a relayed batch has overtaken were not applied, and are in the
-  // response to the next call.
-  if (watcher_.revision() >= update.to)
-    OnConfirmed(update.requested_at);
-  else
-    EndConfirmation();
+  EndConfirmation();
+  if (update.objects.empty())
+    return;
+  ChangeBatch batch{update.from, update.to, Decode(update.objects),
+                    watcher_.epoch()};
+  handlers_.apply(batch.changes);
+  if (IsLeader() && on_batch_)
+    on_batch_(list_, batch);
 }
 
 ListController::Changes ListController::Decode(
--- a/src/teaselthread/store/list_controller.h
+++ b/src/teaselthread/store/list_controller.h
@@ -69,8 +69,6 @@
   // Whether a change that this gateway has heard of has not reached it in time.
   bool HasMissedChange() const;
   StoreWatcher::Callbacks MakeCallbacks();
-  // All changes that the store had at the time of a call have been applied.
-  void OnConfirmed(Timestamp called_at);
   void EndConfirmation();
 
   GatewayState* state_;
@@ -86,9 +84,6 @@
   bool probe_pending_ = false;  // a change was missed; the store is to be asked
   bool is_confirming_ = false;
   asio::steady_timer confirmation_ended_;  // cancelled at the end of a call
-  // Time of the latest call that OnConfirmed was told of, on the clock that
-  // counts suspension.
-  std::optional<Timestamp> confirmed_at_;
   StoreWatcher watcher_;
 };
 
--- a/src/teaselthread/store/store_watcher.cc
+++ b/src/teaselthread/store/store_watcher.cc
@@ -160,13 +160,16 @@
     co_return CallResult::kRelist;
   OnSuccess(page->objects);
   LogUnidentified(*page);
-  confirmed_at_ = requested_at;
   view_.OnConfirmed(called_at_);
   relists_ = 0;
   const bool has_changes = !page->objects.empty();
   StoreUpdate update{{}, from, page->revision, requested_at};
   if (view_.OnChanges(from, page->revision, has_changes))
     update.objects = page->objects;
+  // Changes that a relayed batch has overtaken are not applied now, and are in
+  // the response to the next call.
+  if (view_.revision() >= page->revision)
+    confirmed_at_ = requested_at;
   callbacks_.on_changes(update);
   if (has_changes) {
     pause_.expires_after(poll_timing_().batch_delay);
--- a/src/teaselthread/store/store_watcher.h
+++ b/src/teaselthread/store/store_watcher.h
@@ -104,8 +104,9 @@
   }
   // How long the call in progress, or the latest one, waits for changes.
   Duration call_wait() const { return call_wait_; }
-  // When the latest successful call was made, on the clock that counts
-  // suspension of the machine.
+  // When the latest call was made whose response leaves no change unknown that
+  // the store had at that time, on the clock that counts suspension of the
+  // machine.
   std::optional<Timestamp> confirmed_at() const { return confirmed_at_; }
   // When the most recent of the failed calls was made.
   Timestamp last_failed_call_at() const { return last_failed_call_at_; }
