Tests: one call of a node and one whole response for all cases of endpoints

Cause: on reading the change again. invalid_responses_test had written again the endpoint call of a node and the whole response that endless_bytes_test has, and unread_uploads_test and torn_heads_test had the latter too. Change: node_call makes the call for both; ServiceOf and WholeResponse of the harness serve all four. Assertions are as they were.

--- a/tests/endpoint_faults/endless_bytes_test.cc
+++ b/tests/endpoint_faults/endless_bytes_test.cc
@@ -1,8 +1,8 @@
 #include <boost/test/unit_test.hpp>
 
+#include "endpoint_faults/node_call.h"
 #include "gateway/gateway_harness.h"
 #include "platform/wire_names.h"
-#include "teaselthread/endpoint_call.h"
 #include "teaselthread/http_client.h"
 
 namespace teaselthread {
@@ -11,11 +11,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 using test::Chunk;
-using test::EventChunk;
 using test::Field;
 using test::HasStatus;
 using test::IsComplete;
-using test::kLastChunk;
 using test::MakeRequest;
 using test::MakeResponse;
 using test::StreamHead;
@@ -78,11 +76,6 @@
      kResponseBytes},
 };
 
-Reply WholeResponse(const std::string& service, const std::string& id) {
-  return {service == "pool" ? StreamHead(id) + EventChunk(1) + kLastChunk
-                            : MakeResponse(id, "done")};
-}
-
 std::string WithId(std::string bytes, const std::string& id) {
   const size_t at = bytes.find(kId);
   return at == std::string::npos ? bytes : bytes.replace(at, kId.size(), id);
@@ -107,11 +100,11 @@
     Start(faulty, 1,
           [=](const std::string& head, const std::string& id, int number) {
             return number < whole_responses
-                       ? WholeResponse(faulty, id)
+                       ? Reply{test::WholeResponse(faulty, id)}
                        : EndlessScript(bytes)(head, id, number);
           });
     Start(sound, 1, [=](const std::string&, const std::string& id, int) {
-      return WholeResponse(sound, id);
+      return Reply{test::WholeResponse(sound, id)};
     });
   }
 
@@ -176,13 +169,6 @@
   }
 }
 
-class DiscardingSink : public FrameSink {
- public:
-  void Write(wire::ForwardFrame) override {}
-  void Close() override {}
-  bool cancelled() const override { return false; }
-};
-
 void CheckAttemptEnds(EndlessBytesFixture& fixture, const EndlessBytes& bytes) {
   const auto start = std::chrono::steady_clock::now();
   const std::string response = fixture.Send(fixture.faulty_path, "id-1");
@@ -233,17 +219,8 @@
 
 BOOST_AUTO_TEST_CASE(ends_the_call_of_a_node) {
   CheckCallsEnd([](SocketAddress address) -> asio::awaitable<void> {
-    const wire::ForwardRequest request;
-    Endpoint endpoint;
-    endpoint.address = address;
     EndpointConnectionPool pool;
-    DiscardingSink sink;
-    const auto now = [] { return Timestamp(); };
-    EndpointCall call(endpoint, request,
-                      {kCallTimeout, kCallTimeout, now() + kCallTimeout,
-                       now() + kCallTimeout},
-                      &pool, now);
-    co_await call.Run(sink);
+    co_await test::CallEndpoint(address, &pool, kCallTimeout);
   });
 }
 
--- a/tests/endpoint_faults/invalid_responses_test.cc
+++ b/tests/endpoint_faults/invalid_responses_test.cc
@@ -1,8 +1,8 @@
 #include <boost/test/unit_test.hpp>
 
+#include "endpoint_faults/node_call.h"
 #include "gateway/gateway_harness.h"
 #include "platform/wire_names.h"
-#include "teaselthread/endpoint_call.h"
 #include "teaselthread/http_connection.h"
 
 namespace teaselthread {
@@ -53,11 +53,6 @@
                     "\r\n" + line + "\r\n");
 }
 
-Reply WholeResponse(const std::string& path, const std::string& id) {
-  return {path == "/chat/" ? StreamHead(id) + EventChunk(1) + kLastChunk
-                           : MakeResponse(id, "done")};
-}
-
 // Endpoints that all send the same bytes and close the connection, after
 // `whole_responses` valid responses.
 void CheckCallerGetsAnError(const std::string& path,
@@ -66,10 +61,12 @@
                             const std::string& method = "POST") {
   test::ScriptedEndpointsFixture fixture;
   int seen = 0;
-  fixture.Start(path == "/chat/" ? "pool" : "desk", 2,
+  const std::string service = test::ServiceOf(path);
+  fixture.Start(service, 2,
                 [&](const std::string&, const std::string& id, int) {
-                  return seen++ < whole_responses ? WholeResponse(path, id)
-                                                  : Reply{bytes, true};
+                  return seen++ < whole_responses
+                             ? Reply{test::WholeResponse(service, id)}
+                             : Reply{bytes, true};
                 });
   for (int i = 0; i < whole_responses; ++i) {
     const std::string before = "id-before-" + std::to_string(i);
@@ -104,31 +101,6 @@
   BOOST_TEST(ended);
 }
 
-class CollectingSink : public FrameSink {
- public:
-  void Write(wire::ForwardFrame frame) override { body += frame.data(); }
-  void Close() override {}
-  bool cancelled() const override { return false; }
-
-  std::string body;
-};
-
-// Makes a call of a node. Returns the body, or nothing if it fails.
-asio::awaitable<std::optional<std::string>> CallEndpoint(
-    Endpoint endpoint,
-    EndpointConnectionPool* pool) {
-  wire::ForwardRequest request;
-  request.set_repeatable(true);
-  CollectingSink sink;
-  const auto now = [] { return Timestamp(); };
-  EndpointCall call(
-      endpoint, request,
-      {kCallTimeout, kCallTimeout, now() + kCallTimeout, now() + kCallTimeout},
-      pool, now);
-  const Outcome outcome = co_await call.Run(sink);
-  co_return outcome.answered() ? std::optional(sink.body) : std::nullopt;
-}
-
 void CheckOtherClientsGetAnError(const std::string& bytes) {
   RunCall(bytes, [](SocketAddress address) -> asio::awaitable<void> {
     std::string no_body;
@@ -137,10 +109,8 @@
     BOOST_TEST(!reply.has_value());
   });
   RunCall(bytes, [](SocketAddress address) -> asio::awaitable<void> {
-    Endpoint endpoint;
-    endpoint.address = address;
     EndpointConnectionPool pool;
-    const auto body = co_await CallEndpoint(endpoint, &pool);
+    const auto body = co_await test::CallEndpoint(address, &pool, kCallTimeout);
     BOOST_TEST(!body.has_value());
   });
 }
@@ -280,7 +250,7 @@
          {"Content-Encoding: gzip\r\n", "X-Seal: other\r\n",
           "X-Name: value\r\n folded\r\n"}) {
       test::ScriptedEndpointsFixture fixture;
-      fixture.Start(std::string(path) == "/chat/" ? "pool" : "desk", 1,
+      fixture.Start(test::ServiceOf(path), 1,
                     [&](const std::string&, const std::string& id, int) {
                       return Reply{StreamHead(id) + EventChunk(1) + "0\r\n" +
                                    trailer + "\r\n"};
@@ -331,9 +301,9 @@
 
 // The endpoint calls of a node.
 struct NodeClient {
-  explicit NodeClient(SocketAddress address) { endpoint.address = address; }
+  explicit NodeClient(SocketAddress address) : address(std::move(address)) {}
 
-  Endpoint endpoint;
+  SocketAddress address;
   EndpointConnectionPool pool;
 };
 
@@ -353,8 +323,8 @@
     BOOST_TEST(of_connection == expected, boost::test_tools::per_element());
     const auto of_node = MakeTwoCalls<NodeClient>(
         pause, [](NodeClient& client) -> asio::awaitable<std::string> {
-          const auto body =
-              co_await CallEndpoint(client.endpoint, &client.pool);
+          const auto body = co_await test::CallEndpoint(
+              client.address, &client.pool, kCallTimeout);
           co_return body.value_or("none");
         });
     BOOST_TEST(of_node == expected, boost::test_tools::per_element());
--- a/tests/endpoint_faults/torn_heads_test.cc
+++ b/tests/endpoint_faults/torn_heads_test.cc
@@ -12,9 +12,7 @@
 using test::Field;
 using test::HasStatus;
 using test::IsComplete;
-using test::kLastChunk;
 using test::MakeRequest;
-using test::MakeResponse;
 using test::StreamHead;
 using Reply = test::ScriptedEndpoint::Reply;
 
@@ -53,12 +51,11 @@
 struct TornHeadFixture : test::ScriptedEndpointsFixture {
   TornHeadFixture(std::string path, size_t torn_head, Ending ending)
       : path(std::move(path)) {
-    const bool is_chat = this->path == "/chat/";
-    Start(is_chat ? "pool" : "desk", 2,
+    const std::string service = test::ServiceOf(this->path);
+    Start(service, 2,
           [=, this](const std::string&, const std::string& id, int) {
             if (!is_torn)
-              return Reply{is_chat ? StreamHead(id) + EventChunk(1) + kLastChunk
-                                   : MakeResponse(id, "done")};
+              return Reply{test::WholeResponse(service, id)};
             return Reply{TornHeads(id)[torn_head], ending == Ending::kClosed,
                          ending == Ending::kReset};
           });
--- a/tests/endpoint_faults/unread_uploads_test.cc
+++ b/tests/endpoint_faults/unread_uploads_test.cc
@@ -8,14 +8,11 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-using test::EventChunk;
 using test::Field;
 using test::HasStatus;
 using test::IsComplete;
-using test::kLastChunk;
 using test::MakeRequest;
 using test::MakeResponse;
-using test::StreamHead;
 using Reply = test::ScriptedEndpoint::Reply;
 
 // Larger than the socket buffers of a connection.
@@ -30,13 +27,12 @@
   using Respond = std::function<Reply(const std::string& id)>;
 
   void StartEndpoints(const std::string& path, const Respond& respond_first) {
-    const bool is_chat = path == "/chat/";
-    Start(is_chat ? "pool" : "desk", 2,
+    const std::string service = test::ServiceOf(path);
+    Start(service, 2,
           [=, this](const std::string&, const std::string& id, int) {
             if (seen++ == 0)
               return respond_first(id);
-            return Reply{is_chat ? StreamHead(id) + EventChunk(1) + kLastChunk
-                                 : MakeResponse(id, "done")};
+            return Reply{test::WholeResponse(service, id)};
           });
   }
   std::string Upload(const std::string& path) {
--- a/tests/gateway/gateway_harness.cc
+++ b/tests/gateway/gateway_harness.cc
@@ -317,6 +317,15 @@
   return Chunk("id: " + std::to_string(id) + "\ndata: piece\n\n");
 }
 
+std::string ServiceOf(const std::string& path) {
+  return path == "/chat/" ? "pool" : "desk";
+}
+
+std::string WholeResponse(const std::string& service, const std::string& id) {
+  return service == "pool" ? StreamHead(id) + EventChunk(1) + kLastChunk
+                           : MakeResponse(id, "done");
+}
+
 bool HasStatus(const std::string& response, const std::string& status) {
   return response.size() > 12 && response.substr(9, 3) == status;
 }
--- a/tests/gateway/gateway_harness.h
+++ b/tests/gateway/gateway_harness.h
@@ -140,6 +140,11 @@
 std::string EventChunk(int id);
 inline constexpr char kLastChunk[] = "0\r\n\r\n";
 
+// The service to which MakeRoutes sends requests for a path.
+std::string ServiceOf(const std::string& path);
+// A complete response of an endpoint of the service.
+std::string WholeResponse(const std::string& service, const std::string& id);
+
 bool HasStatus(const std::string& response, const std::string& status);
 // Whether a response with a Content-Length or chunked encoding is complete.
 bool IsComplete(const std::string& response);
