Review 11: one of seven gateways, and clients that ask the directories

Done: seven gateways, three workers join twelve, and clients hold the addresses that the directories name to their zone.

--- a/review/11/case.cc
+++ b/review/11/case.cc
@@ -8,15 +8,17 @@
 namespace review {
 namespace {
 
-constexpr size_t kFrozen = 4;  // the only gateway of its zone
-constexpr size_t kStreams = 60;
+constexpr size_t kFrozen = 6;  // the only gateway of its zone
+constexpr size_t kOlderWorkers = 12;
+constexpr size_t kNewerWorkers = 3;
+constexpr size_t kStreams = 180;
 constexpr size_t kMaxMixedStreams = 2;  // that the rule allows
 constexpr int kRetries = 2;
 // Longer than twice the route's timeout, for which a gateway remembers which
 // versions have served.
 constexpr milliseconds kWarmUp(25'500);
 
-Worker::Options MakeOptions(const std::string& version, int number) {
+Worker::Options MakeOptions(const std::string& version, size_t number) {
   const char* zones[] = {"palermo", "catania", "agrigento"};
   Worker::Options options;
   options.id = version + "-worker-" + std::to_string(number);
@@ -28,23 +30,27 @@
 }
 
 asio::awaitable<Verdict> Play(Scene& scene) {
-  scene.WriteConfiguration(3, 10);
-  for (int i = 0; i < 4; ++i)
+  scene.WriteConfiguration(0, 0);
+  for (size_t i = 0; i < kOlderWorkers; ++i)
     scene.StartWorker(MakeOptions("v1", i));
-  scene.fleet.Start({"palermo", "palermo", "catania", "catania", "agrigento"});
+  scene.fleet.Start({"palermo", "palermo", "palermo", "catania", "catania",
+                     "catania", "agrigento"});
   const bool is_ready = co_await scene.fleet.AwaitReady();
   if (!is_ready)
     co_return Verdict::kNotRun;
+  scene.StartClients();
   co_await scene.Wait(kWarmUp);
 
   if (scene.has_trouble)
     scene.fleet.Signal(kFrozen, SIGSTOP);
   const auto frozen_at = SteadyClock::now();
-  co_await scene.Wait(milliseconds(700));
+  co_await scene.Wait(milliseconds(550));
   std::vector<Worker*> newer;
-  for (int i = 0; i < 3; ++i)
+  for (size_t i = 0; i < kNewerWorkers; ++i) {
     newer.push_back(&scene.StartWorker(MakeOptions("v2", i)));
-  co_await scene.Wait(milliseconds(500));
+    co_await scene.Wait(milliseconds(100));
+  }
+  const ZoneAddresses& clients = *scene.addresses.back();  // of agrigento
   std::vector<std::shared_ptr<ClientStream>> streams;
   for (size_t i = 0; i < kStreams; ++i) {
     streams.push_back(std::make_shared<ClientStream>());
@@ -53,11 +59,10 @@
         "a" + std::to_string(i) + ":800,b" + std::to_string(i) + ":410";
     asio::co_spawn(
         scene.io,
-        scene.FollowStream(streams.back(), attempt, i % kFrozen, kRetries),
+        scene.FollowStream(streams.back(), attempt, clients, kRetries),
         asio::detached);
-    co_await scene.Wait(milliseconds(25));
+    co_await scene.Wait(milliseconds(13));
   }
-  co_await scene.Wait(milliseconds(300));
   for (Worker* worker : newer)
     worker->Deregister();
   asio::steady_timer wake(scene.io, frozen_at + milliseconds(3'500));
--- a/review/harness-3/scene.cc
+++ b/review/harness-3/scene.cc
@@ -1,5 +1,6 @@
 #include "scene.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <exception>
 #include <iostream>
@@ -9,6 +10,13 @@
 namespace {
 
 constexpr int kOk = 200;
+// Clients wait as told for up to a third of the time that they have left.
+constexpr int kMaxWaitShare = 3;
+
+milliseconds RetryAfter(const AttemptAnswer& answer) {
+  return milliseconds(
+      static_cast<int64_t>(std::atof(answer.retry_after.c_str()) * 1'000));
+}
 
 uint32_t Seed() {
   const char* seed = std::getenv("SEED");
@@ -68,18 +76,20 @@
   store.Put("config", "main", configuration.as_object());
 }
 
-size_t Scene::OtherGateway(size_t not_this) {
-  std::uniform_int_distribution<size_t> choose(0, fleet.nodes().size() - 2);
-  const size_t index = choose(random);
-  return index >= not_this ? index + 1 : index;
+void Scene::StartClients() {
+  for (const char* zone : {"palermo", "catania", "agrigento"}) {
+    addresses.push_back(std::make_unique<ZoneAddresses>(&io, &fleet, zone));
+    addresses.back()->Start();
+  }
 }
 
 asio::awaitable<void> Scene::FollowStream(std::shared_ptr<ClientStream> stream,
                                           Attempt attempt,
-                                          size_t first,
-                                          int retries) {
+                                          const ZoneAddresses& addresses,
+                                          int retries,
+                                          milliseconds pause) {
   const auto deadline = SteadyClock::now() + attempt.time_left;
-  size_t gateway = first;
+  std::set<uint16_t> failed;
   std::string begun_by;
   for (int tries = 0; tries <= retries && !stream->is_complete; ++tries) {
     attempt.id = NewId();
@@ -91,16 +101,19 @@
     attempt.resumes = begun_by;
     if (stream->first_id.empty())
       stream->first_id = attempt.id;
-    AttemptAnswer answer =
-        co_await Send(io, record, fleet.node(gateway).front, attempt);
+    const uint16_t port = addresses.Pick(failed, &random);
+    AttemptAnswer answer = co_await Send(io, record, port, attempt);
     stream->is_complete = answer.status == kOk && answer.is_complete;
     if (begun_by.empty() && !answer.events.empty())
       begun_by = attempt.id;
-    const double pause_s = std::atof(answer.retry_after.c_str());
+    const auto time_left =
+        std::chrono::duration_cast<milliseconds>(deadline - SteadyClock::now());
+    milliseconds wait = pause;
+    if (answer.is_complete)
+      wait = std::min(RetryAfter(answer), time_left / kMaxWaitShare);
+    failed.insert(port);
     stream->answers.push_back(std::move(answer));
-    if (pause_s > 0)
-      co_await Wait(milliseconds(static_cast<int64_t>(pause_s * 1'000)));
-    gateway = OtherGateway(gateway);
+    co_await Wait(wait);
   }
 }
 
--- a/review/harness-3/scene.h
+++ b/review/harness-3/scene.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "addresses.h"
 #include "client.h"
 #include "fleet.h"
 #include "record.h"
@@ -39,14 +40,15 @@
   Worker& StartWorker(Worker::Options options);
   void WriteConfiguration(double cold_start_s, double cold_per_s);
   asio::awaitable<void> Wait(milliseconds time) { return Sleep(io, time); }
-  // Reads a stream at `first` and, if it breaks off or is refused, again at
-  // another gateway, chosen at random, up to `retries` times.
+  // Addresses for the clients of each of the three zones.
+  void StartClients();
+  // Reads a stream at one of the addresses and, if it breaks off or is refused,
+  // again at another one, up to `retries` times; `pause` after it broke off.
   asio::awaitable<void> FollowStream(std::shared_ptr<ClientStream> stream,
                                      Attempt attempt,
-                                     size_t first,
-                                     int retries);
-  // The index of any gateway but `not_this`.
-  size_t OtherGateway(size_t not_this);
+                                     const ZoneAddresses& addresses,
+                                     int retries,
+                                     milliseconds pause = milliseconds(0));
   std::string NewId() { return "request-" + std::to_string(++last_id); }
 
   asio::io_context io{1};
@@ -55,6 +57,7 @@
   Fleet fleet;
   std::vector<WorkerRun> runs;
   std::vector<std::unique_ptr<Worker>> workers;
+  std::vector<std::unique_ptr<ZoneAddresses>> addresses;
   std::mt19937 random;
   uint64_t last_id = 0;
   // The variable TROUBLE: "0" leaves out all disruptions; "kill", in the cases
