--- a/review/15/case.cc
+++ b/review/15/case.cc
@@ -16,9 +16,9 @@
 constexpr milliseconds kSoundInterval(300);
 constexpr milliseconds kRestart(3'000);  // of a crashed worker
 constexpr milliseconds kDown(1'000);     // of a killed gateway
-constexpr milliseconds kLength(54'000);
-const std::vector<milliseconds> kHerdKills = {milliseconds(14'000),
-                                              milliseconds(33'000)};
+constexpr milliseconds kLength(58'000);
+const std::vector<milliseconds> kHerdKills = {milliseconds(16'600),
+                                              milliseconds(34'100)};
 
 Worker::Options MakeOptions(int number) {
   const char* zones[] = {"palermo", "catania", "agrigento"};
