Streams: note each version that was registered while a gateway was frozen

Cause: VersionHistory looked at the endpoints that were left after a batch of changes. A version that joins and leaves within one batch was never noted, so one version seemed to be the only one, and the records were not read.

Evidence: the gateway logs stream-resumed with source single-version for the streams of v2; one watch response holds both the registrations and the removals.

Fix: each registration in a batch is noted. A list that does not continue what was known begins the history anew (StoreWatcher::known_since); from then on the records are asked, as in a process that has just started, and reads from before the list do not count.

The fixtures said "known for long" by the time of the first registration, and say it by the time of the list now; their checks are the same.

--- a/src/libteaselthread/streams/version_history.cc
+++ b/src/libteaselthread/streams/version_history.cc
@@ -7,16 +7,13 @@
 void VersionHistory::OnRegistered(uint32_t service,
                                   const std::string& version,
                                   Timestamp now) {
-  Service& known = services_[service];
-  if (known.known_since == Timestamp{})
-    known.known_since = now;
-  known.last_served_at[version] = now;
+  last_served_at_[service][version] = now;
 }
 
 void VersionHistory::OnRecorded(uint32_t service,
                                 const std::string& version,
                                 Timestamp time) {
-  Timestamp& last = services_[service].last_served_at[version];
+  Timestamp& last = last_served_at_[service][version];
   last = std::max(last, time);
 }
 
@@ -28,20 +25,14 @@
     uint32_t service,
     Timestamp time) const {
   std::map<std::string, Timestamp> versions;
-  const auto found = services_.find(service);
-  if (found == services_.end())
+  const auto found = last_served_at_.find(service);
+  if (found == last_served_at_.end())
     return versions;
-  for (const auto& [version, last_served_at] : found->second.last_served_at) {
+  for (const auto& [version, last_served_at] : found->second) {
     if (last_served_at >= time)
       versions.emplace(version, last_served_at);
   }
   return versions;
 }
 
-bool VersionHistory::IsKnownSince(uint32_t service, Timestamp time) const {
-  const auto found = services_.find(service);
-  return found != services_.end() && found->second.known_since != Timestamp{} &&
-         found->second.known_since <= time;
-}
-
 }  // namespace teaselthread
--- a/src/libteaselthread/streams/version_history.h
+++ b/src/libteaselthread/streams/version_history.h
@@ -14,7 +14,11 @@
 // Services are identified by the ShortHash of their names.
 class VersionHistory {
  public:
-  // Endpoints of the version are registered at the moment.
+  // The endpoints were listed at `time`, and all changes of the list since then
+  // are known. What was registered before and is not in the list is unknown.
+  void OnListed(Timestamp time) { known_since_ = time; }
+  // Endpoints of the version are registered at the moment, or were since the
+  // last call.
   void OnRegistered(uint32_t service,
                     const std::string& version,
                     Timestamp now);
@@ -31,20 +35,26 @@
   bool IsMixedSince(uint32_t service, Timestamp time) const {
     return LastServedSince(service, time).size() > 1;
   }
-  // Whether this node has known the registered versions since `time`.
-  bool IsKnownSince(uint32_t service, Timestamp time) const;
+  // Whether this node knows all versions that were registered since `time`.
+  bool IsKnownSince(Timestamp time) const {
+    return known_since_ && *known_since_ <= time;
+  }
+  // Whether the records of all nodes were read after the endpoints were listed.
+  // They name the versions that served before, except those that were replaced
+  // within moments.
+  bool HasReadRecords() const {
+    return records_read_at_ &&
+           (!known_since_ || *records_read_at_ >= *known_since_);
+  }
   // When the records of all nodes were read; empty if they were not.
   const std::optional<Timestamp>& records_read_at() const {
     return records_read_at_;
   }
 
  private:
-  struct Service {
-    Timestamp known_since{};
-    std::map<std::string, Timestamp> last_served_at;  // by version
-  };
-
-  std::map<uint32_t, Service> services_;
+  // By service and version.
+  std::map<uint32_t, std::map<std::string, Timestamp>> last_served_at_;
+  std::optional<Timestamp> known_since_;
   std::optional<Timestamp> records_read_at_;
 };
 
--- a/src/teaselthread/gateway/gateway_state.cc
+++ b/src/teaselthread/gateway/gateway_state.cc
@@ -150,11 +150,13 @@
 }
 
 void GatewayState::UpdateVersionHistory() {
-  const Timestamp now = Now();
-  endpoints_.ForEachRunning([&](const EndpointRecord& record) {
-    version_history_.OnRegistered(ShortHash(record.service), record.version,
-                                  now);
-  });
+  endpoints_.ForEachRunning(
+      [this](const EndpointRecord& record) { NoteVersionOf(record); });
+}
+
+void GatewayState::NoteVersionOf(const EndpointRecord& endpoint) {
+  version_history_.OnRegistered(ShortHash(endpoint.service), endpoint.version,
+                                Now());
 }
 
 asio::awaitable<bool> GatewayState::ReadStreamRecords(Duration max_age) {
--- a/src/teaselthread/gateway/gateway_state.h
+++ b/src/teaselthread/gateway/gateway_state.h
@@ -96,6 +96,8 @@
   Duration LongestStreamLifetime() const;
   // Takes note of the versions that are registered now.
   void UpdateVersionHistory();
+  // The same for one endpoint, which need not stay registered.
+  void NoteVersionOf(const EndpointRecord& endpoint);
   // Reads what other gateways have recorded of streams, unless that was read
   // less than `max_age` ago. Returns false if it cannot be read.
   using StreamRecordSource =
--- a/src/teaselthread/requests/resumed_streams.cc
+++ b/src/teaselthread/requests/resumed_streams.cc
@@ -103,10 +103,11 @@
   if (versions.size() != 1)
     return std::nullopt;
   const std::string& version = versions.begin()->first;
-  if (history.IsKnownSince(key, since))
+  if (history.IsKnownSince(since))
     return version;
-  // What served before this process started is known from records only. Those
-  // do not show a version that was replaced within moments.
+  // What served before the endpoints were listed, and does no longer, is known
+  // from records only. Those do not show a version that was replaced within
+  // moments.
   const Duration oldest_stream = request.route->timeout + kStartMargin;
   const auto age_ms = static_cast<uint64_t>(
       std::chrono::duration_cast<milliseconds>(oldest_stream).count());
@@ -115,7 +116,7 @@
   const bool is_older_than_stream =
       started_at_ms &&
       *started_at_ms + age_ms <= GatewayState::UnixMilliseconds();
-  return history.records_read_at() && is_older_than_stream
+  return history.HasReadRecords() && is_older_than_stream
              ? std::optional(version)
              : std::nullopt;
 }
--- a/src/teaselthread/store/store_controller.cc
+++ b/src/teaselthread/store/store_controller.cc
@@ -333,6 +333,8 @@
       records.push_back(*change.endpoint);
   }
   state_->endpoints().ReplaceAll(records, state_->Now());
+  if (const auto known_since = endpoints_.watcher().known_since())
+    state_->version_history().OnListed(*known_since);
   state_->UpdateVersionHistory();
   state_->set_endpoints_known();
   state_->endpoint_changes().OnRevision(
@@ -348,10 +350,13 @@
       endpoints_.watcher().newest_object_revision(), state_->Now(),
       endpoints_.watcher().epoch());
   for (const StoreChange& change : changes) {
-    if (change.endpoint)
-      state_->endpoints().Put(*change.endpoint, state_->Now());
-    else
+    if (!change.endpoint) {
       state_->endpoints().Remove(change.name, state_->Now());
+      continue;
+    }
+    // A later change of the same batch may remove it.
+    state_->NoteVersionOf(*change.endpoint);
+    state_->endpoints().Put(*change.endpoint, state_->Now());
   }
   state_->UpdateVersionHistory();
   LogEndpointChanges(changes);
--- a/src/teaselthread/store/store_watcher.cc
+++ b/src/teaselthread/store/store_watcher.cc
@@ -117,6 +117,8 @@
     return CallResult::kRelist;
   confirmed_at_ = update.requested_at;
   view_.OnConfirmed(called_at_);
+  if (is_restored || update.to != known)
+    known_since_ = state_->Now();
   if (is_restored)
     OnRestored(epoch, known, update.to);
   callbacks_.on_list(update);
--- a/src/teaselthread/store/store_watcher.h
+++ b/src/teaselthread/store/store_watcher.h
@@ -108,6 +108,9 @@
   // the store had at that time, on the clock that counts suspension of the
   // machine.
   std::optional<Timestamp> confirmed_at() const { return confirmed_at_; }
+  // Since when no change of the objects is unknown: the latest list that did
+  // not continue what was known. Empty before the first one.
+  std::optional<Timestamp> known_since() const { return known_since_; }
   // When the most recent of the failed calls was made.
   Timestamp last_failed_call_at() const { return last_failed_call_at_; }
 
@@ -145,6 +148,7 @@
   Duration call_wait_{};
   Timestamp last_failed_call_at_{};
   std::optional<Timestamp> confirmed_at_;
+  std::optional<Timestamp> known_since_;
   std::optional<Timestamp> suspended_since_;
   bool suspends_after_failure_ = false;
 };
--- a/tests/store_epochs/restorable_store.cc
+++ b/tests/store_epochs/restorable_store.cc
@@ -45,6 +45,19 @@
   contents_.history.push_back({revision, kind, R"({"object":)" + item + "}"});
 }
 
+void RestorableStore::Remove(StoreKind kind, const std::string& name) {
+  const auto found = contents_.items[kind].find(name);
+  contents_.history.push_back(
+      {++contents_.revision, kind,
+       R"({"object":)" + found->second + R"(,"removed":true})"});
+  contents_.items[kind].erase(found);
+}
+
+void RestorableStore::Forget() {
+  contents_.history.clear();
+  contents_.forgotten_to = contents_.revision;
+}
+
 void RestorableStore::Restore() {
   contents_ = copy_;
   ++epoch_;
@@ -83,7 +96,7 @@
   if (revision == std::string::npos)
     return {Response("200 OK", ListBody(*kind))};
   const uint64_t from = std::stoull(target.substr(revision + 5));
-  if (from > contents_.revision)
+  if (from > contents_.revision || from < contents_.forgotten_to)
     return {Response("410 Gone", "{}")};
   const std::string body = Response("200 OK", WatchBody(*kind, from));
   if (body.find(R"("events":[])") == std::string::npos)
--- a/tests/store_epochs/restorable_store.h
+++ b/tests/store_epochs/restorable_store.h
@@ -18,6 +18,9 @@
 
   SocketAddress address() const { return server_.address(); }
   void Write(StoreKind kind, const std::string& name, const std::string& spec);
+  void Remove(StoreKind kind, const std::string& name);
+  // Discards the history: watches from earlier revisions get 410.
+  void Forget();
   // Takes the copy that Restore returns to.
   void Copy() { copy_ = contents_; }
   void Restore();
@@ -38,6 +41,7 @@
   };
   struct Contents {
     uint64_t revision = 1;
+    uint64_t forgotten_to = 0;  // the history begins after this revision
     std::map<StoreKind, std::map<std::string, std::string>> items;
     std::vector<Change> history;
   };
--- a/tests/streams/outdated_endpoints_test.cc
+++ b/tests/streams/outdated_endpoints_test.cc
@@ -54,10 +54,9 @@
       return controller->ConfirmEndpoints(max_age);
     });
     WriteEngine("1", *first);
-    state.version_history().OnRegistered(kServiceHash, "1",
-                                         state.Now() - seconds(60));
     controller->Start();
     Run(kWatchTime);
+    state.version_history().OnListed(state.Now() - seconds(60));
   }
 
   std::unique_ptr<ScriptedEndpoint> StartEngine() {
@@ -102,6 +101,25 @@
     Run(kWatchTime);
     WriteEngine("2", *second);
   }
+  // Version 2 has joined and left by the time of the gateway's next call.
+  void JoinAndLeaveUnnoticed() {
+    JoinUnnoticed();
+    store.Remove(StoreKind::kEndpoints, "engine-2");
+    store.set_silent(false);
+  }
+  // What the records of the other gateways say of versions that have served.
+  void AddRecords(const std::set<std::string>& versions) {
+    harness.state().set_stream_record_source(
+        [this, versions](Duration) -> asio::awaitable<bool> {
+          VersionHistory& history = harness.state().version_history();
+          const Timestamp now = harness.state().Now();
+          for (const std::string& version : versions)
+            history.OnRecorded(kServiceHash, version, now);
+          history.OnRecordsRead(now);
+          ++record_reads;
+          co_return true;
+        });
+  }
   // The record of a stream that began at version 2 is in the store.
   void AddRecord() {
     harness.state().set_stream_record_source(
@@ -134,6 +152,7 @@
   std::unique_ptr<ScriptedEndpoint> second;  // of version 2
   std::unique_ptr<StoreController> controller;
   int requests = 1;
+  int record_reads = 0;
 };
 
 BOOST_FIXTURE_TEST_SUITE(a_gateway_where_a_stream_is_resumed, OutdatedFixture)
@@ -187,8 +206,46 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(that_was_frozen_while_a_version_joined_and_left)
+
+// Guards against streams that are joined from two versions: the gateway looked
+// only at the endpoints that were left after all changes of a batch.
+BOOST_AUTO_TEST_CASE(continues_it_at_no_other_version) {
+  JoinAndLeaveUnnoticed();
+  CheckIsRefused();
+}
+
+// Guards against the same where the store has discarded its history: no list
+// shows what joined and left.
+BOOST_AUTO_TEST_CASE(asks_the_records_what_the_list_does_not_show) {
+  AddRecords({"1", "2"});
+  JoinAndLeaveUnnoticed();
+  store.Forget();
+  CheckIsRefused();
+}
+
+BOOST_AUTO_TEST_CASE(refuses_it_if_the_records_cannot_be_read) {
+  JoinAndLeaveUnnoticed();
+  store.Forget();
+  CheckIsRefused();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(while_one_version_serves)
 
+BOOST_AUTO_TEST_CASE(continues_it_there_after_the_store_discarded_its_history) {
+  AddRecords({});
+  store.set_silent(true);
+  Run(kWatchTime);
+  store.Write(StoreKind::kNodes, "node-c", "{}");
+  store.Forget();
+  store.set_silent(false);
+  BOOST_TEST(HasStatus(Resume(), "200"));
+  BOOST_TEST(HasStatus(Resume(), "200"));
+  BOOST_TEST(record_reads == 1);
+}
+
 BOOST_AUTO_TEST_CASE(continues_it_there_with_one_call_for_several_streams) {
   const uint64_t revision = store.revision();
   Run(milliseconds(600), revision);
--- a/tests/streams/resumed_streams_test.cc
+++ b/tests/streams/resumed_streams_test.cc
@@ -65,6 +65,8 @@
   }
   // The gateway has known these versions for a minute.
   void KnowForLong(const std::set<std::string>& known) {
+    harness.state().version_history().OnListed(harness.state().Now() -
+                                               seconds(60));
     for (const std::string& version : known) {
       harness.state().version_history().OnRegistered(
           kServiceHash, version, harness.state().Now() - seconds(60));
