Configuration: confirm nothing that a restored store may lack

Cause: a process that starts knows no earlier epoch, so it took the first list for all that the store had acknowledged. Versions that peers named were dropped until a configuration was there, and a confirmation was never withdrawn.

Evidence: version 7 is taken 0.2 s after the restoration while four peers name version 8 in each heartbeat.

Fix: StoreRestoration says whether the store may lack objects. A marker in the store (kind teaselthread-fleet) names the latest epoch in which all had been written again; a process that starts reads it, with one stale call where it is there. Until then, or until the rewrite time is over, the store's response confirms no configuration, and peers do. A confirmation is withdrawn if a peer names a version that the restored store does not have.

The write of an object (StoreClient::Put) and the time of a zone leader (LeaderTerm) are taken out of StreamRecorder, as the marker needs them too.

ConfigurationAge of the fixture is the longest time without a confirmation, where it dereferenced an empty optional before.

--- a/src/libteaselthread/endpoints/removal_grace_period.cc
+++ b/src/libteaselthread/endpoints/removal_grace_period.cc
@@ -35,8 +35,8 @@
                   last_failed_call_at + contact_bound_ - kSweepMargin);
 }
 
-Timestamp RemovalGracePeriod::OnRestored(Timestamp now) const {
-  return now + std::min(kReregistrationTime, contact_bound_ - kSweepMargin);
+Duration RemovalGracePeriod::AfterRestoration(Duration contact_bound) {
+  return std::min(kReregistrationTime, contact_bound - kSweepMargin);
 }
 
 }  // namespace teaselthread
--- a/src/libteaselthread/endpoints/removal_grace_period.h
+++ b/src/libteaselthread/endpoints/removal_grace_period.h
@@ -30,9 +30,9 @@
   // the period has already started or only a single connection had failed.
   std::optional<Timestamp> OnRegained(Timestamp last_failed_call_at,
                                       Timestamp now);
-  // The store was found to be restored from an older copy, which lacks what was
-  // registered since. Returns the end of the grace period.
-  Timestamp OnRestored(Timestamp now) const;
+  // How long removals are deferred after the store was restored from an older
+  // copy, which lacks what was registered since.
+  static Duration AfterRestoration(Duration contact_bound);
 
  private:
   Duration contact_bound_;
--- a/src/libteaselthread/routes/configuration_freshness.h
+++ b/src/libteaselthread/routes/configuration_freshness.h
@@ -26,6 +26,10 @@
   // node's clock nor on the transit time of the message.
   void OnConfirmedByPeer(Timestamp echoed_at, Duration age, Timestamp now);
 
+  // A newer configuration exists that the store may not show. What was
+  // confirmed counts no more.
+  void Withdraw() { confirmed_at_.reset(); }
+
   // The age at which a node that its peers have not informed asks the store, so
   // that it still applies a new configuration, and refuses a revoked key, in
   // time. `jitter`, from 0 to 1, spreads the calls of nodes that lost the same
@@ -38,7 +42,7 @@
                                     double jitter);
 
   bool IsFresh(Timestamp now) const;
-  // Empty before the first confirmation.
+  // Empty before the first confirmation, and after Withdraw.
   std::optional<Duration> Age(Timestamp now) const;
 
  private:
--- a/src/teaselthread/gateway/gateway.cc
+++ b/src/teaselthread/gateway/gateway.cc
@@ -44,6 +44,7 @@
       admin_(&state_),
       store_(&state_),
       registrar_(&state_),
+      fleet_records_(&state_),
       rollout_writer_(&state_),
       stream_record_reader_(&state_),
       stream_recorder_(&state_, &stream_record_reader_) {}
@@ -72,6 +73,7 @@
   store_.set_on_store_recovered([this] { heartbeat_->SendNow(); });
   store_.Start();
   registrar_.Start();
+  fleet_records_.Start();
   rollouts_ = std::make_unique<RolloutController>(&state_, heartbeat_.get());
   rollouts_->Start();
   rate_limits_ =
--- a/src/teaselthread/gateway/gateway.h
+++ b/src/teaselthread/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include "teaselthread/gateway/peer_heartbeat.h"
 #include "teaselthread/gateway/rate_limit_controller.h"
 #include "teaselthread/gateway/rollout_controller.h"
+#include "teaselthread/store/fleet_records.h"
 #include "teaselthread/store/node_registrar.h"
 #include "teaselthread/store/rollout_writer.h"
 #include "teaselthread/store/store_controller.h"
@@ -45,6 +46,7 @@
   AdminServer admin_;
   StoreController store_;
   NodeRegistrar registrar_;
+  FleetRecords fleet_records_;
   std::unique_ptr<PeerHeartbeat> heartbeat_;
   RolloutWriter rollout_writer_;
   std::unique_ptr<RolloutController> rollouts_;
--- a/src/teaselthread/gateway/gateway_state.cc
+++ b/src/teaselthread/gateway/gateway_state.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <ctime>
 
+#include "libteaselthread/endpoints/removal_grace_period.h"
 #include "libteaselthread/rendezvous_hash.h"
 #include "teaselthread/http_client.h"
 
@@ -48,6 +49,8 @@
       random_(std::random_device()()),
       configuration_freshness_(settings_.limits().revocation_bound -
                                kRevocationMargin),
+      store_restoration_(RemovalGracePeriod::AfterRestoration(
+          settings_.limits().contact_bound)),
       selector_(&endpoints_),
       rollouts_(settings_.rollouts(),
                 settings_.name(),
@@ -92,6 +95,12 @@
   return true;
 }
 
+void GatewayState::OnStoreEpoch(StoreEpoch epoch) {
+  const bool is_restored = store_restoration_.OnEpoch(epoch, Now());
+  if (is_restored && on_store_restored_)
+    on_store_restored_();
+}
+
 RetryAllowance& GatewayState::RetryAllowanceFor(const std::string& service) {
   return retries_.try_emplace(service, settings_.limits().retries)
       .first->second;
--- a/src/teaselthread/gateway/gateway_state.h
+++ b/src/teaselthread/gateway/gateway_state.h
@@ -20,6 +20,7 @@
 #include "libteaselthread/endpoints/waiting_requests.h"
 #include "libteaselthread/peers/peer_set.h"
 #include "libteaselthread/peers/revision_announcement.h"
+#include "libteaselthread/peers/store_restoration.h"
 #include "libteaselthread/rate_limits/return_schedule.h"
 #include "libteaselthread/requests/leaving_schedule.h"
 #include "libteaselthread/rollouts/rollout_table.h"
@@ -68,6 +69,14 @@
   ConfigurationFreshness& configuration_freshness() {
     return configuration_freshness_;
   }
+  StoreRestoration& store_restoration() { return store_restoration_; }
+  // A response of the store names `epoch`.
+  void OnStoreEpoch(StoreEpoch epoch);
+  // Sets the function that is called when the store is found to be restored
+  // from an older copy.
+  void set_on_store_restored(std::function<void()> on_store_restored) {
+    on_store_restored_ = std::move(on_store_restored);
+  }
   EndpointTable& endpoints() { return endpoints_; }
   const EndpointSelector& selector() const { return selector_; }
   PeerSet& peers() { return peers_; }
@@ -184,6 +193,8 @@
   std::mt19937_64 random_;
   RouteTablePtr routes_;
   ConfigurationFreshness configuration_freshness_;
+  StoreRestoration store_restoration_;
+  std::function<void()> on_store_restored_;
   EndpointTable endpoints_;
   EndpointSelector selector_;
   PromptPartDemand demand_;
--- a/src/teaselthread/gateway/wire_codec.cc
+++ b/src/teaselthread/gateway/wire_codec.cc
@@ -4,8 +4,8 @@
 
 std::string_view ToString(StoreKind kind) {
   constexpr std::string_view kNames[kStoreKindCount] = {
-      "configuration", "endpoints", "evacuations",
-      "nodes",         "rollouts",  "streams"};
+      "configuration", "endpoints", "evacuations", "nodes",
+      "rollouts",      "streams",   "fleet"};
   return kNames[static_cast<size_t>(kind)];
 }
 
--- a/src/teaselthread/gateway/wire_codec.h
+++ b/src/teaselthread/gateway/wire_codec.h
@@ -64,8 +64,9 @@
   kNodes,  // written by the gateways
   kRollouts,
   kStreams,  // written by the gateways
+  kFleet,    // written by the gateways; see FleetRecords
 };
-inline constexpr size_t kStoreKindCount = 6;
+inline constexpr size_t kStoreKindCount = 7;
 std::string_view ToString(StoreKind kind);
 
 // One object of the platform's store, or a notice of its removal.
--- a/src/teaselthread/store/list_controller.h
+++ b/src/teaselthread/store/list_controller.h
@@ -26,7 +26,7 @@
     std::function<void(const Changes&)> replace_all;  // the whole list
     std::function<void(const Changes&)> apply;        // what has changed
     std::function<void(bool reachable)> on_reachability_changed;
-    std::function<void(StoreEpoch)> on_restored;
+    std::function<void(StoreEpoch)> on_restored = {};
   };
   using BatchCallback = std::function<void(RelayedList, const ChangeBatch&)>;
 
--- a/src/teaselthread/store/store_client.h
+++ b/src/teaselthread/store/store_client.h
@@ -29,6 +29,9 @@
   asio::awaitable<int> Call(http::verb method,
                             std::string target,
                             std::string body);
+  // Replaces the object's content, or creates the object. `body`: the encoded
+  // object. Returns the status, or kNoResponse.
+  asio::awaitable<int> Put(std::string name, std::string body);
   // Passes all objects to `on_object`, page by page: those of the first pages
   // also if a later one cannot be read. `may_be_stale`: the store may respond
   // with a state that is some seconds old.
--- a/src/teaselthread/store/store_controller.cc
+++ b/src/teaselthread/store/store_controller.cc
@@ -45,8 +45,7 @@
           [this] { return ConfigurationPollTiming(); },
           {[this](const StoreUpdate& update) { OnConfigurationUpdate(update); },
            [this](const StoreUpdate& update) { OnConfigurationUpdate(update); },
-           ReachabilityHandler(StoreKind::kConfiguration),
-           RestorationHandler()}),
+           ReachabilityHandler(StoreKind::kConfiguration)}),
       endpoints_(state,
                  RelayedList::kEndpoints,
                  StoreKind::kEndpoints,
@@ -81,15 +80,11 @@
       [this, kind](bool reachable) { OnReachabilityChanged(kind, reachable); };
 }
 
-std::function<void(StoreEpoch)> StoreController::RestorationHandler() {
-  return [this](StoreEpoch epoch) { OnStoreRestored(epoch); };
-}
-
 ListController::Handlers StoreController::EndpointHandlers() {
   return {[this](const StoreObject& object) { return DecodeEndpoint(object); },
           [this](const Changes& endpoints) { ReplaceEndpoints(endpoints); },
           [this](const Changes& changes) { ApplyEndpointChanges(changes); },
-          ReachabilityHandler(StoreKind::kEndpoints), RestorationHandler()};
+          ReachabilityHandler(StoreKind::kEndpoints)};
 }
 
 ListController::Handlers StoreController::EvacuationHandlers() {
@@ -98,7 +93,7 @@
           },
           [this](const Changes& zones) { ReplaceEvacuations(zones); },
           [this](const Changes& changes) { ApplyEvacuationChanges(changes); },
-          ReachabilityHandler(StoreKind::kEvacuations), RestorationHandler()};
+          ReachabilityHandler(StoreKind::kEvacuations)};
 }
 
 ListController::Handlers StoreController::RolloutHandlers() {
@@ -106,10 +101,7 @@
           [this](const Changes& orders) { ReplaceRollouts(orders); },
           [this](const Changes& changes) { ApplyRolloutChanges(changes); },
           ReachabilityHandler(StoreKind::kRollouts),
-          [this](StoreEpoch epoch) {
-            state_->rollouts().OnStoreRestored();
-            OnStoreRestored(epoch);
-          }};
+          [this](StoreEpoch) { state_->rollouts().OnStoreRestored(); }};
 }
 
 ListController::Timing StoreController::ListTiming() const {
@@ -126,6 +118,7 @@
 }
 
 void StoreController::Start() {
+  state_->set_on_store_restored([this] { OnStoreRestored(); });
   configuration_.Start();
   endpoints_.Start();
   evacuations_.Start();
@@ -136,6 +129,7 @@
                                state_->endpoints().Sweep(now);
                                EndForgottenEvacuations(now);
                                state_->UpdateVersionHistory();
+                               ConfirmByEarlierResponse();
                                CheckConfiguration();
                                if (configuration_.is_unreachable())
                                  return;
@@ -160,8 +154,7 @@
       state_->configuration_freshness().Age(GatewayState::BootNow());
   const Duration batch_delay = DrainBoundShare(kConfigurationBatchShare);
   const bool is_newest = state_->routes() && !is_configuration_unreadable_ &&
-                         missed_configuration_.newest_peer_revision() <=
-                             state_->routes()->version();
+                         !KnowsOfNewerConfiguration();
   if (state_->peers().IsZoneLeader(state_->Now()))
     return {kShortWait, batch_delay, StoreWatcher::kLeaderBackoff};
   if (!age || !is_newest)
@@ -208,13 +201,10 @@
     if (status.lists[i] && list)
       list->OnLeaderStatus(*status.lists[i]);
   }
+  OnPeerConfiguration(status.configuration_version);
   if (!state_->routes())
     return;
   const uint64_t own_version = state_->routes()->version();
-  missed_configuration_.OnPeerRevision(status.configuration_version,
-                                       state_->Now());
-  if (status.configuration_version > own_version)
-    configuration_.Resume();
   endpoints_.OnPeerRevision(status.endpoints_revision, status.endpoints_epoch);
   evacuations_.OnPeerRevision(status.evacuations_revision,
                               status.evacuations_epoch);
@@ -264,18 +254,37 @@
     recovery_unannounced_ = true;
 }
 
-void StoreController::OnStoreRestored(StoreEpoch epoch) {
-  if (epoch <= restored_epoch_)
-    return;
-  restored_epoch_ = epoch;
-  restoration_grace_until_ = removal_grace_period_.OnRestored(state_->Now());
-  state_->endpoints().DeferRemovals(restoration_grace_until_);
+void StoreController::OnStoreRestored() {
+  // The store acknowledges nothing while it is unreachable.
+  const Timestamp known_until = configuration_.is_unreachable()
+                                    ? last_unreachable_at_
+                                    : GatewayState::BootNow();
+  const auto age = state_->configuration_freshness().Age(known_until);
+  was_confirmed_when_restored_ = age && *age <= MaxUnconfirmedAge();
+  const StoreRestoration& restoration = state_->store_restoration();
+  state_->endpoints().DeferRemovals(restoration.complete_since());
   for (ListController* list : {&endpoints_, &evacuations_, rollouts_.get()}) {
     if (list)
-      list->OnPeerRevision(0, epoch);
+      list->OnPeerRevision(0, restoration.epoch());
   }
 }
 
+bool StoreController::KnowsOfNewerConfiguration() const {
+  return missed_configuration_.newest_peer_revision() >
+         state_->routes()->version();
+}
+
+void StoreController::OnPeerConfiguration(uint64_t version) {
+  if (version > missed_configuration_.newest_peer_revision())
+    newer_version_heard_at_ = GatewayState::BootNow();
+  missed_configuration_.OnPeerRevision(version, state_->Now());
+  if (!state_->routes() || version <= state_->routes()->version())
+    return;
+  configuration_.Resume();
+  if (state_->store_restoration().MayLackObjects(state_->Now()))
+    WithdrawConfirmation();
+}
+
 void StoreController::OnConfigurationUpdate(const StoreUpdate& update) {
   for (const StoreObject& object : update.objects) {
     if (!object.removed)
@@ -284,17 +293,56 @@
   age_check_pending_ = false;
   if (is_configuration_unreadable_ || !state_->routes())
     return;
-  // A version that a peer has may revoke keys, even if the store was restored
-  // from a copy without it.
-  if (missed_configuration_.newest_peer_revision() >
-      state_->routes()->version())
+  if (!KnowsOfNewerConfiguration()) {
+    OnConfigurationConfirmed(update.requested_at);
     return;
-  state_->configuration_freshness().OnConfirmed(update.requested_at);
+  }
+  // The version may revoke keys. If the store does not have it although it was
+  // asked after a peer had named it, the store was restored from an older copy.
+  if (update.requested_at >= newer_version_heard_at_)
+    WithdrawConfirmation();
+}
+
+void StoreController::OnConfigurationConfirmed(Timestamp requested_at) {
+  const bool is_shown_by_store =
+      was_confirmed_when_restored_ ||
+      !state_->store_restoration().MayLackObjects(state_->Now());
+  if (is_shown_by_store)
+    ConfirmConfiguration(requested_at);
+  else
+    earlier_response_ = {requested_at, state_->Now()};
+}
+
+void StoreController::ConfirmByEarlierResponse() {
+  if (!earlier_response_ || state_->store_restoration().MayLackObjects(
+                                earlier_response_->received_at))
+    return;
+  const ConfigurationResponse response = *earlier_response_;
+  earlier_response_.reset();
+  if (!KnowsOfNewerConfiguration())
+    ConfirmConfiguration(response.requested_at);
+}
+
+void StoreController::ConfirmConfiguration(Timestamp requested_at) {
+  state_->configuration_freshness().OnConfirmed(requested_at);
   if (recovery_unannounced_ && on_store_recovered_)
     on_store_recovered_();
   recovery_unannounced_ = false;
 }
 
+void StoreController::WithdrawConfirmation() {
+  const auto age =
+      state_->configuration_freshness().Age(GatewayState::BootNow());
+  if (!age)
+    return;
+  state_->configuration_freshness().Withdraw();
+  LogLine line("configuration-unconfirmed");
+  line.Add("version", state_->routes()->version())
+      .Add("heard", missed_configuration_.newest_peer_revision())
+      .AddTime("age", *age);
+  state_->log().Warn(line);
+}
+
 bool StoreController::ApplyConfiguration(const StoreObject& object) {
   Result<RouteTableParts> parts = state_->codec().DecodeConfiguration(object);
   Result<RouteTable> table = parts ? RouteTable::Create(parts.TakeValue())
@@ -392,7 +440,7 @@
   for (const StoreChange& change : evacuations)
     zones.insert(change.name);
   forgotten_evacuations_.clear();
-  if (state_->Now() < restoration_grace_until_) {
+  if (state_->store_restoration().MayLackObjects(state_->Now())) {
     for (const std::string& zone : state_->endpoints().evacuated_zones()) {
       if (zones.insert(zone).second)
         forgotten_evacuations_.insert(zone);
@@ -402,7 +450,8 @@
 }
 
 void StoreController::EndForgottenEvacuations(Timestamp now) {
-  if (forgotten_evacuations_.empty() || now < restoration_grace_until_)
+  if (forgotten_evacuations_.empty() ||
+      state_->store_restoration().MayLackObjects(now))
     return;
   std::set<std::string> zones = state_->endpoints().evacuated_zones();
   for (const std::string& zone : forgotten_evacuations_)
--- a/src/teaselthread/store/store_controller.h
+++ b/src/teaselthread/store/store_controller.h
@@ -66,10 +66,22 @@
 
   void OnConfigurationUpdate(const StoreUpdate& update);
   void OnReachabilityChanged(StoreKind kind, bool reachable);
-  std::function<void(StoreEpoch)> RestorationHandler();
   // Starts the period in which endpoints and operators write again what the
-  // copy does not have. The first list of an epoch starts it.
-  void OnStoreRestored(StoreEpoch epoch);
+  // copy does not have.
+  void OnStoreRestored();
+  // A peer has named the version of its configuration.
+  void OnPeerConfiguration(uint64_t version);
+  // The store has responded to a call that was made at `requested_at`, and this
+  // gateway knows no version that the response lacks.
+  void OnConfigurationConfirmed(Timestamp requested_at);
+  // Confirms the configuration by a response that could not confirm it before
+  // the marker of the store's epoch was read.
+  void ConfirmByEarlierResponse();
+  void ConfirmConfiguration(Timestamp requested_at);
+  // Requests with keys are refused until a confirmation.
+  void WithdrawConfirmation();
+  // A version that is not in use here yet is in use at a peer.
+  bool KnowsOfNewerConfiguration() const;
   // Reconnects the watch of the configuration if neither the store nor a peer
   // has confirmed the configuration for MaxUnconfirmedAge, or if it has not
   // delivered a version that a peer has announced.
@@ -96,8 +108,19 @@
   GatewayState* state_;
   std::function<void()> on_store_recovered_;
   RemovalGracePeriod removal_grace_period_;
-  StoreEpoch restored_epoch_;
-  Timestamp restoration_grace_until_{};
+  // Whether this gateway's configuration had been confirmed shortly before the
+  // store was restored. Otherwise the store may lack versions that this gateway
+  // has never heard of.
+  bool was_confirmed_when_restored_ = false;
+  // A response that would confirm the configuration if the store lacks nothing.
+  struct ConfigurationResponse {
+    Timestamp requested_at{};  // on the clock that counts suspension
+    Timestamp received_at{};
+  };
+  std::optional<ConfigurationResponse> earlier_response_;
+  // When a peer has first named the newest version. On the clock that counts
+  // suspension.
+  Timestamp newer_version_heard_at_{};
   // Evacuated zones that the restored store does not have.
   std::set<std::string> forgotten_evacuations_;
   // When the store was last found unreachable, or when a peer's heartbeat last
--- a/src/teaselthread/store/store_watcher.cc
+++ b/src/teaselthread/store/store_watcher.cc
@@ -85,6 +85,7 @@
       co_return OnFailure(Describe(page.last_reason()));
     const StoreEpoch page_epoch =
         state_->codec().DecodeStoreEpoch(*reply->fields);
+    state_->OnStoreEpoch(page_epoch);
     // The watch starts from the revision of the first page, so it also delivers
     // the changes made while the later pages are read.
     if (!first_revision) {
@@ -158,6 +159,7 @@
     co_return OnFailure(Describe(page.last_reason()));
   // The changes are those of another history.
   const StoreEpoch epoch = state_->codec().DecodeStoreEpoch(*reply->fields);
+  state_->OnStoreEpoch(epoch);
   if (epoch && epoch != view_.epoch())
     co_return CallResult::kRelist;
   OnSuccess(page->objects);
--- a/src/teaselthread/streams/stream_recorder.cc
+++ b/src/teaselthread/streams/stream_recorder.cc
@@ -12,13 +12,10 @@
 
 constexpr Duration kCheckInterval = milliseconds(50);
 constexpr Duration kWriteInterval = milliseconds(150);
-// Longer than two heartbeats.
-constexpr Duration kMinLeaderTime = milliseconds(1'000);
 // Any read of this process will do.
 constexpr Duration kAnyAge = std::chrono::hours(1);
 constexpr Duration kCallTimeout = milliseconds(800);
 constexpr Duration kLogInterval = milliseconds(1'000);
-constexpr int kNotFound = 404;
 
 std::map<uint32_t, std::set<std::string>> VersionsOf(
     const MixedServices& mixed) {
@@ -48,7 +45,8 @@
   for (bool is_last = false; !is_last;) {
     is_last = state_->leaving();
     const Timestamp now = state_->Now();
-    const bool is_leader = LeadsFirmly(now);
+    const bool is_leader =
+        leader_term_.IsFirm(state_->peers().IsZoneLeader(now), now);
     // A gateway that no longer leads the zone writes what is left.
     const bool may_write = is_leader || is_recorder_;
     const MixedServices mixed =
@@ -72,15 +70,6 @@
   }
 }
 
-bool StreamRecorder::LeadsFirmly(Timestamp now) {
-  if (!state_->peers().IsZoneLeader(now)) {
-    leader_since_.reset();
-    return false;
-  }
-  leader_since_ = leader_since_.value_or(now);
-  return now - *leader_since_ >= kMinLeaderTime;
-}
-
 asio::awaitable<bool> StreamRecorder::FindFirstSlot() {
   has_first_slot_ = co_await reader_->Read(kAnyAge);
   if (!has_first_slot_)
@@ -177,20 +166,9 @@
   StoreObject object;
   object.name = state_->settings().name() + "-" + std::to_string(slot_);
   object.content = EncodeStreamRecord(content.record);
-  const std::string body = state_->codec().EncodeObject(object);
+  std::string body = state_->codec().EncodeObject(object);
   *bytes = body.size();
-  std::string own_target =
-      state_->codec().ObjectTarget(StoreKind::kStreams, object.name);
-  std::string replacement = body;
-  const int replaced = co_await client_.Call(
-      http::verb::put, std::move(own_target), std::move(replacement));
-  if (replaced != kNotFound)
-    co_return replaced;
-  std::string collection_target =
-      state_->codec().ObjectTarget(StoreKind::kStreams, "");
-  std::string creation = body;
-  co_return co_await client_.Call(
-      http::verb::post, std::move(collection_target), std::move(creation));
+  co_return co_await client_.Put(object.name, std::move(body));
 }
 
 void StreamRecorder::LogWrite(size_t streams, size_t bytes, int status) {
--- a/src/teaselthread/streams/stream_recorder.h
+++ b/src/teaselthread/streams/stream_recorder.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 
+#include "libteaselthread/peers/leader_term.h"
 #include "teaselthread/gateway/gateway_state.h"
 #include "teaselthread/store/store_client.h"
 #include "teaselthread/streams/stream_record.h"
@@ -40,9 +41,6 @@
   };
 
   asio::awaitable<void> Run();
-  // Whether this gateway has been the zone leader long enough to write. Each
-  // gateway takes itself for the leader until it hears of the others.
-  bool LeadsFirmly(Timestamp now);
   // Continues with the slot that an earlier process of this gateway would have
   // used next. Returns false if the store cannot be read.
   asio::awaitable<bool> FindFirstSlot();
@@ -58,7 +56,7 @@
   GatewayState* state_;
   StreamRecordReader* reader_;
   StoreClient client_;
-  std::optional<Timestamp> leader_since_;
+  LeaderTerm leader_term_;
   bool has_first_slot_ = false;
   bool is_recorder_ = false;  // this gateway was the zone leader last time
   int slot_ = 0;
--- a/tests/store_epochs/restorable_store.cc
+++ b/tests/store_epochs/restorable_store.cc
@@ -9,9 +9,9 @@
 
 using std::chrono::milliseconds;
 
-constexpr StoreKind kKinds[] = {StoreKind::kConfiguration,
-                                StoreKind::kEndpoints, StoreKind::kEvacuations,
-                                StoreKind::kNodes, StoreKind::kRollouts};
+constexpr StoreKind kKinds[] = {
+    StoreKind::kConfiguration, StoreKind::kEndpoints, StoreKind::kEvacuations,
+    StoreKind::kNodes,         StoreKind::kRollouts,  StoreKind::kFleet};
 // How long a watch without changes waits at most.
 constexpr Duration kWatchTime = milliseconds(100);
 
@@ -63,6 +63,11 @@
   ++epoch_;
 }
 
+void RestorableStore::Mark() {
+  Write(StoreKind::kFleet, "epoch",
+        R"({"epoch":)" + std::to_string(epoch_) + "}");
+}
+
 int RestorableStore::reads(StoreKind kind) const {
   return CountCalls(kind, true);
 }
--- a/tests/store_epochs/restorable_store.h
+++ b/tests/store_epochs/restorable_store.h
@@ -23,7 +23,10 @@
   void Forget();
   // Takes the copy that Restore returns to.
   void Copy() { copy_ = contents_; }
+  // Also begins a new epoch.
   void Restore();
+  // The marker of the current epoch: the store lacks nothing.
+  void Mark();
   // While it is silent, calls are read and never answered.
   void set_silent(bool is_silent) { is_silent_ = is_silent; }
 
--- a/tests/store_epochs/restored_store_test.cc
+++ b/tests/store_epochs/restored_store_test.cc
@@ -5,6 +5,7 @@
 
 #include "gateway/gateway_fixtures.h"
 #include "store_epochs/restorable_store.h"
+#include "teaselthread/store/fleet_records.h"
 #include "teaselthread/store/node_registrar.h"
 #include "teaselthread/store/store_controller.h"
 
@@ -34,9 +35,11 @@
   RestoredFixture()
       : store(&io),
         state(&io, test::MakeSettings(store.address().port), &codec),
-        controller(&state) {
+        controller(&state),
+        fleet_records(&state) {
     WriteConfiguration(10);
     WriteEndpoint("e-1");
+    store.Mark();
     store.Copy();
   }
 
@@ -53,6 +56,7 @@
   }
   void Start() {
     controller.Start();
+    fleet_records.Start();
     RunFor(milliseconds(300));
   }
 
@@ -85,8 +89,19 @@
       RunFor(kTick);
     }
   }
+  // A peer states that it has this version, and how old its confirmation is.
+  void HearOf(uint64_t version, std::optional<Duration> age = std::nullopt) {
+    PeerStatus status;
+    status.configuration_version = version;
+    status.configuration_age = age;
+    status.echoed_at = GatewayState::BootNow();
+    controller.OnPeerStatus(status);
+  }
+  // The longest time if nothing confirms the configuration.
   Duration ConfigurationAge() {
-    return *state.configuration_freshness().Age(GatewayState::BootNow());
+    return state.configuration_freshness()
+        .Age(GatewayState::BootNow())
+        .value_or(Duration::max());
   }
   bool HasEndpoint(const std::string& id) {
     const auto endpoints = state.endpoints().Running("pool");
@@ -100,6 +115,7 @@
   test::RestorableStore store;
   GatewayState state;
   StoreController controller;
+  FleetRecords fleet_records;
 };
 
 BOOST_FIXTURE_TEST_SUITE(a_store_restored_from_an_older_copy, RestoredFixture)
@@ -212,12 +228,10 @@
 // and the gateway took its own one, as in the copy, for the newest.
 BOOST_AUTO_TEST_CASE(confirms_no_version_that_is_older_than_a_peers) {
   Start();
-  PeerStatus status;
-  status.configuration_version = 11;
   WriteOthers(3);
   store.Restore();
   RunFor(milliseconds(200));
-  controller.OnPeerStatus(status);
+  HearOf(11);
   RunFor(kReactionTime);
   BOOST_TEST((ConfigurationAge() > milliseconds(900)));
   WriteConfiguration(11);
@@ -225,6 +239,72 @@
   BOOST_TEST((ConfigurationAge() < milliseconds(700)));
 }
 
+// Guards against revoked keys: what the copy had confirmed stayed valid for the
+// whole revocation bound after a peer had named a newer version.
+BOOST_AUTO_TEST_CASE(
+    confirms_nothing_from_the_time_a_peer_names_a_newer_version) {
+  Start();
+  WriteOthers(3);
+  store.Restore();
+  RunFor(kReactionTime);
+  BOOST_REQUIRE((ConfigurationAge() < milliseconds(700)));
+  HearOf(11);
+  BOOST_TEST((ConfigurationAge() == Duration::max()));
+}
+
+// Guards against the same where the store seems to lack nothing any more.
+BOOST_AUTO_TEST_CASE(confirms_nothing_if_it_does_not_have_a_peers_version) {
+  Start();
+  HearOf(11);
+  BOOST_TEST((ConfigurationAge() < milliseconds(700)));
+  RunFor(kReactionTime);
+  BOOST_TEST((ConfigurationAge() == Duration::max()));
+}
+
+BOOST_AUTO_TEST_SUITE(just_before_a_gateway_starts)
+
+// Guards against revoked keys: the first list of a process was confirmed before
+// it had heard of the version that the copy lacks.
+BOOST_AUTO_TEST_CASE(confirms_no_configuration) {
+  store.Restore();
+  Start();
+  BOOST_TEST(state.routes()->version() == 10u);
+  BOOST_TEST((ConfigurationAge() == Duration::max()));
+  HearOf(11, milliseconds(100));
+  RunFor(kReactionTime);
+  BOOST_TEST((ConfigurationAge() == Duration::max()));
+  WriteConfiguration(11);
+  RunFor(kReactionTime);
+  HearOf(11, milliseconds(100));
+  BOOST_TEST((ConfigurationAge() < milliseconds(200)));
+}
+
+BOOST_AUTO_TEST_CASE(confirms_the_configuration_when_all_is_written_again) {
+  store.Restore();
+  Start();
+  RunFor(milliseconds(3'000));
+  BOOST_TEST((ConfigurationAge() < milliseconds(800)));
+}
+
+// Guards against a version that a peer names before the first list is read, and
+// that was not remembered.
+BOOST_AUTO_TEST_CASE(confirms_no_version_that_is_older_than_a_peers_either) {
+  store.Restore();
+  HearOf(11);
+  Start();
+  RunFor(milliseconds(3'000));
+  BOOST_TEST((ConfigurationAge() == Duration::max()));
+}
+
+BOOST_AUTO_TEST_CASE(long_ago_confirms_the_configuration_at_once) {
+  store.Restore();
+  store.Mark();
+  Start();
+  BOOST_TEST((ConfigurationAge() < milliseconds(400)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 // Guards against a gateway that others no longer find: its record is written
 // only at its start.
 BOOST_AUTO_TEST_CASE(gets_a_gateways_record_again) {
--- a/tests/streams/outdated_endpoints_test.cc
+++ b/tests/streams/outdated_endpoints_test.cc
@@ -54,6 +54,7 @@
       return controller->ConfirmEndpoints(max_age);
     });
     WriteEngine("1", *first);
+    state.store_restoration().OnMarker(1);
     controller->Start();
     Run(kWatchTime);
     state.version_history().OnListed(state.Now() - seconds(60));
