Streams: wait for versions to register again after a restoration

Cause: the only version of the list was taken for the only one if its endpoints are older than the stream and the records were read. Neither shows what has joined since the copy.

Evidence: all streams of v2 are continued at v1 in the two seconds after the start, source single-version; without the restoration the records keep them apart.

Fix: while the store may lack objects, one version is not taken for the only one, and records count only if they were read after that. The Retry-After of such a refusal is what is left of the time.

With the marker of the epoch a start costs no refusal.

--- a/src/libteaselthread/streams/version_history.h
+++ b/src/libteaselthread/streams/version_history.h
@@ -1,6 +1,7 @@
 #ifndef TEASELTHREAD_STREAMS_VERSION_HISTORY_H_
 #define TEASELTHREAD_STREAMS_VERSION_HISTORY_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -39,12 +40,12 @@
   bool IsKnownSince(Timestamp time) const {
     return known_since_ && *known_since_ <= time;
   }
-  // Whether the records of all nodes were read after the endpoints were listed.
-  // They name the versions that served before, except those that were replaced
-  // within moments.
-  bool HasReadRecords() const {
+  // Whether the records of all nodes were read at `time` or later, and after
+  // the endpoints were listed. They name the versions that served before,
+  // except those that were replaced within moments.
+  bool HasReadRecordsSince(Timestamp time) const {
     return records_read_at_ &&
-           (!known_since_ || *records_read_at_ >= *known_since_);
+           *records_read_at_ >= std::max(time, known_since_.value_or(time));
   }
   // When the records of all nodes were read; empty if they were not.
   const std::optional<Timestamp>& records_read_at() const {
--- a/src/teaselthread/requests/final_responses.cc
+++ b/src/teaselthread/requests/final_responses.cc
@@ -81,12 +81,17 @@
 
 Duration FinalResponses::PauseFor(const RequestExchange& exchange,
                                   RefusalReason reason) {
+  const Timestamp now = state_->Now();
+  const StoreRestoration& restoration = state_->store_restoration();
+  if (reason == RefusalReason::kStreamOriginUnknown &&
+      restoration.MayLackObjects(now)) {
+    return restoration.complete_since() - now;
+  }
   if (reason != RefusalReason::kEndpointsPaused &&
       reason != RefusalReason::kEndpointsLimited) {
     return Duration::zero();
   }
   const std::string& service = exchange.request.service->name;
-  const Timestamp now = state_->Now();
   if (reason == RefusalReason::kEndpointsPaused) {
     return state_->endpoints()
         .ShortestPause(service, now)
--- a/src/teaselthread/requests/resumed_streams.cc
+++ b/src/teaselthread/requests/resumed_streams.cc
@@ -96,9 +96,14 @@
 std::optional<std::string> ResumedStreams::SingleVersion(
     const ClassifiedRequest& request) const {
   const VersionHistory& history = state_->version_history();
+  const StoreRestoration& restoration = state_->store_restoration();
+  const Timestamp now = state_->Now();
+  // Endpoints of another version may not have registered again yet.
+  if (restoration.MayLackObjects(now))
+    return std::nullopt;
   const std::string& service = request.service->name;
   const uint32_t key = ShortHash(service);
-  const Timestamp since = state_->Now() - state_->StreamLifetime(service);
+  const Timestamp since = now - state_->StreamLifetime(service);
   const auto versions = history.LastServedSince(key, since);
   if (versions.size() != 1)
     return std::nullopt;
@@ -116,7 +121,8 @@
   const bool is_older_than_stream =
       started_at_ms &&
       *started_at_ms + age_ms <= GatewayState::UnixMilliseconds();
-  return history.HasReadRecords() && is_older_than_stream
+  return is_older_than_stream &&
+                 history.HasReadRecordsSince(restoration.complete_since())
              ? std::optional(version)
              : std::nullopt;
 }
--- a/tests/streams/outdated_endpoints_test.cc
+++ b/tests/streams/outdated_endpoints_test.cc
@@ -40,7 +40,8 @@
 // A gateway that has known version 1 for long, and a store in which version 2
 // joins. Streams begin at version 2 through other gateways.
 struct OutdatedFixture {
-  OutdatedFixture()
+  // `is_marked`: the gateway knows that the store was not restored just now.
+  explicit OutdatedFixture(bool is_marked = true)
       : store(&harness.io()), first(StartEngine()), second(StartEngine()) {
     GatewayState& state = harness.state();
     state.Reload(WithStore(state.settings().front_listen(), store.address()));
@@ -54,7 +55,9 @@
       return controller->ConfirmEndpoints(max_age);
     });
     WriteEngine("1", *first);
-    state.store_restoration().OnMarker(1);
+    store.Copy();
+    if (is_marked)
+      state.store_restoration().OnMarker(1);
     controller->Start();
     Run(kWatchTime);
     state.version_history().OnListed(state.Now() - seconds(60));
@@ -156,6 +159,25 @@
   int record_reads = 0;
 };
 
+// The same gateway has started just after the store was restored.
+struct JustStartedFixture : OutdatedFixture {
+  JustStartedFixture() : OutdatedFixture(false) {
+    harness.state().version_history().OnListed(harness.state().Now());
+    AddRecords({});
+  }
+};
+
+// In seconds; 0 if there is none.
+double RetryAfterOf(const std::string& response) {
+  const std::string name = "Retry-After: ";
+  const size_t start = response.find(name);
+  return start == std::string::npos
+             ? 0
+             : std::stod(response.substr(start + name.size()));
+}
+
+constexpr Duration kRewriteTime = milliseconds(2'300);
+
 BOOST_FIXTURE_TEST_SUITE(a_gateway_where_a_stream_is_resumed, OutdatedFixture)
 
 BOOST_AUTO_TEST_SUITE(that_has_not_heard_of_a_version_that_joined)
@@ -233,6 +255,58 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(that_follows_a_store_restored_from_an_older_copy)
+
+// Guards against streams that are joined from two versions: the version that
+// began the stream has not registered again, and the records are lost.
+BOOST_AUTO_TEST_CASE(continues_it_when_all_endpoints_are_back) {
+  AddRecords({});
+  store.Restore();
+  Run(kWatchTime);
+  const std::string response = Resume();
+  BOOST_TEST(HasStatus(response, "503"), response);
+  BOOST_TEST(RetryAfterOf(response) > 1.5);
+  Run(kRewriteTime);
+  BOOST_TEST(HasStatus(Resume(), "200"));
+  BOOST_TEST(first->heads().size() == 1u);
+}
+
+// Guards against the same where what was read of the records was not yet
+// written again.
+BOOST_AUTO_TEST_CASE(reads_the_records_again_when_all_is_back) {
+  AddRecords({});
+  store.Restore();
+  Run(kWatchTime);
+  CheckIsRefused();
+  AddRecords({"1", "2"});
+  Run(kRewriteTime);
+  CheckIsRefused();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against the same at a process that knows no earlier epoch.
+BOOST_FIXTURE_TEST_SUITE(that_has_started_after_a_restoration,
+                         JustStartedFixture)
+
+BOOST_AUTO_TEST_CASE(continues_it_when_all_endpoints_are_back) {
+  const std::string response = Resume();
+  BOOST_TEST(HasStatus(response, "503"), response);
+  BOOST_TEST(RetryAfterOf(response) > 1.5);
+  Run(kRewriteTime);
+  BOOST_TEST(HasStatus(Resume(), "200"));
+  BOOST_TEST(first->heads().size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(refuses_it_if_the_other_version_is_back_meanwhile) {
+  CheckIsRefused();
+  WriteEngine("2", *second);
+  Run(kRewriteTime);
+  CheckIsRefused();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(while_one_version_serves)
 
 BOOST_AUTO_TEST_CASE(continues_it_there_after_the_store_discarded_its_history) {
