Streams: write the records again after the store was restored

Cause: StreamRecorder does not write again what it has written once, and nothing told it that the store had lost it.

Fix: when a response of the store names a newer epoch, all is written again. A write whose own response is the first to name the epoch counts as lost too.

--- a/src/teaselthread/streams/stream_recorder.cc
+++ b/src/teaselthread/streams/stream_recorder.cc
@@ -54,6 +54,7 @@
     if (is_leader && !is_recorder_)
       BeginSlot(0, now);
     is_recorder_ = may_write;
+    FollowEpoch(state_->store_restoration().epoch(), now);
     const bool is_due = is_last || now >= next_write;
     if (is_due && HasNews(mixed, now)) {
       const bool written = co_await Write(mixed);
@@ -70,6 +71,18 @@
   }
 }
 
+// The store may have lost what it has acknowledged. That includes a write whose
+// response is the first to name the epoch: it may have been executed before.
+void StreamRecorder::FollowEpoch(StoreEpoch epoch, Timestamp now) {
+  const bool is_restored = IsOlderEpoch(epoch_, epoch);
+  epoch_ = epoch;
+  if (!is_restored)
+    return;
+  written_ = 0;
+  written_versions_.clear();
+  BeginSlot(0, now);
+}
+
 asio::awaitable<bool> StreamRecorder::FindFirstSlot() {
   has_first_slot_ = co_await reader_->Read(kAnyAge);
   if (!has_first_slot_)
--- a/src/teaselthread/streams/stream_recorder.h
+++ b/src/teaselthread/streams/stream_recorder.h
@@ -41,6 +41,8 @@
   };
 
   asio::awaitable<void> Run();
+  // Everything is written again in a newer epoch of the store.
+  void FollowEpoch(StoreEpoch epoch, Timestamp now);
   // Continues with the slot that an earlier process of this gateway would have
   // used next. Returns false if the store cannot be read.
   asio::awaitable<bool> FindFirstSlot();
@@ -64,6 +66,7 @@
   // The slot's object has what was learned after this; see LearnedAfter.
   uint64_t slot_after_ = 0;
   bool is_slot_written_ = false;
+  StoreEpoch epoch_;      // that the written objects belong to
   uint64_t written_ = 0;  // learned() of the last successful write
   std::map<uint32_t, std::set<std::string>> written_versions_;
   std::optional<Timestamp> logged_at_;
--- a/tests/streams/record_store.cc
+++ b/tests/streams/record_store.cc
@@ -3,6 +3,8 @@
 #include <boost/json.hpp>
 #include <utility>
 
+#include "platform/wire_names.h"
+
 namespace teaselthread::test {
 namespace {
 
@@ -15,11 +17,16 @@
 
 }  // namespace
 
-RecordStore::RecordStore(asio::io_context* io)
-    : acceptor_(*io, {asio::ip::make_address("127.0.0.1"), 0}) {
+RecordStore::RecordStore(asio::io_context* io, StoreKind kind)
+    : acceptor_(*io, {asio::ip::make_address("127.0.0.1"), 0}), kind_(kind) {
   asio::co_spawn(*io, Accept(), asio::detached);
 }
 
+void RecordStore::Restore() {
+  objects = copy_;
+  ++epoch_;
+}
+
 asio::awaitable<void> RecordStore::Accept() {
   for (;;) {
     auto [failure, socket] = co_await acceptor_.async_accept(kAsTuple);
@@ -44,13 +51,19 @@
     }
     http::response<http::string_body> response;
     response.result(static_cast<unsigned>(Apply(request, &response.body())));
+    if (request.method() != http::verb::get && restores_after_write) {
+      restores_after_write = false;
+      Restore();
+    }
+    response.set({platform::kStoreEra.data(), platform::kStoreEra.size()},
+                 std::to_string(epoch_));
     response.prepare_payload();
     co_await http::async_write(socket, response, kAsTuple);
   }
 }
 
 int RecordStore::Apply(const Request& request, std::string* body) {
-  const std::string collection = codec_.ObjectTarget(StoreKind::kStreams, "");
+  const std::string collection = codec_.ObjectTarget(kind_, "");
   const std::string target(request.target());
   if (!target.starts_with(collection))
     return kNotFound;
--- a/tests/streams/stream_records_test.cc
+++ b/tests/streams/stream_records_test.cc
@@ -234,6 +234,35 @@
   BOOST_TEST(store.objects.size() == 2u);
 }
 
+// Guards against streams that no gateway continues: their records were lost
+// when the store was restored, and nobody wrote them again.
+BOOST_AUTO_TEST_CASE(are_written_again_if_the_store_was_restored) {
+  Start("edge-0").Serve({"v1", "v2"});
+  RunUntil([&] { return store.writes > 0; }, seconds(2));
+  store.Copy();
+  running[0]->Begin(1, "v1");
+  BOOST_TEST(RunUntil([&] { return IsRecorded(1, "v1"); }, seconds(2)));
+  store.Restore();
+  BOOST_TEST(!IsRecorded(1, "v1"));
+  // One of the gateway's watches is told.
+  running[0]->state.OnStoreEpoch(2);
+  BOOST_TEST(RunUntil([&] { return IsRecorded(1, "v1"); }, milliseconds(500)));
+}
+
+// Guards against the same for a write that was executed before the restoration
+// and has its response after it.
+BOOST_AUTO_TEST_CASE(are_written_again_if_their_own_write_was_lost) {
+  Start("edge-0").Serve({"v1", "v2"});
+  RunUntil([&] { return store.writes > 0; }, seconds(2));
+  RunFor(milliseconds(200));
+  store.Copy();
+  store.restores_after_write = true;
+  running[0]->Begin(1, "v1");
+  BOOST_TEST(RunUntil([&] { return !store.restores_after_write; }, seconds(1)));
+  BOOST_TEST(!IsRecorded(1, "v1"));
+  BOOST_TEST(RunUntil([&] { return IsRecorded(1, "v1"); }, seconds(1)));
+}
+
 BOOST_AUTO_TEST_CASE(are_written_once_more_by_a_leaving_gateway) {
   Start("edge-0").Serve({"v1", "v2"});
   RunUntil([&] { return store.writes > 0; }, seconds(2));
