Prompts: record in the store which parts crash engines

Cause: the evidence lived in the gateways and passed between them only by heartbeats, so it ended with the last of them.

Fix: zone leaders write the evidence on parts with two or more open crashes to the store when it changes (FleetRecords), and gateways read it at their start, with stale calls while there is none. Evidence is merged, never replaced, and a cleared part stays recorded as cleared.

The fields of records that nodes write are read by one file (record_fields).

--- a/src/libteaselthread/endpoints/crash_suspects.cc
+++ b/src/libteaselthread/endpoints/crash_suspects.cc
@@ -37,14 +37,16 @@
 // An early trial that was neither answered nor crashed an engine for this long,
 // as its response was lost, is repeated by the same node.
 constexpr Duration kTrialTimeout = std::chrono::seconds(3);
-// Evidence that has not changed for this long is forgotten.
-constexpr Duration kRetention = std::chrono::hours(1);
 // Evidence of parts that are not blocked is sent for this long after a change.
 constexpr Duration kShareTime = std::chrono::seconds(10);
 // Bounds the memory: callers choose the names of parts.
 constexpr size_t kMaxSuspects = 1'024;
 constexpr size_t kMaxPartLength = 64;
 constexpr size_t kMaxCrashes = CrashEvidence::kMaxCrashes;
+// Parts with so many open crashes are recorded, unless they are cleared within
+// kMinSuspicionTime. Most engines that crash do so for another reason.
+constexpr size_t kMinCrashesToRecord = 2;
+constexpr size_t kMaxRecordedParts = 64;
 // One of this many crashes of a part may lack evidence against the part that
 // explains the others.
 constexpr size_t kCrashesPerException = 4;
@@ -145,6 +147,46 @@
   return true;
 }
 
+std::vector<CrashEvidence> CrashSuspects::ToRecord(Timestamp now) {
+  std::vector<const Suspect*> recorded;
+  for (auto& [part, suspect] : suspects_) {
+    const bool is_suspect =
+        suspect.evidence.open_crashes() >= kMinCrashesToRecord &&
+        now - suspect.first_crash_at >= kMinSuspicionTime;
+    suspect.is_recorded = suspect.is_recorded || is_suspect;
+    if (suspect.is_recorded && now - suspect.changed_at < kRetention)
+      recorded.push_back(&suspect);
+  }
+  if (recorded.size() > kMaxRecordedParts) {
+    std::sort(recorded.begin(), recorded.end(),
+              [](const Suspect* a, const Suspect* b) {
+                return std::pair(a->evidence.open_crashes(), a->changed_at) >
+                       std::pair(b->evidence.open_crashes(), b->changed_at);
+              });
+    recorded.resize(kMaxRecordedParts);
+  }
+  std::vector<CrashEvidence> evidence;
+  for (const Suspect* suspect : recorded) {
+    evidence.push_back(suspect->evidence);
+    evidence.back().age =
+        std::max(now - suspect->last_crash_at, Duration::zero());
+  }
+  return evidence;
+}
+
+void CrashSuspects::MergeRecorded(CrashEvidence evidence,
+                                  Duration age,
+                                  Timestamp now) {
+  evidence.age += age;
+  const bool is_forgotten = evidence.age >= kRetention;
+  if (is_forgotten)
+    return;
+  Merge(evidence, now);
+  const auto found = suspects_.find(evidence.part);
+  if (found != suspects_.end())
+    found->second.is_recorded = true;
+}
+
 std::optional<std::string> CrashSuspects::FindBlocked(
     const std::vector<std::string>& parts,
     Timestamp now) const {
--- a/src/libteaselthread/endpoints/crash_suspects.h
+++ b/src/libteaselthread/endpoints/crash_suspects.h
@@ -44,6 +44,15 @@
   // Adds evidence from another node. Returns whether any of it was new.
   bool Merge(const CrashEvidence& evidence, Timestamp now);
 
+  // The evidence that is to outlive all nodes: on parts that are blocked or
+  // close to it, and on those of which this was once so, as long as anything is
+  // known of them. `age` is that of the latest crash.
+  std::vector<CrashEvidence> ToRecord(Timestamp now);
+  // Adds evidence that ToRecord of any node returned `age` ago.
+  void MergeRecorded(CrashEvidence evidence, Duration age, Timestamp now);
+  // Evidence that has not changed for this long is forgotten.
+  static constexpr Duration kRetention = std::chrono::hours(1);
+
   // The first of the parts that is blocked, if any is.
   std::optional<std::string> FindBlocked(const std::vector<std::string>& parts,
                                          Timestamp now) const;
@@ -81,6 +90,7 @@
     Timestamp trial_at{};         // of the latest trial
     bool sent_trial = false;      // this node has sent the latest early trial
     size_t crashes_to_block = 0;  // as of the latest crash
+    bool is_recorded = false;     // see ToRecord
   };
   using Suspects = std::map<std::string, Suspect>;  // by part
 
--- a/src/teaselthread/streams/stream_record.cc
+++ b/src/teaselthread/streams/stream_record.cc
@@ -2,9 +2,10 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
-#include <charconv>
 #include <utility>
 
+#include "teaselthread/store/record_fields.h"
+
 namespace teaselthread {
 namespace {
 
@@ -34,46 +35,6 @@
   std::string streams;
 };
 
-void AppendHex(uint64_t number, size_t digits, std::string* text) {
-  constexpr char kDigits[] = "0123456789abcdef";
-  for (size_t i = digits; i > 0; --i)
-    *text += kDigits[(number >> (4 * (i - 1))) & 0xf];
-}
-
-std::optional<uint64_t> ParseHex(std::string_view text) {
-  uint64_t number = 0;
-  const auto [end, failure] =
-      std::from_chars(text.data(), text.data() + text.size(), number, 16);
-  if (failure != std::errc() || end != text.data() + text.size())
-    return std::nullopt;
-  return number;
-}
-
-std::optional<uint64_t> UnsignedField(const json::object& object,
-                                      std::string_view key) {
-  const json::value* value = object.if_contains({key.data(), key.size()});
-  if (!value || !value->is_number())
-    return std::nullopt;
-  boost::system::error_code failure;
-  const auto number = value->to_number<uint64_t>(failure);
-  return failure ? std::nullopt : std::optional(number);
-}
-
-std::optional<std::string_view> StringField(const json::object& object,
-                                            std::string_view key) {
-  const json::value* value = object.if_contains({key.data(), key.size()});
-  if (!value || !value->is_string())
-    return std::nullopt;
-  return std::string_view(value->get_string());
-}
-
-// Null if it is missing or not an array.
-const json::array* ArrayField(const json::object& object,
-                              std::string_view key) {
-  const json::value* value = object.if_contains({key.data(), key.size()});
-  return value ? value->if_array() : nullptr;
-}
-
 bool DecodeStreamsOf(uint32_t service,
                      const std::string& version,
                      std::string_view text,
