Configuration: a class of its own for its confirmation

What confirms the configuration, what withdraws that and what peers have named now is ConfigurationConfirmation; the controller keeps the watch and its timing. Behaviour stays as it was: the cases of restored_store_test pass unchanged.

--- a/src/teaselthread/store/crash_record.cc
+++ b/src/teaselthread/store/crash_record.cc
@@ -85,7 +85,7 @@
     std::string part_hex;
     for (const char byte : evidence.part)
       AppendHex(static_cast<unsigned char>(byte), kByteDigits, &part_hex);
-    fields[kPart] = std::move(part_hex);
+    fields[kPart] = part_hex;
     fields[kAge] =
         std::chrono::duration_cast<milliseconds>(evidence.age).count();
     for (const auto& [key, crashes] : kSets)
--- a/src/teaselthread/store/store_controller.cc
+++ b/src/teaselthread/store/store_controller.cc
@@ -13,11 +13,6 @@
 // configuration for its whole availability zone, so the wait is well below the
 // revocation bound.
 constexpr Duration kShortWait = milliseconds(600);
-// By these times, this gateway's own watch normally delivers a version that a
-// peer has announced.
-constexpr MissedChangeDetector::Timeouts kConfigurationTimeouts{
-    .after_announcement = milliseconds(500),
-    .after_call = milliseconds(800)};
 // Shares of the drain bound. A change reaches the other gateways of the zone
 // within the pause that batches changes, a heartbeat and a call of their own if
 // the relayed batch was lost; and within the age of the leader's status and a
@@ -37,7 +32,7 @@
       removal_grace_period_(state->settings().limits().contact_bound),
       call_jitter_(
           std::uniform_real_distribution<double>(0, 1)(state->random())),
-      missed_configuration_(kConfigurationTimeouts),
+      confirmation_(state),
       configuration_(
           state,
           StoreKind::kConfiguration,
@@ -129,7 +124,8 @@
                                state_->endpoints().Sweep(now);
                                EndForgottenEvacuations(now);
                                state_->UpdateVersionHistory();
-                               ConfirmByEarlierResponse();
+                               if (confirmation_.ConfirmByEarlierResponse())
+                                 OnConfigurationConfirmed();
                                CheckConfiguration();
                                if (configuration_.is_unreachable())
                                  return;
@@ -154,7 +150,7 @@
       state_->configuration_freshness().Age(GatewayState::BootNow());
   const Duration batch_delay = DrainBoundShare(kConfigurationBatchShare);
   const bool is_newest = state_->routes() && !is_configuration_unreadable_ &&
-                         !KnowsOfNewerConfiguration();
+                         !confirmation_.KnowsOfNewer();
   if (state_->peers().IsZoneLeader(state_->Now()))
     return {kShortWait, batch_delay, StoreWatcher::kLeaderBackoff};
   if (!age || !is_newest)
@@ -179,13 +175,12 @@
     return;
   const bool is_unconfirmed = *age > MaxUnconfirmedAge() && !age_check_pending_;
   const auto waiting_since = configuration_.waiting_since();
-  const bool is_missed = missed_configuration_.IsMissed(
-      state_->routes()->version(), waiting_since, state_->Now());
+  const bool is_missed = confirmation_.IsMissed(waiting_since);
   if (is_missed) {
     LogLine line("change-missed");
     line.Add("kind", ToString(StoreKind::kConfiguration))
         .Add("known", state_->routes()->version())
-        .Add("heard", missed_configuration_.newest_peer_revision())
+        .Add("heard", confirmation_.newest_peer_version())
         .AddTime("waiting", state_->Now() - *waiting_since);
     state_->log().Info(line);
   }
@@ -201,7 +196,8 @@
     if (status.lists[i] && list)
       list->OnLeaderStatus(*status.lists[i]);
   }
-  OnPeerConfiguration(status.configuration_version);
+  if (confirmation_.OnPeerVersion(status.configuration_version))
+    configuration_.Resume();
   if (!state_->routes())
     return;
   const uint64_t own_version = state_->routes()->version();
@@ -256,11 +252,10 @@
 
 void StoreController::OnStoreRestored() {
   // The store acknowledges nothing while it is unreachable.
-  const Timestamp known_until = configuration_.is_unreachable()
-                                    ? last_unreachable_at_
-                                    : GatewayState::BootNow();
-  const auto age = state_->configuration_freshness().Age(known_until);
-  was_confirmed_when_restored_ = age && *age <= MaxUnconfirmedAge();
+  const Timestamp reachable_until = configuration_.is_unreachable()
+                                        ? last_unreachable_at_
+                                        : GatewayState::BootNow();
+  confirmation_.OnStoreRestored(reachable_until, MaxUnconfirmedAge());
   const StoreRestoration& restoration = state_->store_restoration();
   state_->endpoints().DeferRemovals(restoration.complete_since());
   for (ListController* list : {&endpoints_, &evacuations_, rollouts_.get()}) {
@@ -269,22 +264,6 @@
   }
 }
 
-bool StoreController::KnowsOfNewerConfiguration() const {
-  return missed_configuration_.newest_peer_revision() >
-         state_->routes()->version();
-}
-
-void StoreController::OnPeerConfiguration(uint64_t version) {
-  if (version > missed_configuration_.newest_peer_revision())
-    newer_version_heard_at_ = GatewayState::BootNow();
-  missed_configuration_.OnPeerRevision(version, state_->Now());
-  if (!state_->routes() || version <= state_->routes()->version())
-    return;
-  configuration_.Resume();
-  if (state_->store_restoration().MayLackObjects(state_->Now()))
-    WithdrawConfirmation();
-}
-
 void StoreController::OnConfigurationUpdate(const StoreUpdate& update) {
   for (const StoreObject& object : update.objects) {
     if (!object.removed)
@@ -293,56 +272,16 @@
   age_check_pending_ = false;
   if (is_configuration_unreadable_ || !state_->routes())
     return;
-  if (!KnowsOfNewerConfiguration()) {
-    OnConfigurationConfirmed(update.requested_at);
-    return;
-  }
-  // The version may revoke keys. If the store does not have it although it was
-  // asked after a peer had named it, the store was restored from an older copy.
-  if (update.requested_at >= newer_version_heard_at_)
-    WithdrawConfirmation();
-}
-
-void StoreController::OnConfigurationConfirmed(Timestamp requested_at) {
-  const bool is_shown_by_store =
-      was_confirmed_when_restored_ ||
-      !state_->store_restoration().MayLackObjects(state_->Now());
-  if (is_shown_by_store)
-    ConfirmConfiguration(requested_at);
-  else
-    earlier_response_ = {requested_at, state_->Now()};
+  if (confirmation_.OnResponse(update.requested_at))
+    OnConfigurationConfirmed();
 }
 
-void StoreController::ConfirmByEarlierResponse() {
-  if (!earlier_response_ || state_->store_restoration().MayLackObjects(
-                                earlier_response_->received_at))
-    return;
-  const ConfigurationResponse response = *earlier_response_;
-  earlier_response_.reset();
-  if (!KnowsOfNewerConfiguration())
-    ConfirmConfiguration(response.requested_at);
-}
-
-void StoreController::ConfirmConfiguration(Timestamp requested_at) {
-  state_->configuration_freshness().OnConfirmed(requested_at);
+void StoreController::OnConfigurationConfirmed() {
   if (recovery_unannounced_ && on_store_recovered_)
     on_store_recovered_();
   recovery_unannounced_ = false;
 }
 
-void StoreController::WithdrawConfirmation() {
-  const auto age =
-      state_->configuration_freshness().Age(GatewayState::BootNow());
-  if (!age)
-    return;
-  state_->configuration_freshness().Withdraw();
-  LogLine line("configuration-unconfirmed");
-  line.Add("version", state_->routes()->version())
-      .Add("heard", missed_configuration_.newest_peer_revision())
-      .AddTime("age", *age);
-  state_->log().Warn(line);
-}
-
 bool StoreController::ApplyConfiguration(const StoreObject& object) {
   Result<RouteTableParts> parts = state_->codec().DecodeConfiguration(object);
   Result<RouteTable> table = parts ? RouteTable::Create(parts.TakeValue())
--- a/src/teaselthread/store/store_controller.h
+++ b/src/teaselthread/store/store_controller.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "libteaselthread/endpoints/removal_grace_period.h"
+#include "teaselthread/store/configuration_confirmation.h"
 #include "teaselthread/store/list_controller.h"
 
 namespace teaselthread {
@@ -69,19 +70,8 @@
   // Starts the period in which endpoints and operators write again what the
   // copy does not have.
   void OnStoreRestored();
-  // A peer has named the version of its configuration.
-  void OnPeerConfiguration(uint64_t version);
-  // The store has responded to a call that was made at `requested_at`, and this
-  // gateway knows no version that the response lacks.
-  void OnConfigurationConfirmed(Timestamp requested_at);
-  // Confirms the configuration by a response that could not confirm it before
-  // the marker of the store's epoch was read.
-  void ConfirmByEarlierResponse();
-  void ConfirmConfiguration(Timestamp requested_at);
-  // Requests with keys are refused until a confirmation.
-  void WithdrawConfirmation();
-  // A version that is not in use here yet is in use at a peer.
-  bool KnowsOfNewerConfiguration() const;
+  // The configuration has been confirmed to be the newest.
+  void OnConfigurationConfirmed();
   // Reconnects the watch of the configuration if neither the store nor a peer
   // has confirmed the configuration for MaxUnconfirmedAge, or if it has not
   // delivered a version that a peer has announced.
@@ -108,26 +98,13 @@
   GatewayState* state_;
   std::function<void()> on_store_recovered_;
   RemovalGracePeriod removal_grace_period_;
-  // Whether this gateway's configuration had been confirmed shortly before the
-  // store was restored. Otherwise the store may lack versions that this gateway
-  // has never heard of.
-  bool was_confirmed_when_restored_ = false;
-  // A response that would confirm the configuration if the store lacks nothing.
-  struct ConfigurationResponse {
-    Timestamp requested_at{};  // on the clock that counts suspension
-    Timestamp received_at{};
-  };
-  std::optional<ConfigurationResponse> earlier_response_;
-  // When a peer has first named the newest version. On the clock that counts
-  // suspension.
-  Timestamp newer_version_heard_at_{};
   // Evacuated zones that the restored store does not have.
   std::set<std::string> forgotten_evacuations_;
   // When the store was last found unreachable, or when a peer's heartbeat last
   // showed that it is back. On the clock that counts suspension.
   Timestamp last_unreachable_at_{};
   double call_jitter_;  // of ConfigurationFreshness::MaxUnconfirmedAge
-  MissedChangeDetector missed_configuration_;
+  ConfigurationConfirmation confirmation_;
   bool age_check_pending_ = false;  // CheckConfiguration has reconnected
   // The newest configuration cannot be read; the one in use is older.
   bool is_configuration_unreadable_ = false;
--- a/tests/crashes/crash_records_test.cc
+++ b/tests/crashes/crash_records_test.cc
@@ -18,6 +18,7 @@
 
 // No text: callers choose the bytes.
 const std::string kBadPart = "bad1\xff";
+constexpr uint64_t kTwoHoursMs = 7'200'000;
 const std::string kOtherZonesRecord = "crashes-b";
 const std::string kRecord = "crashes-a";
 
@@ -162,7 +163,7 @@
   CrashFive();
   BOOST_TEST(IsSoonRecorded());
   CrashRecord old = RecordOf(kRecord);
-  old.written_at_ms -= 2 * 3'600'000;
+  old.written_at_ms -= kTwoHoursMs;
   store.objects[kRecord].content = EncodeCrashRecord(old);
   store.objects[kOtherZonesRecord].content = "text";
   Restart();
