--- a/src/teaselthread/store/fleet_records.h
+++ b/src/teaselthread/store/fleet_records.h
@@ -43,8 +43,8 @@
   // Reads the records of all zones before it writes that of this zone, as
   // another leader may have written it.
   asio::awaitable<bool> WriteCrashRecord();
-  // Makes what is due, up to one call to write. Returns whether it succeeded;
-  // empty if nothing is due.
+  // Writes one of the objects that are due. Returns whether it succeeded; empty
+  // if none is due.
   asio::awaitable<std::optional<bool>> WriteNext();
 
   GatewayState* state_;
