Tests: one check of a stream that is continued once all endpoints are back

The same six lines stood in two cases of outdated_endpoints_test, one for a gateway that follows a restored store and one for a process that starts in it. Both call one check now; its assertions are the same, and the suite passes.

--- a/tests/streams/outdated_endpoints_test.cc
+++ b/tests/streams/outdated_endpoints_test.cc
@@ -37,6 +37,17 @@
   return GatewaySettings::Parse(text, "test").TakeValue();
 }
 
+// In seconds; 0 if there is none.
+double RetryAfterOf(const std::string& response) {
+  const std::string name = "Retry-After: ";
+  const size_t start = response.find(name);
+  return start == std::string::npos
+             ? 0
+             : std::stod(response.substr(start + name.size()));
+}
+
+constexpr Duration kRewriteTime = milliseconds(2'300);
+
 // A gateway that has known version 1 for long, and a store in which version 2
 // joins. Streams begin at version 2 through other gateways.
 struct OutdatedFixture {
@@ -149,6 +160,15 @@
     BOOST_TEST(response.find("stream-origin-unknown") != std::string::npos);
     BOOST_TEST(first->heads().size() + second->heads().size() == 0u);
   }
+  // Refused with the time to come back, and continued at version 1 after it.
+  void CheckIsContinuedWhenAllIsBack() {
+    const std::string response = Resume();
+    BOOST_TEST(HasStatus(response, "503"), response);
+    BOOST_TEST(RetryAfterOf(response) > 1.5);
+    Run(kRewriteTime);
+    BOOST_TEST(HasStatus(Resume(), "200"));
+    BOOST_TEST(first->heads().size() == 1u);
+  }
 
   test::GatewayHarness harness;
   test::RestorableStore store;
@@ -167,17 +187,6 @@
   }
 };
 
-// In seconds; 0 if there is none.
-double RetryAfterOf(const std::string& response) {
-  const std::string name = "Retry-After: ";
-  const size_t start = response.find(name);
-  return start == std::string::npos
-             ? 0
-             : std::stod(response.substr(start + name.size()));
-}
-
-constexpr Duration kRewriteTime = milliseconds(2'300);
-
 BOOST_FIXTURE_TEST_SUITE(a_gateway_where_a_stream_is_resumed, OutdatedFixture)
 
 BOOST_AUTO_TEST_SUITE(that_has_not_heard_of_a_version_that_joined)
@@ -263,12 +272,7 @@
   AddRecords({});
   store.Restore();
   Run(kWatchTime);
-  const std::string response = Resume();
-  BOOST_TEST(HasStatus(response, "503"), response);
-  BOOST_TEST(RetryAfterOf(response) > 1.5);
-  Run(kRewriteTime);
-  BOOST_TEST(HasStatus(Resume(), "200"));
-  BOOST_TEST(first->heads().size() == 1u);
+  CheckIsContinuedWhenAllIsBack();
 }
 
 // Guards against the same where what was read of the records was not yet
@@ -290,12 +294,7 @@
                          JustStartedFixture)
 
 BOOST_AUTO_TEST_CASE(continues_it_when_all_endpoints_are_back) {
-  const std::string response = Resume();
-  BOOST_TEST(HasStatus(response, "503"), response);
-  BOOST_TEST(RetryAfterOf(response) > 1.5);
-  Run(kRewriteTime);
-  BOOST_TEST(HasStatus(Resume(), "200"));
-  BOOST_TEST(first->heads().size() == 1u);
+  CheckIsContinuedWhenAllIsBack();
 }
 
 BOOST_AUTO_TEST_CASE(refuses_it_if_the_other_version_is_back_meanwhile) {
